Add the whole path, thin, over separate processes

Cause: nothing existed; every other issue hangs on a request that goes end to end through real sockets.

Ruled out: choosing engines from the entry host alone (hosts collide on the last slot), so work for a backend server goes through one home host from the start; a home-made HTTP or RPC layer, since async-h1, h2 and bincode serve.

--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,14 @@
+//! The `core` crate holds the traits, types, errors and units that every other
+//! crate of aspenloft shares. It does no I/O; see `docs/ARCHITECTURE.md`.
+
+pub mod backend;
+pub mod clock;
+pub mod errors;
+pub mod execution;
+pub mod finding;
+pub mod host;
+pub mod ids;
+pub mod pieces;
+pub mod prelude;
+pub mod secret;
+pub mod units;
--- /dev/null
+++ b/crates/core/src/prelude.rs
@@ -0,0 +1,14 @@
+//! The `prelude` module gathers the types that nearly every file needs, so that
+//! one import line serves.
+
+pub use std::sync::Arc;
+pub use std::time::Duration;
+
+pub use crate::backend::{Backend, BackendRole};
+pub use crate::clock::{Clock, SharedClock};
+pub use crate::errors::{Error, Result};
+pub use crate::execution::Execution;
+pub use crate::finding::{Finding, Findings};
+pub use crate::host::Host;
+pub use crate::ids::{Name, RequestId, ReservationId};
+pub use crate::units::Tokens;
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,13 @@
+//! The `daemon` crate joins the layers into `aspenloftd`: it holds the listeners,
+//! the loops and the path of a request. Decisions are in `aspenloft-policy`.
+
+pub mod admin;
+pub mod callers;
+pub mod cleanup;
+pub mod home;
+pub mod node;
+pub mod path;
+pub mod peers;
+pub mod refresh;
+pub mod settings;
+pub mod view;
--- /dev/null
+++ b/crates/daemon/src/node.rs
@@ -0,0 +1,108 @@
+//! The `node` module is one host: what all its listeners and loops share.
+//!
+//! Lock order: the view's locks, then the homes' books, then the connections of
+//! the peers. No lock is held over an `await`.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use aspenloft_core::clock::unix_millis;
+use aspenloft_core::errors::internal;
+use aspenloft_core::prelude::{RequestId, SharedClock};
+use aspenloft_protocol::peer::table::{TableReply, TableRequest};
+use aspenloft_protocol::peer::{PeerReply, PeerRequest};
+use aspenloft_protocol::platform::{HostList, HostListClient, KeyValue, KvClient};
+use async_trait::async_trait;
+use parking_lot::Mutex;
+use rand::seq::SliceRandom;
+use rand::{SeedableRng, rngs::StdRng};
+
+use crate::home::service::HomeService;
+use crate::peers::{PeerHandler, Peers, ReplySender};
+use crate::settings::Settings;
+use crate::view::View;
+
+/// `Node` is one host of the router.
+pub struct Node {
+    /// Its settings.
+    pub settings: Settings,
+    /// Its clock.
+    pub clock: SharedClock,
+    /// What it knows of the deployment.
+    pub view: Arc<View>,
+    /// The other hosts.
+    pub peers: Peers,
+    /// The platform's key-value service.
+    pub kv: Arc<dyn KeyValue>,
+    /// The platform's list of hosts.
+    pub host_list: Arc<dyn HostList>,
+    /// Its work as the home of backend servers.
+    pub home: HomeService,
+    requests: AtomicU64,
+    born_ms: u64,
+    random: Mutex<StdRng>,
+}
+
+impl Node {
+    /// Creates the host that `settings` describe.
+    pub fn new(settings: Settings, clock: SharedClock) -> Arc<Node> {
+        let view = Arc::new(View::new(settings.host()));
+        let node = Arc::new(Node {
+            kv: Arc::new(KvClient::new(settings.platform.key_value)),
+            host_list: Arc::new(HostListClient::new(settings.platform.host_list)),
+            peers: Peers::new(settings.host.clone()),
+            home: HomeService::new(clock.clone(), view.clone()),
+            requests: AtomicU64::new(0),
+            born_ms: unix_millis(clock.wall()),
+            random: Mutex::new(StdRng::from_os_rng()),
+            view,
+            clock,
+            settings,
+        });
+        node.peers.set_local(Arc::new(Dispatch(node.clone())));
+        node
+    }
+
+    /// Returns a new request id. The time of the host's start keeps ids of its
+    /// earlier lives apart.
+    pub fn next_request(&self) -> RequestId {
+        let count = self.requests.fetch_add(1, Ordering::Relaxed);
+        RequestId(format!("{}-{:x}-{count:x}", self.settings.host, self.born_ms).into())
+    }
+
+    /// Puts `items` into a random order.
+    pub fn shuffle<T>(&self, items: &mut [T]) {
+        items.shuffle(&mut *self.random.lock());
+    }
+}
+
+/// `Dispatch` hands the calls of hosts to the part of the node that they are for.
+pub struct Dispatch(pub Arc<Node>);
+
+#[async_trait]
+impl PeerHandler for Dispatch {
+    async fn handle(&self, req: PeerRequest, tx: ReplySender) {
+        match req {
+            PeerRequest::Home(req) => self.0.home.handle(req, tx).await,
+            PeerRequest::Table(TableRequest::Fetch { have }) => {
+                let reply = newer_table(&self.0, have);
+                let _ = tx.send(PeerReply::Table(reply)).await;
+            }
+            PeerRequest::Heartbeat(_) | PeerRequest::Ledger(_) | PeerRequest::Control(_) => {
+                let refusal = internal("this host does not serve such calls yet");
+                let _ = tx.send(PeerReply::Failed(refusal)).await;
+            }
+        }
+    }
+}
+
+fn newer_table(node: &Node, have: u64) -> TableReply {
+    let Ok(table) = node.view.table() else { return TableReply::Same };
+    if table.version <= have {
+        return TableReply::Same;
+    }
+    match table.to_json() {
+        Ok(text) => TableReply::Newer { version: table.version, text: text.into() },
+        Err(_) => TableReply::Same,
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/peers.rs
@@ -0,0 +1,180 @@
+//! The `peers` module calls other hosts, and this host itself by a short cut that
+//! packs nothing.
+
+use std::collections::HashMap;
+use std::sync::{Arc, OnceLock};
+
+use aspenloft_core::errors::{Error, ErrorCode, Result, internal};
+use aspenloft_core::execution::Execution;
+use aspenloft_core::prelude::{Host, Name};
+use aspenloft_protocol::peer::{PeerReply, PeerRequest};
+use aspenloft_transport::frames;
+use aspenloft_transport::mesh::{FrameHandler, PeerConnection, RemoteCall};
+use async_std::channel::{Receiver, Sender, bounded};
+use async_std::task;
+use async_trait::async_trait;
+use bytes::{Bytes, BytesMut};
+use futures::future::{AbortHandle, abortable};
+use parking_lot::Mutex;
+
+/// Replies that a local handler may have ready before it must wait.
+const LOCAL_BUFFER: usize = 64;
+
+/// `ReplySender` is where a handler puts its replies.
+#[derive(Debug, Clone)]
+pub struct ReplySender {
+    out: Out,
+}
+
+#[derive(Debug, Clone)]
+enum Out {
+    Local(Sender<PeerReply>),
+    Remote(Sender<Bytes>),
+}
+
+impl ReplySender {
+    /// Sends one reply. It fails when the calling host no longer listens.
+    pub async fn send(&self, reply: PeerReply) -> Result<()> {
+        let sent = match &self.out {
+            Out::Local(tx) => tx.send(reply).await.is_ok(),
+            Out::Remote(tx) => {
+                let mut buf = BytesMut::new();
+                frames::encode(&reply, &mut buf)?;
+                tx.send(buf.freeze()).await.is_ok()
+            }
+        };
+        if sent { Ok(()) } else { Err(Error::new(ErrorCode::Cancelled, "the peer is gone")) }
+    }
+}
+
+/// `PeerHandler` serves calls of other hosts and of this one.
+#[async_trait]
+pub trait PeerHandler: Send + Sync {
+    /// Serves one call; the future is dropped when the calling host gives it up.
+    async fn handle(&self, req: PeerRequest, tx: ReplySender);
+}
+
+/// `Peers` reaches all hosts by name.
+pub struct Peers {
+    me: Name,
+    local: OnceLock<Arc<dyn PeerHandler>>,
+    connections: Mutex<HashMap<Name, PeerConnection>>,
+}
+
+impl Peers {
+    /// Creates the peers of the host named `me`.
+    pub fn new(me: Name) -> Peers {
+        Peers { me, local: OnceLock::new(), connections: Mutex::default() }
+    }
+
+    /// Sets who serves this host's calls to itself. Only the first call counts.
+    pub fn set_local(&self, handler: Arc<dyn PeerHandler>) {
+        let _ = self.local.set(handler);
+    }
+
+    /// Starts a call to `host`.
+    pub async fn call(&self, host: &Host, req: PeerRequest) -> Result<Call> {
+        if host.name == self.me {
+            return self.call_local(req);
+        }
+        let mut buf = BytesMut::new();
+        frames::encode(&req, &mut buf)?;
+        let connection = self.connection(host).await?;
+        let call = connection.call(buf.freeze()).await;
+        if call.is_err() {
+            self.connections.lock().remove(&host.name);
+        }
+        Ok(Call::Remote(Box::new(call?)))
+    }
+
+    /// Calls `host` and returns the only reply.
+    pub async fn ask(&self, host: &Host, req: PeerRequest) -> Result<PeerReply> {
+        let mut call = self.call(host, req).await?;
+        call.expect().await
+    }
+
+    fn call_local(&self, req: PeerRequest) -> Result<Call> {
+        let handler = self.local.get().ok_or_else(|| internal("no local handler"))?.clone();
+        let (tx, rx) = bounded(LOCAL_BUFFER);
+        let tx = ReplySender { out: Out::Local(tx) };
+        let (work, abort) = abortable(async move { handler.handle(req, tx).await });
+        task::spawn(work);
+        Ok(Call::Local(LocalCall { rx, abort }))
+    }
+
+    async fn connection(&self, host: &Host) -> Result<PeerConnection> {
+        let known = self.connections.lock().get(&host.name).cloned();
+        if let Some(connection) = known
+            && !connection.is_closed()
+        {
+            return Ok(connection);
+        }
+        let connection = PeerConnection::open(host.addr).await?;
+        self.connections.lock().insert(host.name.clone(), connection.clone());
+        Ok(connection)
+    }
+}
+
+/// `Call` reads the replies of one call. Dropping it gives the call up.
+pub enum Call {
+    /// A call to this host itself.
+    Local(LocalCall),
+    /// A call to another host.
+    Remote(Box<RemoteCall>),
+}
+
+/// `LocalCall` is a call to this host itself.
+pub struct LocalCall {
+    rx: Receiver<PeerReply>,
+    abort: AbortHandle,
+}
+
+impl Drop for LocalCall {
+    fn drop(&mut self) {
+        self.abort.abort();
+    }
+}
+
+impl Call {
+    /// Returns the next reply, or `None` when the far side has finished.
+    pub async fn next(&mut self) -> Result<Option<PeerReply>> {
+        match self {
+            Call::Local(call) => Ok(call.rx.recv().await.ok()),
+            Call::Remote(call) => match call.next().await? {
+                Some(body) => frames::decode(&body).map(Some),
+                None => Ok(None),
+            },
+        }
+    }
+
+    /// Returns the next reply, which must come and must not be a failure.
+    pub async fn expect(&mut self) -> Result<PeerReply> {
+        match self.next().await? {
+            Some(PeerReply::Failed(e)) => Err(e),
+            Some(reply) => Ok(reply),
+            None => Err(Error::new(ErrorCode::Unavailable, "the peer ended the call early")
+                .execution(Execution::Unknown)),
+        }
+    }
+}
+
+/// Makes the error for a reply of the wrong kind.
+pub fn unexpected(reply: &PeerReply) -> Error {
+    internal(format!("unexpected reply of a peer: {reply:?}")).execution(Execution::Unknown)
+}
+
+/// `Unpacked` serves frames of other hosts with a [`PeerHandler`].
+pub struct Unpacked(pub Arc<dyn PeerHandler>);
+
+#[async_trait]
+impl FrameHandler for Unpacked {
+    async fn handle(&self, body: Bytes, tx: Sender<Bytes>) {
+        let tx = ReplySender { out: Out::Remote(tx) };
+        match frames::decode(&body) {
+            Ok(req) => self.0.handle(req, tx).await,
+            Err(e) => {
+                let _ = tx.send(PeerReply::Failed(e)).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/load/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
--- /dev/null
+++ b/crates/membership/src/lib.rs
@@ -0,0 +1,4 @@
+//! The `membership` crate decides which hosts are live and which of them is the
+//! home of each backend server.
+
+pub mod homes;
--- /dev/null
+++ b/crates/protocol/src/peer/home.rs
@@ -0,0 +1,117 @@
+//! The `home` module defines the messages to the home host of a backend server.
+
+use std::time::Duration;
+
+use aspenloft_core::prelude::{Name, RequestId, ReservationId, Tokens};
+use serde::{Deserialize, Serialize};
+
+use crate::engine::{FinishReason, KvHandle, PrefillResult, Token};
+
+/// `HomeRequest` is a call to the home host of a backend server.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum HomeRequest {
+    /// Reserves room on a backend server.
+    Reserve(ReserveRequest),
+    /// Gives a reservation back.
+    Release {
+        /// The backend server.
+        backend: Name,
+        /// The reservation.
+        reservation: ReservationId,
+    },
+    /// Runs a prefill against a reservation.
+    Prefill(HomePrefill),
+    /// Runs a decode against a reservation; replies are token batches.
+    Decode(HomeDecode),
+}
+
+/// `ReserveRequest` asks for room on a backend server.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ReserveRequest {
+    /// The request.
+    pub request: RequestId,
+    /// The backend server.
+    pub backend: Name,
+    /// The row's name.
+    pub row: Name,
+    /// Tokens of the prompt that need work.
+    pub prompt_tokens: Tokens,
+    /// The most tokens to generate.
+    pub max_tokens: Tokens,
+    /// Higher goes first.
+    pub priority: u8,
+    /// When the room is needed, counted from now.
+    pub starts_in: Duration,
+}
+
+/// `HomePrefill` runs a prefill at its home host.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct HomePrefill {
+    /// The request.
+    pub request: RequestId,
+    /// The backend server.
+    pub backend: Name,
+    /// The reservation.
+    pub reservation: ReservationId,
+    /// The prompt.
+    pub prompt: Name,
+    /// Higher goes first.
+    pub priority: u8,
+    /// The longest wait for the result.
+    pub limit: Duration,
+}
+
+/// `HomeDecode` runs a decode at its home host.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct HomeDecode {
+    /// The request.
+    pub request: RequestId,
+    /// The backend server.
+    pub backend: Name,
+    /// The reservation.
+    pub reservation: ReservationId,
+    /// The KV cache to import.
+    pub kv: KvHandle,
+    /// The backend server that holds it.
+    pub source: Name,
+    /// The index of the first token wanted.
+    pub from_token: u64,
+    /// The text already sent to the caller.
+    pub sent: Name,
+    /// The most tokens to generate, counted from index zero.
+    pub max_tokens: Tokens,
+    /// Higher goes first.
+    pub priority: u8,
+    /// The longest wait for the first token.
+    pub limit: Duration,
+}
+
+/// `HomeReply` is a reply of a home host.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum HomeReply {
+    /// The room is held.
+    Reserved(ReservationId),
+    /// There is no room; the state is fresh.
+    Refused(BackendState),
+    /// The reservation is gone.
+    Released,
+    /// The prefill is done.
+    Prefilled(PrefillResult),
+    /// Tokens in order.
+    Tokens(Vec<Token>),
+    /// The decode is whole.
+    Finished(FinishReason),
+}
+
+/// `BackendState` is a home host's exact word on one backend server.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct BackendState {
+    /// Slots in all.
+    pub slots: u32,
+    /// Slots in use or reserved.
+    pub taken: u32,
+    /// Tokens of prefill that wait or run.
+    pub queued_tokens: Tokens,
+    /// When a slot is likely to be free, counted from now.
+    pub free_in: Duration,
+}
