Give every stand-in its faults and its records

The thin stand-ins could neither break nor tell what they had run, so no promise could be tested against them.

The engine is split into pure parts (holds, cache, queue, link, loads, records) and the work on top. It now queues prefills by priority, keeps a bounded prefix cache with late and gappy events, evicts unclaimed results after 800 ms, shares its link among exports, checks the text of a resume, fences orders where asked, crashes on marked prompts, and records all that it ever ran. The key-value service counts calls by second and fails by kind of call; the plain service loses connections before or after an execution; the host list lags; a relay silences open connections. `Connection::abort` lets a stand-in drop a connection.

Extending the hold of a finished result was ruled out, because engines evict results whatever the owner says.

--- a/crates/standin/src/kv.rs
+++ b/crates/standin/src/kv.rs
@@ -1,6 +1,6 @@
 //! The `kv` module stands in for the platform's key-value service.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -14,6 +14,11 @@
 use async_trait::async_trait;
 use http_types::{Request, Response};
 use parking_lot::Mutex;
+use serde::{Deserialize, Serialize};
+use serde_with::{DurationMilliSeconds, serde_as};
+
+use crate::admin;
+use crate::rates::Rates;
 
 /// The largest call that the stand-in reads, in bytes.
 const MAX_CALL_BYTES: usize = 2 * MAX_VALUE_BYTES;
@@ -31,6 +36,8 @@
     pub calls: u64,
     /// Writes served.
     pub writes: u64,
+    /// Calls that came, by second, those that failed included.
+    pub rates: Rates,
 }
 
 #[derive(Debug)]
@@ -123,15 +130,54 @@
     Versioned { key: key.into(), value: entry.value.clone(), version: entry.version }
 }
 
-/// `Faults` is what is wrong with the service at the moment.
-#[derive(Debug, Clone, Default)]
+/// `CallKind` is a kind of call, for faults that hit only some.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum CallKind {
+    /// Reads of one key.
+    Get,
+    /// Compare-and-swaps.
+    Put,
+    /// Lists.
+    List,
+    /// Watches.
+    Watch,
+    /// Grants of leases.
+    Grant,
+    /// Renewals of leases.
+    Renew,
+}
+
+/// `Faults` is what is wrong with the service at the moment; the default is
+/// nothing.
+#[serde_as]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
 pub struct Faults {
-    /// Calls fail without taking effect.
+    /// Calls fail without taking effect; waiting watches fail too.
     pub down: bool,
     /// Calls wait this long first.
+    #[serde_as(as = "DurationMilliSeconds")]
+    #[serde(rename = "slow_ms")]
     pub slow: Duration,
     /// The answers of this many coming writes are lost after they took effect.
     pub lose_answers: u32,
+    /// The kinds that fail as if the service were down.
+    pub down_kinds: BTreeSet<CallKind>,
+    /// What calls of a kind wait beyond `slow`.
+    #[serde_as(as = "BTreeMap<_, DurationMilliSeconds>")]
+    #[serde(rename = "slow_kinds_ms")]
+    pub slow_kinds: BTreeMap<CallKind, Duration>,
+}
+
+impl Faults {
+    fn fails(&self, kind: CallKind) -> bool {
+        self.down || self.down_kinds.contains(&kind)
+    }
+
+    fn wait(&self, kind: CallKind) -> Duration {
+        self.slow + self.slow_kinds.get(&kind).copied().unwrap_or_default()
+    }
 }
 
 /// `KvStandin` is the service, reachable in process and over HTTP.
@@ -144,15 +190,21 @@
 }
 
 impl KvStandin {
-    async fn enter(&self) -> Result<()> {
-        let faults = self.faults.lock().clone();
-        if !faults.slow.is_zero() {
-            task::sleep(faults.slow).await;
+    async fn enter(&self, kind: CallKind) -> Result<()> {
+        self.store.lock().rates.note(kind, Instant::now());
+        let wait = self.faults.lock().wait(kind);
+        if !wait.is_zero() {
+            task::sleep(wait).await;
         }
-        if faults.down {
+        self.fail_if_down(kind)?;
+        self.store.lock().calls += 1;
+        Ok(())
+    }
+
+    fn fail_if_down(&self, kind: CallKind) -> Result<()> {
+        if self.faults.lock().fails(kind) {
             return Err(Error::new(ErrorCode::Unavailable, "the key-value service is down"));
         }
-        self.store.lock().calls += 1;
         Ok(())
     }
 
@@ -183,26 +235,27 @@
 #[async_trait]
 impl KeyValue for KvStandin {
     async fn get(&self, key: &str) -> Result<Option<Versioned>> {
-        self.enter().await?;
+        self.enter(CallKind::Get).await?;
         Ok(self.store.lock().get(key, Instant::now()))
     }
 
     async fn put(&self, put: Put) -> Result<Swap> {
-        self.enter().await?;
+        self.enter(CallKind::Put).await?;
         let swap = self.store.lock().put(put, Instant::now())?;
         self.leave_write()?;
         Ok(swap)
     }
 
     async fn list(&self, prefix: &str) -> Result<Vec<Versioned>> {
-        self.enter().await?;
+        self.enter(CallKind::List).await?;
         Ok(self.store.lock().list(prefix, Instant::now()))
     }
 
     async fn watch(&self, key: &str, after: Version, wait: Duration) -> Result<Option<Versioned>> {
-        self.enter().await?;
+        self.enter(CallKind::Watch).await?;
         let ends = Instant::now() + wait;
         loop {
+            self.fail_if_down(CallKind::Watch)?;
             let now = Instant::now();
             let found = self.store.lock().get(key, now);
             if now >= ends || found.as_ref().is_some_and(|v| v.version > after) {
@@ -213,12 +266,12 @@
     }
 
     async fn grant(&self, ttl: Duration) -> Result<LeaseId> {
-        self.enter().await?;
+        self.enter(CallKind::Grant).await?;
         Ok(self.store.lock().grant(ttl, Instant::now()))
     }
 
     async fn renew(&self, lease: LeaseId) -> Result<bool> {
-        self.enter().await?;
+        self.enter(CallKind::Renew).await?;
         Ok(self.store.lock().renew(lease, Instant::now()))
     }
 }
@@ -230,6 +283,11 @@
 #[async_trait]
 impl HttpHandler for KvFront {
     async fn handle(&self, mut req: Request, _: &Connection) -> Response {
+        match req.url().path() {
+            admin::FAULTS_PATH => return admin::faults(&mut req, &self.0.faults).await,
+            admin::RECORDS_PATH => return server::json(&self.0.store.lock().rates),
+            _ => (),
+        }
         match server::read_json(&mut req, MAX_CALL_BYTES).await {
             Ok(call) => server::outcome(self.0.serve(call).await),
             Err(e) => server::outcome(Err::<(), _>(e)),
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -2,10 +2,13 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
+use aspenloft_core::errors::{Result, unavailable};
 use aspenloft_standin::engine::{EngineFront, EngineOptions, EngineStandin};
-use aspenloft_standin::hosts::HostsFront;
+use aspenloft_standin::hosts::HostsStandin;
 use aspenloft_standin::kv::KvFront;
+use aspenloft_standin::relay::{Relay, RelayAdmin};
 use aspenloft_standin::service::ServiceStandin;
 use aspenloft_transport::server::{self, HttpHandler};
 use async_std::net::TcpListener;
@@ -39,47 +42,79 @@
                 optional --slots count: u32
                 /// Milliseconds of a decode step.
                 optional --step-ms ms: u64
+                /// Microseconds that each further stream adds to a step.
+                optional --step-per-stream-us us: u64
+                /// Microseconds of prefill for a token.
+                optional --prefill-us us: u64
+                /// Microseconds of transfer for a token.
+                optional --transfer-us us: u64
+                /// The model.
+                optional --model name: String
+                /// Obeys orders whatever their fencing number.
+                optional --ignore-fencing
             }
             /// A plain service.
             cmd service {
                 /// Where to listen.
                 required --listen addr: SocketAddr
             }
+            /// A relay that can make connections go silent.
+            cmd relay {
+                /// Where to listen.
+                required --listen addr: SocketAddr
+                /// Where connections go.
+                required --target addr: SocketAddr
+                /// Where faults are set.
+                required --admin addr: SocketAddr
+            }
         }
     }
 }
 
-fn engine(options: &flags::Engine) -> Arc<dyn HttpHandler> {
+fn engine(f: flags::Engine) -> Arc<dyn HttpHandler> {
     let mut engine = EngineOptions::default();
-    if let Some(slots) = options.slots {
-        engine.slots = slots;
-    }
-    if let Some(step_ms) = options.step_ms {
-        engine.step = std::time::Duration::from_millis(step_ms);
-    }
+    engine.check_fencing = !f.ignore_fencing;
+    engine.slots = f.slots.unwrap_or(engine.slots);
+    engine.step = f.step_ms.map_or(engine.step, Duration::from_millis);
+    let per_stream = f.step_per_stream_us.map(Duration::from_micros);
+    engine.step_per_stream = per_stream.unwrap_or(engine.step_per_stream);
+    engine.prefill_per_token = f.prefill_us.map_or(engine.prefill_per_token, Duration::from_micros);
+    let transfer = f.transfer_us.map(Duration::from_micros);
+    engine.transfer_per_token = transfer.unwrap_or(engine.transfer_per_token);
+    engine.model = f.model.map_or(engine.model, Into::into);
     Arc::new(EngineFront(EngineStandin::new(engine)))
 }
 
-async fn run(
-    addr: SocketAddr,
-    handler: Arc<dyn HttpHandler>,
-) -> aspenloft_core::errors::Result<()> {
-    let listener = TcpListener::bind(addr)
-        .await
-        .map_err(|e| aspenloft_core::errors::unavailable(format!("{addr}: {e}")))?;
-    server::serve(listener, handler).await
+async fn bind(addr: SocketAddr) -> Result<TcpListener> {
+    TcpListener::bind(addr).await.map_err(|e| unavailable(format!("{addr}: {e}")))
+}
+
+async fn run(addr: SocketAddr, handler: Arc<dyn HttpHandler>) -> Result<()> {
+    server::serve(bind(addr).await?, handler).await
+}
+
+async fn run_relay(f: flags::Relay) -> Result<()> {
+    let relay = Relay::new(f.target);
+    let admin = bind(f.admin).await?;
+    task::spawn(server::serve(admin, Arc::new(RelayAdmin(relay.clone()))));
+    relay.serve(bind(f.listen).await?).await
+}
+
+async fn dispatch(command: flags::AspenloftStandinCmd) -> Result<()> {
+    use flags::AspenloftStandinCmd::{Engine, Hosts, Kv, Relay, Service};
+    match command {
+        Kv(f) => run(f.listen, Arc::new(KvFront(Arc::default()))).await,
+        Hosts(f) => run(f.listen, Arc::new(HostsStandin::new(f.file))).await,
+        Engine(f) => run(f.listen, engine(f)).await,
+        Service(f) => run(f.listen, Arc::new(ServiceStandin::default())).await,
+        Relay(f) => run_relay(f).await,
+    }
 }
 
 fn main() {
     env_logger::init();
     let command = flags::AspenloftStandin::from_env_or_exit().subcommand;
-    let (addr, handler): (SocketAddr, Arc<dyn HttpHandler>) = match command {
-        flags::AspenloftStandinCmd::Kv(f) => (f.listen, Arc::new(KvFront(Arc::default()))),
-        flags::AspenloftStandinCmd::Hosts(f) => (f.listen, Arc::new(HostsFront { file: f.file })),
-        flags::AspenloftStandinCmd::Engine(f) => (f.listen, engine(&f)),
-        flags::AspenloftStandinCmd::Service(f) => (f.listen, Arc::new(ServiceStandin::default())),
-    };
-    if let Err(e) = task::block_on(run(addr, handler)) {
+    if let Err(e) = task::block_on(dispatch(command)) {
         eprintln!("aspenloft-standin: {e}");
         std::process::exit(1);
     }
--- /dev/null
+++ b/crates/standin/src/rates.rs
@@ -0,0 +1,56 @@
+//! The `rates` module counts the calls to the key-value service by second, so
+//! that a test can hold a burst against the service's limits.
+
+use std::collections::BTreeMap;
+use std::time::Instant;
+
+use serde::Serialize;
+
+use crate::kv::CallKind;
+
+/// Seconds that are kept; the oldest are forgotten first.
+const KEPT_SECONDS: usize = 3_600;
+
+/// `Rates` is the calls of the last hour by second since the first call.
+#[derive(Debug, Clone, Default, Serialize)]
+pub struct Rates {
+    #[serde(skip)]
+    started: Option<Instant>,
+    seconds: BTreeMap<u64, Second>,
+}
+
+/// `Second` is the calls within one second.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
+pub struct Second {
+    /// Calls that write: compare-and-swaps, grants and renewals.
+    pub writes: u64,
+    /// Calls that read; a waiting watch counts as one.
+    pub reads: u64,
+}
+
+impl Rates {
+    /// Counts one call at `now`.
+    pub fn note(&mut self, kind: CallKind, now: Instant) {
+        let started = *self.started.get_or_insert(now);
+        let second = self.seconds.entry((now - started).as_secs()).or_default();
+        match kind {
+            CallKind::Put | CallKind::Grant | CallKind::Renew => second.writes += 1,
+            CallKind::Get | CallKind::List | CallKind::Watch => second.reads += 1,
+        }
+        while self.seconds.len() > KEPT_SECONDS {
+            self.seconds.pop_first();
+        }
+    }
+
+    /// Returns the most writes and the most reads within one second.
+    pub fn peak(&self) -> Second {
+        let writes = self.seconds.values().map(|second| second.writes).max();
+        let reads = self.seconds.values().map(|second| second.reads).max();
+        Second { writes: writes.unwrap_or_default(), reads: reads.unwrap_or_default() }
+    }
+
+    /// Returns the calls by second since the first call.
+    pub fn seconds(&self) -> &BTreeMap<u64, Second> {
+        &self.seconds
+    }
+}
--- /dev/null
+++ b/crates/standin/tests/engine.rs
@@ -0,0 +1,273 @@
+//! The contract of the model engine, without faults and with each of them.
+
+mod common;
+
+use std::time::Duration;
+
+use aspenloft_core::backend::BackendRole;
+use aspenloft_core::errors::ErrorCode;
+use aspenloft_core::execution::Execution;
+use aspenloft_core::pieces::PIECE_BYTES;
+use aspenloft_core::units::Tokens;
+use aspenloft_protocol::engine::{
+    CancelCommand, EventsQuery, ExtendCommand, HoldState, ModelEngine, Order, OrderKind,
+};
+use aspenloft_standin::engine::queue::PrefillQueue;
+use aspenloft_standin::engine::{
+    CRASH_MARK, DECODE_CRASH_MARK, EngineFaults, EngineOptions, expected_text,
+};
+use async_std::task;
+use common::{Engine, HOLD, LIMIT, decode_command};
+
+const PROMPT: &str = "Describe the blue door.";
+
+fn fast() -> EngineOptions {
+    EngineOptions { step: Duration::from_millis(2), ..EngineOptions::default() }
+}
+
+async fn pair() -> (Engine, Engine) {
+    (Engine::start(fast()).await, Engine::start(fast()).await)
+}
+
+/// Waits until `holds` is true, at most for [`LIMIT`].
+async fn until(what: &str, holds: impl Fn() -> bool) {
+    for _ in 0..LIMIT.as_millis() / 5 {
+        if holds() {
+            return;
+        }
+        task::sleep(Duration::from_millis(5)).await;
+    }
+    panic!("never: {what}");
+}
+
+#[async_std::test]
+async fn decodes_the_whole_text_and_resumes_within_it() {
+    let (from, to) = pair().await;
+    let whole = expected_text(PROMPT, 4);
+    for resumed_at in 0..4 {
+        let result = from.prefill("r", PROMPT).await.expect("a prefill");
+        let mut command = decode_command("r", &result.kv, from.addr);
+        command.from_token = resumed_at;
+        command.sent = expected_text(PROMPT, resumed_at).into();
+        let decoded = to.decode(&command).await.expect("a stream");
+        assert_eq!(format!("{}{}", command.sent, decoded.text), whole);
+        assert!(decoded.finished);
+        until("the slot is free", || to.standin.holds().is_empty()).await;
+    }
+    let result = from.prefill("r", PROMPT).await.expect("a prefill");
+    let mut command = decode_command("r", &result.kv, from.addr);
+    command.from_token = 1;
+    command.sent = "something else".into();
+    let e = to.decode(&command).await.expect_err("the wrong text");
+    assert_eq!((e.code, e.execution), (ErrorCode::Invalid, Execution::NotRun));
+    assert!(to.standin.holds().is_empty());
+}
+
+#[async_std::test]
+async fn evicts_a_result_that_nobody_fetches() {
+    let (from, to) = pair().await;
+    let result = from.prefill("r", PROMPT).await.expect("a prefill");
+    assert!(result.expires < Duration::from_secs(1));
+    assert_eq!(from.standin.holds()[0].state, HoldState::Ready);
+    // A sign of life keeps the hold's owner, not the result.
+    let extend = ExtendCommand { requests: vec!["r".into()], hold: HOLD };
+    from.client.extend(&extend).await.expect("an answer");
+    until("the result is evicted", || from.standin.holds().is_empty()).await;
+    let e = to.decode(&decode_command("r", &result.kv, from.addr)).await.expect_err("no result");
+    assert_eq!(e.code, ErrorCode::NotFound);
+    assert!(from.standin.records().wasted_tokens() > Tokens(0));
+}
+
+#[async_std::test]
+async fn a_cached_prefix_shortens_prefill_and_is_published() {
+    let from = Engine::start(fast()).await;
+    let prompt = "x".repeat(2 * PIECE_BYTES + 40);
+    let first = from.prefill("a", &prompt).await.expect("a prefill");
+    let second = from.prefill("b", &prompt).await.expect("a prefill");
+    assert_eq!((first.cached_tokens, second.cached_tokens), (Tokens(0), Tokens(4_000)));
+    assert!(second.took < first.took / 10);
+    let events = from.client.events(EventsQuery { after: 0 }).await.expect("events");
+    let snapshot = from.client.snapshot().await.expect("a snapshot");
+    assert_eq!((events.events.len(), events.newest), (2, 2));
+    assert_eq!((snapshot.pieces.len(), snapshot.seq), (2, 2));
+}
+
+#[test]
+fn the_prefill_queue_goes_by_priority() {
+    let mut queue = PrefillQueue::new(1);
+    let mut join = |request: &str, priority| queue.join(&request.into(), Tokens(10), priority);
+    let mut first = join("first", 0);
+    let mut low = join("low", 1);
+    let mut high = join("high", 9);
+    let mut gone = join("gone", 8);
+    let ticket = first.try_recv().expect("in the queue").expect("its turn");
+    assert_eq!(queue.load(), (4, Tokens(40)));
+    queue.cancel(&"gone".into());
+    assert!(gone.try_recv().is_err());
+    queue.leave(ticket);
+    let ticket = high.try_recv().expect("in the queue").expect("its turn");
+    assert_eq!(low.try_recv(), Ok(None));
+    queue.leave(ticket);
+    assert!(low.try_recv().expect("in the queue").is_some());
+}
+
+#[async_std::test]
+async fn every_slot_is_counted_and_a_cancel_frees_it() {
+    let options = EngineOptions { slots: 1, step: Duration::from_millis(50), ..fast() };
+    let (from, to) = (Engine::start(fast()).await, Engine::start(options).await);
+    let one = from.prefill("one", PROMPT).await.expect("a prefill");
+    let two = from.prefill("two", PROMPT).await.expect("a prefill");
+    let stream = to.client.decode(&decode_command("one", &one.kv, from.addr), LIMIT).await;
+    let refused = to.decode(&decode_command("two", &two.kv, from.addr)).await.expect_err("full");
+    assert_eq!((refused.code, refused.execution), (ErrorCode::Overloaded, Execution::NotRun));
+    to.client.cancel(&CancelCommand { request: "one".into() }).await.expect("an answer");
+    assert!(to.standin.holds().is_empty());
+    drop(stream);
+    assert!(!to.standin.ran(&"two".into()));
+}
+
+#[async_std::test]
+async fn concurrent_exports_share_the_link() {
+    let mut link = aspenloft_standin::engine::link::Link::default();
+    let now = std::time::Instant::now();
+    let chunk = Duration::from_millis(10);
+    // Two transfers of three chunks each, in turn: both end near the last chunk.
+    let ends: Vec<_> = (0..6).map(|_| link.take(chunk, now) - now).collect();
+    assert_eq!(ends[4], chunk * 5);
+    assert_eq!(ends[5], chunk * 6);
+}
+
+/// `Crash` is a marked prompt and the engine that it brings down.
+struct Crash {
+    mark: &'static str,
+    prefill_falls: bool,
+}
+
+#[async_std::test]
+async fn a_marked_prompt_crashes_its_engine() {
+    let cases = [
+        Crash { mark: CRASH_MARK, prefill_falls: true },
+        Crash { mark: DECODE_CRASH_MARK, prefill_falls: false },
+    ];
+    for case in cases {
+        let (from, to) = pair().await;
+        let down = Duration::from_millis(200);
+        for engine in [&from, &to] {
+            engine.standin.faults.lock().down = down;
+        }
+        let prompt = format!("{PROMPT} {}", case.mark);
+        let prefilled = from.prefill("r", &prompt).await;
+        assert_eq!(prefilled.is_err(), case.prefill_falls);
+        let fallen = if let Ok(result) = prefilled {
+            let decoded = to.decode(&decode_command("r", &result.kv, from.addr)).await;
+            assert!(!decoded.expect("a stream").finished);
+            &to
+        } else {
+            &from
+        };
+        assert!(!fallen.standin.is_up());
+        let e = fallen.client.load().await.expect_err("the engine is down");
+        assert_eq!(e.code, ErrorCode::Unavailable);
+        until("the engine is up again", || fallen.standin.is_up()).await;
+        assert!(fallen.client.holds().await.expect("an answer").is_empty());
+        assert_eq!(fallen.standin.records().crashes, 1);
+        assert_eq!(fallen.standin.records().runs_of_prompt(&prompt), 1);
+        assert!(fallen.standin.ran(&"r".into()));
+    }
+}
+
+#[async_std::test]
+async fn old_fencing_numbers_are_refused_only_where_checked() {
+    let order = |fence| Order {
+        kind: OrderKind::Role(BackendRole::Decode),
+        fence,
+        valid: Duration::from_secs(1),
+    };
+    for (check_fencing, second_obeyed) in [(true, false), (false, true)] {
+        let engine = Engine::start(EngineOptions { check_fencing, ..fast() }).await;
+        engine.client.order(&order(2)).await.expect("the newer order");
+        assert_eq!(engine.client.order(&order(1)).await.is_ok(), second_obeyed);
+        let obeyed: Vec<_> = engine.standin.records().orders.iter().map(|o| o.obeyed).collect();
+        assert_eq!(obeyed, [true, second_obeyed]);
+    }
+    let engine = Engine::start(fast()).await;
+    engine.standin.faults.lock().order_delay = Duration::from_millis(50);
+    let late = Order { valid: Duration::from_millis(1), ..order(1) };
+    let e = engine.client.order(&late).await.expect_err("too late");
+    assert_eq!((e.code, e.execution), (ErrorCode::Timeout, Execution::NotRun));
+}
+
+#[async_std::test]
+async fn each_fault_shows_and_is_gone_when_mended() {
+    let stuck = Duration::from_millis(200);
+    let cases = [
+        EngineFaults { frozen: true, ..EngineFaults::default() },
+        EngineFaults { stall_exports: true, ..EngineFaults::default() },
+        EngineFaults { stall_streams: true, ..EngineFaults::default() },
+    ];
+    for faults in cases {
+        let (from, to) = pair().await;
+        let result = from.prefill("r", PROMPT).await.expect("a prefill");
+        for engine in [&from, &to] {
+            *engine.standin.faults.lock() = faults.clone();
+        }
+        let command = decode_command("r", &result.kv, from.addr);
+        let decode = to.decode(&command);
+        let stalled = async_std::future::timeout(stuck, decode).await;
+        assert!(stalled.is_err(), "{faults:?}");
+        for engine in [&from, &to] {
+            *engine.standin.faults.lock() = EngineFaults::default();
+        }
+        to.client.cancel(&CancelCommand { request: "r".into() }).await.expect("an answer");
+        let result = from.prefill("s", PROMPT).await.expect("a prefill");
+        let decoded = to.decode(&decode_command("s", &result.kv, from.addr)).await;
+        assert!(decoded.expect("a stream").finished);
+    }
+}
+
+#[async_std::test]
+async fn cancels_can_be_lost() {
+    let cases = [
+        (EngineFaults { lose_cancels: 1, ..EngineFaults::default() }, false),
+        (EngineFaults { ignore_cancels: true, ..EngineFaults::default() }, true),
+    ];
+    for (faults, acknowledged) in cases {
+        let engine = Engine::start(fast()).await;
+        engine.prefill("r", PROMPT).await.expect("a prefill");
+        *engine.standin.faults.lock() = faults;
+        let cancelled = engine.client.cancel(&CancelCommand { request: "r".into() }).await;
+        assert_eq!(cancelled.is_ok(), acknowledged);
+        assert_eq!(engine.standin.holds().len(), 1);
+    }
+}
+
+#[async_std::test]
+async fn reports_and_events_lag_and_have_gaps() {
+    let engine = Engine::start(fast()).await;
+    let prompt = "y".repeat(4 * PIECE_BYTES);
+    *engine.standin.faults.lock() =
+        EngineFaults { load_lag: HOLD, lose_event_every: 2, ..EngineFaults::default() };
+    engine.client.load().await.expect("a report");
+    engine.prefill("r", &prompt).await.expect("a prefill");
+    let load = engine.client.load().await.expect("a report");
+    assert_eq!((load.age, load.queued, load.slots), (HOLD, 0, 20));
+    let events = engine.client.events(EventsQuery { after: 0 }).await.expect("events");
+    let seqs: Vec<_> = events.events.iter().map(|event| event.seq).collect();
+    assert_eq!((seqs, events.newest), (vec![1, 3], 4));
+    engine.standin.faults.lock().event_lag = HOLD;
+    let late = engine.client.events(EventsQuery { after: 0 }).await.expect("events");
+    assert!(late.events.is_empty());
+}
+
+#[async_std::test]
+async fn repeats_tokens_and_refuses_when_told() {
+    let (from, to) = pair().await;
+    to.standin.faults.lock().repeat_tokens = 1;
+    let result = from.prefill("r", PROMPT).await.expect("a prefill");
+    let decoded = to.decode(&decode_command("r", &result.kv, from.addr)).await.expect("a stream");
+    assert_eq!(decoded.indexes, [0, 0, 1, 2, 3]);
+    from.standin.faults.lock().refusing = true;
+    let e = from.prefill("s", PROMPT).await.expect_err("a refusal");
+    assert_eq!((e.code, e.execution), (ErrorCode::NotReady, Execution::NotRun));
+    assert!(!from.standin.ran(&"s".into()));
+}
--- /dev/null
+++ b/crates/standin/tests/platform.rs
@@ -0,0 +1,149 @@
+//! The contracts of the key-value service and the host list, with their faults.
+
+mod common;
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use aspenloft_core::execution::Execution;
+use aspenloft_protocol::platform::{KeyValue, KvClient, Listing, Put, Swap};
+use aspenloft_standin::admin::FAULTS_PATH;
+use aspenloft_standin::hosts::ListingHistory;
+use aspenloft_standin::kv::{CallKind, Faults, KvFront, KvStandin};
+use aspenloft_transport::http;
+use async_std::task;
+use common::{LIMIT, serve};
+
+fn put(key: &str, expect: u64, value: &str) -> Put {
+    Put { key: key.into(), expect, value: Some(value.into()), lease: None }
+}
+
+async fn start() -> (Arc<KvStandin>, KvClient) {
+    let kv = Arc::<KvStandin>::default();
+    let addr = serve(Arc::new(KvFront(kv.clone()))).await;
+    (kv, KvClient::new(addr))
+}
+
+#[async_std::test]
+async fn a_swap_needs_the_version_and_a_watch_sees_it() {
+    let (kv, client) = start().await;
+    let Swap::Done(version) = client.put(put("a", 0, "1")).await.expect("an answer") else {
+        panic!("the key was absent");
+    };
+    let lost = client.put(put("a", 0, "2")).await.expect("an answer");
+    assert_eq!(lost, Swap::Conflict(version));
+    let watcher = client.clone();
+    let watch = task::spawn(async move { watcher.watch("a", version, LIMIT).await });
+    client.put(put("a", version, "3")).await.expect("an answer");
+    let seen = watch.await.expect("an answer").expect("a value");
+    assert_eq!(seen.value, "3");
+    let peak = kv.store.lock().rates.peak();
+    assert!(peak.writes >= 1 && peak.reads >= 1);
+}
+
+#[test]
+fn a_lapsed_lease_takes_its_keys_along() {
+    let mut store = aspenloft_standin::kv::Store::default();
+    let now = Instant::now();
+    let ttl = Duration::from_secs(1);
+    let lease = store.grant(ttl, now);
+    let held = Put { lease: Some(lease), ..put("a", 0, "1") };
+    store.put(held, now).expect("the lease is live");
+    assert!(store.renew(lease, now + ttl / 2));
+    assert!(store.get("a", now + ttl).is_some());
+    assert!(store.get("a", now + ttl * 2).is_none());
+    assert!(!store.renew(lease, now + ttl * 2));
+}
+
+/// `Case` is a fault with what a read and a write then give.
+struct Case {
+    faults: Faults,
+    get: Option<Execution>,
+    put: Option<Execution>,
+    written: bool,
+}
+
+#[async_std::test]
+async fn each_fault_of_the_key_value_service() {
+    let not_run = Some(Execution::NotRun);
+    let cases = [
+        Case { faults: Faults::default(), get: None, put: None, written: true },
+        Case {
+            faults: Faults { down: true, ..Faults::default() },
+            get: not_run,
+            put: not_run,
+            written: false,
+        },
+        Case {
+            faults: Faults { down_kinds: [CallKind::Put].into(), ..Faults::default() },
+            get: None,
+            put: not_run,
+            written: false,
+        },
+        Case {
+            faults: Faults { lose_answers: 1, ..Faults::default() },
+            get: None,
+            put: Some(Execution::Unknown),
+            written: true,
+        },
+    ];
+    for case in cases {
+        let (kv, client) = start().await;
+        *kv.faults.lock() = case.faults.clone();
+        let get = client.get("a").await.err().map(|e| e.execution);
+        let wrote = client.put(put("a", 0, "1")).await.err().map(|e| e.execution);
+        assert_eq!((get, wrote), (case.get, case.put), "{:?}", case.faults);
+        *kv.faults.lock() = Faults::default();
+        let written = client.get("a").await.expect("an answer").is_some();
+        assert_eq!(written, case.written, "{:?}", case.faults);
+    }
+}
+
+#[async_std::test]
+async fn an_outage_ends_a_waiting_watch_and_slowness_hits_its_kind() {
+    let (kv, client) = start().await;
+    let watcher = client.clone();
+    let watch = task::spawn(async move { watcher.watch("a", 0, LIMIT).await });
+    while kv.store.lock().calls == 0 {
+        task::sleep(Duration::from_millis(1)).await;
+    }
+    kv.faults.lock().down = true;
+    assert!(watch.await.is_err());
+    let slow = Duration::from_millis(100);
+    *kv.faults.lock() = Faults { slow_kinds: [(CallKind::Get, slow)].into(), ..Faults::default() };
+    let started = Instant::now();
+    client.get("a").await.expect("an answer");
+    assert!(started.elapsed() >= slow);
+}
+
+#[async_std::test]
+async fn faults_are_set_over_http() {
+    let kv = Arc::<KvStandin>::default();
+    let addr = serve(Arc::new(KvFront(kv.clone()))).await;
+    let faults = serde_json::json!({"slow_kinds_ms": {"put": 7}, "lose_answers": 2});
+    let set: Faults = http::post_json(addr, FAULTS_PATH, &faults, LIMIT).await.expect("an answer");
+    assert_eq!(*kv.faults.lock(), set);
+    assert_eq!(set.slow_kinds[&CallKind::Put], Duration::from_millis(7));
+    let unknown = serde_json::json!({"slow": 1});
+    assert!(http::post_json::<Faults>(addr, FAULTS_PATH, &unknown, LIMIT).await.is_err());
+}
+
+#[test]
+fn the_host_list_lags_by_the_stated_time() {
+    let mut history = ListingHistory::default();
+    let now = Instant::now();
+    let lag = Duration::from_secs(2);
+    let old = Listing::default();
+    let host = aspenloft_core::host::Host {
+        name: "h0".into(),
+        addr: ([127, 0, 0, 1], 1).into(),
+        data_centre: "dc-a".into(),
+        leaving: true,
+    };
+    let new = Listing { hosts: vec![host], ..Listing::default() };
+    assert_eq!(history.turn(old.clone(), lag, now), old);
+    let changed = now + Duration::from_secs(1);
+    assert_eq!(history.turn(new.clone(), lag, changed), old);
+    assert_eq!(history.turn(new.clone(), lag, changed + lag / 2), old);
+    assert_eq!(history.turn(new.clone(), lag, changed + lag), new);
+}
--- a/crates/transport/src/server.rs
+++ b/crates/transport/src/server.rs
@@ -36,6 +36,12 @@
             Ok(_) => std::future::pending().await,
         }
     }
+
+    /// Closes the connection at once, whatever is in flight on it.
+    pub fn abort(&self) {
+        // A connection that is closed already needs nothing more.
+        let _ = self.stream.shutdown(std::net::Shutdown::Both);
+    }
 }
 
 /// Accepts connections for ever.
