--- a/crates/daemon/src/view.rs
+++ b/crates/daemon/src/view.rs
@@ -3,10 +3,13 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
 
 use aspenloft_core::errors::{Error, ErrorCode, Result, not_found};
-use aspenloft_core::prelude::{Backend, BackendRole, Host};
+use aspenloft_core::prelude::{Backend, BackendRole, Host, Name};
+use aspenloft_membership::digests::Digests;
 use aspenloft_membership::homes::home_of;
+use aspenloft_protocol::peer::home::BackendState;
 use aspenloft_protocol::platform::Listing;
 use aspenloft_table::table::Table;
 use parking_lot::RwLock;
@@ -18,6 +21,8 @@
     listing: RwLock<Arc<Listing>>,
     table: RwLock<Option<Arc<Table>>>,
     platform_reachable: AtomicBool,
+    leaving: AtomicBool,
+    digests: RwLock<Digests>,
 }
 
 impl View {
@@ -29,6 +34,8 @@
             listing: RwLock::new(Arc::new(listing)),
             table: RwLock::new(None),
             platform_reachable: AtomicBool::new(false),
+            leaving: AtomicBool::new(false),
+            digests: RwLock::default(),
         }
     }
 
@@ -81,6 +88,27 @@
         self.platform_reachable.load(Ordering::Relaxed)
     }
 
+    /// Says to all hosts, with the next heartbeat, that this one is leaving.
+    pub fn set_leaving(&self) {
+        self.leaving.store(true, Ordering::Relaxed);
+    }
+
+    /// Tells whether this host is leaving.
+    pub fn leaving(&self) -> bool {
+        self.leaving.load(Ordering::Relaxed)
+    }
+
+    /// Publishes the state of a backend server whose home this host is; heartbeats
+    /// carry it to the other hosts.
+    pub fn publish(&self, backend: &Name, state: BackendState, now: Instant) {
+        self.digests.write().note(backend, state, now);
+    }
+
+    /// Returns the last state known of a backend server, and its age.
+    pub fn state_of(&self, backend: &str, now: Instant) -> Option<(BackendState, Duration)> {
+        self.digests.read().state_of(backend, now)
+    }
+
     /// Finds a backend server by name.
     pub fn backend(&self, name: &str) -> Result<Backend> {
         let listing = self.listing();
