Add the load tool for real daemons and engines

There was no way to say what the router adds. `aspenloft-load run` sends seeded open-loop arrivals to hosts and to a bare pair of engines in turn within one run, and gives the difference and ratio of time to first token and between tokens, processor time a token, and resident memory. It is bounded and takes loopback addresses only.

A closed loop of clients was ruled out, because it slows down with the router and hides queues.

To be measured again.

--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -1,2 +1,134 @@
-//! Placeholder.
-fn main() {}
+//! `aspenloft-load` sends load and compares policies; see `docs/LOAD.md`.
+
+use std::time::Duration;
+
+use aspenloft_core::prelude::Findings;
+use aspenloft_load::run::driver;
+use aspenloft_load::run::options::{EnginePair, RunOptions};
+use async_std::task;
+use serde::Serialize;
+
+mod flags {
+    #![allow(missing_docs)]
+    use std::net::SocketAddr;
+
+    xflags::xflags! {
+        /// Sends load to a deployment on loopback, and compares policies in process.
+        cmd aspenloft-load {
+            /// Sends open-loop arrivals to hosts, to engines, or to both in turn.
+            ///
+            /// Exit codes: 0 all answers were whole, 1 the run could not be made,
+            /// 2 wrong flags, 3 some requests failed or were not sent.
+            cmd run {
+                /// Where a host takes callers' requests; may be given several times.
+                repeated --router addr: SocketAddr
+                /// The prefill engine for requests without the router.
+                optional --prefill addr: SocketAddr
+                /// The decode engine for requests without the router.
+                optional --decode addr: SocketAddr
+                /// The caller's key (default demo-key).
+                optional --key key: String
+                /// The model (default scribe).
+                optional --model name: String
+                /// Arrivals a second (default 10).
+                optional --rate per_s: f64
+                /// Seconds in which requests arrive (default 10, at most 600).
+                optional --duration-s seconds: u64
+                /// The most requests (default 1000).
+                optional --count requests: u64
+                /// Tokens of each prompt (default 100).
+                optional --prompt-tokens tokens: u64
+                /// Tokens of each answer (default 50).
+                optional --max-tokens tokens: u64
+                /// The seed of arrivals and prompts (default 1).
+                optional --seed seed: u64
+                /// A daemon whose processor time and memory are read; may be given
+                /// several times.
+                repeated --pid pid: u32
+                /// Seconds that the daemons are watched idle first (default 0).
+                optional --idle-s seconds: u64
+                /// Prints JSON.
+                optional --json
+            }
+        }
+    }
+}
+
+/// The exit code when the run could not be made.
+const EXIT_ERROR: i32 = 1;
+
+/// The exit code for flags that cannot be used.
+const EXIT_FLAGS: i32 = 2;
+
+/// The exit code when some requests failed or were not sent.
+const EXIT_FAILED: i32 = 3;
+
+fn options(f: &flags::Run) -> Result<RunOptions, Findings> {
+    let default = RunOptions::default();
+    let mut findings = Findings::default();
+    let direct = match (f.prefill, f.decode) {
+        (Some(prefill), Some(decode)) => Some(EnginePair { prefill, decode }),
+        (None, None) => None,
+        _ => {
+            findings.add("--prefill, --decode", "are only used together");
+            None
+        }
+    };
+    let options = RunOptions {
+        routers: f.router.clone(),
+        direct,
+        key: f.key.clone().unwrap_or(default.key),
+        model: f.model.clone().unwrap_or(default.model),
+        rate_per_s: f.rate.unwrap_or(default.rate_per_s),
+        duration: f.duration_s.map_or(default.duration, Duration::from_secs),
+        count: f.count.unwrap_or(default.count),
+        prompt_tokens: f.prompt_tokens.unwrap_or(default.prompt_tokens),
+        max_tokens: f.max_tokens.unwrap_or(default.max_tokens),
+        limit: default.limit,
+        seed: f.seed.unwrap_or(default.seed),
+        pids: f.pid.clone(),
+        idle: f.idle_s.map_or(default.idle, Duration::from_secs),
+    };
+    findings.0.extend(options.check().0);
+    findings.into_result().map(|()| options)
+}
+
+fn run(f: &flags::Run) -> i32 {
+    let options = match options(f) {
+        Ok(options) => options,
+        Err(findings) => {
+            eprintln!("{findings}");
+            return EXIT_FLAGS;
+        }
+    };
+    match task::block_on(driver::run(options)) {
+        Ok(report) => {
+            print(&report, f.json);
+            let clean = report.failed() == 0 && report.not_sent == 0;
+            if clean { 0 } else { EXIT_FAILED }
+        }
+        Err(e) => {
+            eprintln!("aspenloft-load: {e}");
+            EXIT_ERROR
+        }
+    }
+}
+
+fn print(report: &(impl Serialize + std::fmt::Display), json: bool) {
+    if !json {
+        print!("{report}");
+        return;
+    }
+    match serde_json::to_string_pretty(report) {
+        Ok(text) => println!("{text}"),
+        Err(e) => eprintln!("aspenloft-load: {e}"),
+    }
+}
+
+fn main() {
+    let command = flags::AspenloftLoad::from_env_or_exit().subcommand;
+    let code = match command {
+        flags::AspenloftLoadCmd::Run(f) => run(&f),
+    };
+    std::process::exit(code);
+}
--- /dev/null
+++ b/crates/load/src/run/direct.rs
@@ -0,0 +1,64 @@
+//! The `direct` module sends a request straight to a pair of engines, as the
+//! measure that the router is held against.
+
+use aspenloft_core::errors::{Result, internal};
+use aspenloft_core::prelude::{Duration, Name, RequestId, Tokens};
+use aspenloft_protocol::engine::{
+    CancelCommand, DecodeCommand, DecodeEvent, EngineClient, ModelEngine, PrefillCommand,
+};
+use futures::StreamExt;
+
+use super::options::{EnginePair, RunOptions};
+use super::stats::Observer;
+
+/// How long an engine keeps work for the tool.
+const HOLD: Duration = Duration::from_secs(60);
+
+/// The owner that the tool names to engines.
+const OWNER: &str = "aspenloft-load";
+
+/// The priority of all direct requests.
+const PRIORITY: u8 = 5;
+
+/// Runs one request on `pair` to its end.
+pub async fn complete(
+    pair: EnginePair,
+    options: &RunOptions,
+    number: u64,
+    prompt: &str,
+    observer: &mut Observer,
+) -> Result<()> {
+    let request: RequestId = format!("load-{}-{number}", options.seed).as_str().into();
+    let owner: Name = OWNER.into();
+    let prefill = PrefillCommand {
+        request: request.clone(),
+        owner: owner.clone(),
+        prompt: prompt.into(),
+        priority: PRIORITY,
+        hold: HOLD,
+    };
+    let from = EngineClient::new(pair.prefill);
+    let result = from.prefill(&prefill, options.limit).await?;
+    let decode = DecodeCommand {
+        request: request.clone(),
+        owner,
+        kv: result.kv,
+        source: pair.prefill,
+        from_token: 0,
+        sent: "".into(),
+        max_tokens: Tokens(options.max_tokens),
+        priority: PRIORITY,
+        hold: HOLD,
+    };
+    let mut stream = EngineClient::new(pair.decode).decode(&decode, options.limit).await?;
+    while let Some(event) = stream.next().await {
+        match event? {
+            DecodeEvent::Token(_) => observer.token(),
+            DecodeEvent::Finished(_) => {
+                from.cancel(&CancelCommand { request }).await?;
+                return Ok(());
+            }
+        }
+    }
+    Err(internal("the stream ended early"))
+}
--- /dev/null
+++ b/crates/load/src/run/driver.rs
@@ -0,0 +1,167 @@
+//! The `driver` module sends the arrivals and gathers their outcomes.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use aspenloft_core::errors::Result;
+use async_std::future::timeout;
+use async_std::task::{self, JoinHandle};
+use parking_lot::Mutex;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use super::options::RunOptions;
+use super::processes::usage_of_all;
+use super::report::{DaemonUsage, RunReport, UsageSpan};
+use super::stats::{Observer, TargetStats};
+use super::{direct, router};
+use crate::arrivals::gap;
+
+/// The most requests in flight; further arrivals are counted and not sent.
+const MAX_IN_FLIGHT: usize = 2_000;
+
+/// Bytes of text that stand for a token, as the router estimates.
+const TOKEN_BYTES: usize = aspenloft_core::units::BYTES_PER_TOKEN as usize;
+
+/// `Gathered` is what has been seen so far.
+#[derive(Debug, Default)]
+struct Gathered {
+    router: TargetStats,
+    direct: TargetStats,
+    in_flight: usize,
+}
+
+/// `Target` is where one request goes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Target {
+    Router,
+    Direct,
+}
+
+/// Runs the load to its end.
+pub async fn run(options: RunOptions) -> Result<RunReport> {
+    let options = Arc::new(options);
+    let idle = watch(&options, task::sleep(options.idle)).await?;
+    let gathered = Arc::new(Mutex::new(Gathered::default()));
+    let mut not_sent = 0;
+    let send = async { not_sent = send_all(&options, &gathered).await };
+    let loaded = watch(&options, send).await?;
+    let gathered = gathered.lock();
+    let mut report = RunReport {
+        seed: options.seed,
+        rate_per_s: options.rate_per_s,
+        not_sent,
+        router: (!options.routers.is_empty()).then(|| gathered.router.summary()),
+        direct: options.direct.map(|_| gathered.direct.summary()),
+        ..RunReport::default()
+    };
+    report.compare();
+    if !options.pids.is_empty() {
+        let tokens = gathered.router.tokens;
+        report.daemons = Some(DaemonUsage::new(idle, loaded, options.pids.len(), tokens));
+    }
+    Ok(report)
+}
+
+/// Reads the daemons' usage before and after `work`.
+async fn watch(options: &RunOptions, work: impl Future<Output = ()>) -> Result<UsageSpan> {
+    let before = usage_of_all(&options.pids)?;
+    let started = Instant::now();
+    work.await;
+    let after = usage_of_all(&options.pids)?;
+    Ok(UsageSpan { before, after, length: started.elapsed() })
+}
+
+/// Sends all arrivals and waits for their answers; returns how many arrivals were
+/// not sent.
+async fn send_all(options: &Arc<RunOptions>, gathered: &Arc<Mutex<Gathered>>) -> u64 {
+    let mut rng = Pcg64Mcg::seed_from_u64(options.seed);
+    let started = Instant::now();
+    let mut due = Duration::ZERO;
+    let mut not_sent = 0;
+    let mut requests: Vec<JoinHandle<()>> = Vec::new();
+    for number in 0..options.count {
+        due += gap(&mut rng, options.rate_per_s);
+        if due > options.duration {
+            break;
+        }
+        let prompt = prompt(&mut rng, options.prompt_tokens);
+        task::sleep(due.saturating_sub(started.elapsed())).await;
+        if gathered.lock().in_flight >= MAX_IN_FLIGHT {
+            not_sent += 1;
+            continue;
+        }
+        gathered.lock().in_flight += 1;
+        let (options, gathered) = (options.clone(), gathered.clone());
+        requests.push(task::spawn(async move { send(options, gathered, number, prompt).await }));
+    }
+    for request in requests {
+        request.await;
+    }
+    not_sent
+}
+
+async fn send(
+    options: Arc<RunOptions>,
+    gathered: Arc<Mutex<Gathered>>,
+    number: u64,
+    prompt: String,
+) {
+    let target = target(&options, number);
+    let mut observer = Observer::start();
+    let outcome = complete(&options, target, number, &prompt, &mut observer).await;
+    let mut gathered = gathered.lock();
+    gathered.in_flight -= 1;
+    let stats = match target {
+        Target::Router => &mut gathered.router,
+        Target::Direct => &mut gathered.direct,
+    };
+    stats.add(&observer, outcome);
+}
+
+async fn complete(
+    options: &RunOptions,
+    target: Target,
+    number: u64,
+    prompt: &str,
+    observer: &mut Observer,
+) -> Result<(), String> {
+    let work = async {
+        match (target, options.direct) {
+            (Target::Direct, Some(pair)) => {
+                direct::complete(pair, options, number, prompt, observer).await
+            }
+            _ => {
+                let turn = (number / 2) as usize % options.routers.len();
+                router::complete(options.routers[turn], options, prompt, observer).await
+            }
+        }
+    };
+    match timeout(options.limit, work).await {
+        Ok(outcome) => outcome.map_err(|e| e.to_string()),
+        Err(_) => Err("no whole answer in time".into()),
+    }
+}
+
+/// Chooses the target of a request: in turn where there are both, so that both see
+/// the same load and the same noise.
+fn target(options: &RunOptions, number: u64) -> Target {
+    let both = options.direct.is_some() && !options.routers.is_empty();
+    match (both, options.direct) {
+        (true, _) if number.is_multiple_of(2) => Target::Router,
+        (true, _) => Target::Direct,
+        (false, Some(_)) => Target::Direct,
+        (false, None) => Target::Router,
+    }
+}
+
+/// Makes a prompt that no other request has, so that no cache helps.
+fn prompt(rng: &mut Pcg64Mcg, tokens: u64) -> String {
+    let bytes = tokens as usize * TOKEN_BYTES;
+    let mut text = format!("{:016x} ", rng.random::<u64>());
+    while text.len() < bytes {
+        text.push_str("blue door ");
+    }
+    text.truncate(bytes.max(TOKEN_BYTES));
+    text
+}
--- /dev/null
+++ b/crates/load/src/run/processes.rs
@@ -0,0 +1,62 @@
+//! The `processes` module reads the processor time and memory of the daemons.
+//!
+//! Source: proc(5), `/proc/pid/stat` fields 14 and 15 and `/proc/pid/status`.
+
+use std::time::Duration;
+
+use aspenloft_core::errors::{Result, internal, not_found};
+
+/// Clock ticks a second in `/proc/pid/stat`; fixed at 100 for user space on Linux.
+const TICKS_PER_S: u64 = 100;
+
+/// The place of `utime` among the fields after the command's closing bracket.
+const UTIME_FIELD: usize = 11;
+
+/// `Usage` is what a process has used.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Usage {
+    /// Processor time.
+    pub cpu: Duration,
+    /// Resident memory, in KiB.
+    pub resident_kib: u64,
+}
+
+/// Reads the usage of process `pid`.
+pub fn usage(pid: u32) -> Result<Usage> {
+    let stat = read(pid, "stat")?;
+    let status = read(pid, "status")?;
+    let cpu = cpu(&stat).ok_or_else(|| internal(format!("/proc/{pid}/stat is malformed")))?;
+    Ok(Usage { cpu, resident_kib: resident(&status).unwrap_or_default() })
+}
+
+/// Sums the processor time of `pids`, and returns the most memory among them.
+pub fn usage_of_all(pids: &[u32]) -> Result<Usage> {
+    let mut all = Usage::default();
+    for pid in pids {
+        let one = usage(*pid)?;
+        all.cpu += one.cpu;
+        all.resident_kib = all.resident_kib.max(one.resident_kib);
+    }
+    Ok(all)
+}
+
+fn read(pid: u32, file: &str) -> Result<String> {
+    let path = format!("/proc/{pid}/{file}");
+    std::fs::read_to_string(&path).map_err(|e| not_found(format!("{path}: {e}")))
+}
+
+/// Reads user and system time from the text of `/proc/pid/stat`.
+pub fn cpu(stat: &str) -> Option<Duration> {
+    // The command's name may hold spaces and brackets, so the last bracket counts.
+    let (_, rest) = stat.rsplit_once(") ")?;
+    let mut fields = rest.split(' ').skip(UTIME_FIELD);
+    let utime: u64 = fields.next()?.parse().ok()?;
+    let stime: u64 = fields.next()?.parse().ok()?;
+    Some(Duration::from_millis((utime + stime) * 1_000 / TICKS_PER_S))
+}
+
+/// Reads the resident memory, in KiB, from the text of `/proc/pid/status`.
+pub fn resident(status: &str) -> Option<u64> {
+    let line = status.lines().find(|line| line.starts_with("VmRSS:"))?;
+    line.split_whitespace().nth(1)?.parse().ok()
+}
--- /dev/null
+++ b/crates/load/src/run/report.rs
@@ -0,0 +1,174 @@
+//! The `report` module is the outcome of a run.
+
+use std::fmt;
+use std::time::Duration;
+
+use serde::Serialize;
+
+use super::processes::Usage;
+use super::stats::{LatencySummary, TargetSummary};
+
+/// `RunReport` is the outcome of one run.
+#[derive(Debug, Clone, Default, Serialize)]
+pub struct RunReport {
+    /// The seed.
+    pub seed: u64,
+    /// Arrivals a second that were asked for.
+    pub rate_per_s: f64,
+    /// Arrivals that were not sent because too many were in flight.
+    pub not_sent: u64,
+    /// What callers of the router saw.
+    pub router: Option<TargetSummary>,
+    /// What callers of the engines themselves saw.
+    pub direct: Option<TargetSummary>,
+    /// What the router added, if both were measured.
+    pub added: Option<Added>,
+    /// What the daemons used, if their process ids were given.
+    pub daemons: Option<DaemonUsage>,
+}
+
+/// `Added` is the router's figures against the engines' own, in one run.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize)]
+pub struct Added {
+    /// Time to first token.
+    pub ttft: AddedLatency,
+    /// Time between tokens.
+    pub between_tokens: AddedLatency,
+}
+
+/// `AddedLatency` is the difference and ratio of two histograms' quantiles.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize)]
+pub struct AddedLatency {
+    /// Difference of the medians, in milliseconds.
+    pub p50_ms: f64,
+    /// Difference of the 99th percentiles, in milliseconds.
+    pub p99_ms: f64,
+    /// Ratio of the medians.
+    pub p50_ratio: f64,
+    /// Ratio of the 99th percentiles.
+    pub p99_ratio: f64,
+}
+
+impl AddedLatency {
+    /// Holds `router` against `direct`.
+    pub fn new(router: LatencySummary, direct: LatencySummary) -> Self {
+        AddedLatency {
+            p50_ms: router.p50_ms - direct.p50_ms,
+            p99_ms: router.p99_ms - direct.p99_ms,
+            p50_ratio: router.p50_ms / direct.p50_ms,
+            p99_ratio: router.p99_ms / direct.p99_ms,
+        }
+    }
+}
+
+/// `DaemonUsage` is what the daemons used.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize)]
+pub struct DaemonUsage {
+    /// The most resident memory of one idle daemon, in MiB.
+    pub idle_resident_mib: f64,
+    /// The most resident memory of one daemon after the load, in MiB.
+    pub loaded_resident_mib: f64,
+    /// Processor time of one idle daemon, in percent of a core.
+    pub idle_cpu_percent: f64,
+    /// Processor time of all daemons together for a relayed token, in
+    /// microseconds, their idle share taken off.
+    pub cpu_us_per_token: f64,
+}
+
+/// `UsageSpan` is usage before and after a span of time.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct UsageSpan {
+    /// At the start.
+    pub before: Usage,
+    /// At the end.
+    pub after: Usage,
+    /// The span's length.
+    pub length: Duration,
+}
+
+impl UsageSpan {
+    fn cpu(&self) -> f64 {
+        self.after.cpu.saturating_sub(self.before.cpu).as_secs_f64()
+    }
+
+    fn cpu_share(&self) -> f64 {
+        if self.length.is_zero() { 0.0 } else { self.cpu() / self.length.as_secs_f64() }
+    }
+}
+
+impl DaemonUsage {
+    /// Computes the usage of `daemons` daemons that relayed `tokens` tokens.
+    pub fn new(idle: UsageSpan, loaded: UsageSpan, daemons: usize, tokens: u64) -> Self {
+        let mib = |kib: u64| kib as f64 / 1_024.0;
+        let idle_share = idle.cpu_share();
+        let net = loaded.cpu() - idle_share * loaded.length.as_secs_f64();
+        DaemonUsage {
+            idle_resident_mib: mib(idle.after.resident_kib),
+            loaded_resident_mib: mib(loaded.after.resident_kib),
+            idle_cpu_percent: 100.0 * idle_share / daemons.max(1) as f64,
+            cpu_us_per_token: net * 1e6 / tokens.max(1) as f64,
+        }
+    }
+}
+
+impl RunReport {
+    /// Fills in what follows from both targets.
+    pub fn compare(&mut self) {
+        if let (Some(router), Some(direct)) = (&self.router, &self.direct) {
+            let ttft = AddedLatency::new(router.ttft, direct.ttft);
+            let between_tokens = AddedLatency::new(router.between_tokens, direct.between_tokens);
+            self.added = Some(Added { ttft, between_tokens });
+        }
+    }
+
+    /// Counts failed requests of all targets.
+    pub fn failed(&self) -> u64 {
+        let targets = [&self.router, &self.direct];
+        targets.into_iter().flatten().map(|target| target.failed).sum()
+    }
+}
+
+impl fmt::Display for RunReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(f, "seed {}, {} requests/s", self.seed, self.rate_per_s)?;
+        for (name, target) in [("router", &self.router), ("direct", &self.direct)] {
+            if let Some(target) = target {
+                write_target(f, name, target)?;
+            }
+        }
+        if let Some(added) = &self.added {
+            write_added(f, "time to first token", &added.ttft)?;
+            write_added(f, "time between tokens", &added.between_tokens)?;
+        }
+        if let Some(daemons) = &self.daemons {
+            writeln!(
+                f,
+                "daemons: idle {:.1} MiB and {:.2} % of a core, loaded {:.1} MiB, {:.2} us CPU a token",
+                daemons.idle_resident_mib,
+                daemons.idle_cpu_percent,
+                daemons.loaded_resident_mib,
+                daemons.cpu_us_per_token
+            )?;
+        }
+        Ok(())
+    }
+}
+
+fn write_target(f: &mut fmt::Formatter<'_>, name: &str, target: &TargetSummary) -> fmt::Result {
+    let TargetSummary { sent, whole, failed, tokens, ttft, between_tokens, .. } = target;
+    writeln!(f, "{name}: {sent} sent, {whole} whole, {failed} failed, {tokens} tokens")?;
+    if let Some(why) = &target.first_failure {
+        writeln!(f, "  first failure: {why}")?;
+    }
+    writeln!(f, "  first token p50 {:.3} ms, p99 {:.3} ms", ttft.p50_ms, ttft.p99_ms)?;
+    let (p50, p99) = (between_tokens.p50_ms, between_tokens.p99_ms);
+    writeln!(f, "  between tokens p50 {p50:.3} ms, p99 {p99:.3} ms")
+}
+
+fn write_added(f: &mut fmt::Formatter<'_>, what: &str, added: &AddedLatency) -> fmt::Result {
+    writeln!(
+        f,
+        "added {what}: p50 {:+.3} ms (x{:.3}), p99 {:+.3} ms (x{:.3})",
+        added.p50_ms, added.p50_ratio, added.p99_ms, added.p99_ratio
+    )
+}
--- /dev/null
+++ b/crates/load/src/run/router.rs
@@ -0,0 +1,53 @@
+//! The `router` module sends a request as a caller of the router does.
+
+use std::net::SocketAddr;
+
+use aspenloft_core::errors::{Result, internal};
+use aspenloft_transport::http;
+use async_sse::Event;
+use futures::StreamExt;
+use serde::Serialize;
+
+use super::options::RunOptions;
+use super::stats::Observer;
+
+/// The data of the event that ends a whole stream.
+const DONE: &[u8] = b"[DONE]";
+
+/// `Completion` is the body of a streamed completion request.
+#[derive(Debug, Serialize)]
+struct Completion<'a> {
+    model: &'a str,
+    prompt: &'a str,
+    max_tokens: u64,
+    stream: bool,
+}
+
+/// Runs one request on the host at `addr` to its end.
+pub async fn complete(
+    addr: SocketAddr,
+    options: &RunOptions,
+    prompt: &str,
+    observer: &mut Observer,
+) -> Result<()> {
+    let body =
+        Completion { model: &options.model, prompt, max_tokens: options.max_tokens, stream: true };
+    let mut req = http::post(addr, "/v1/completions", &body)?;
+    req.insert_header("authorization", format!("Bearer {}", options.key));
+    let mut response = http::send(addr, req, options.limit).await?;
+    if !response.status().is_success() {
+        let text = response.body_string().await.unwrap_or_default();
+        return Err(internal(format!("status {}: {text}", response.status())));
+    }
+    let mut events = async_sse::decode(response.take_body());
+    while let Some(event) = events.next().await {
+        match event.map_err(|e| internal(e.to_string()))? {
+            Event::Message(message) if message.data() == DONE => return Ok(()),
+            // The chunk that names the finish reason carries no token.
+            Event::Message(_) if observer.tokens() == options.max_tokens => (),
+            Event::Message(_) => observer.token(),
+            Event::Retry(_) => (),
+        }
+    }
+    Err(internal("the stream ended early"))
+}
--- /dev/null
+++ b/crates/load/tests/run.rs
@@ -0,0 +1,73 @@
+//! The bounds and the accounting of `aspenloft-load run`.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use aspenloft_load::run::driver;
+use aspenloft_load::run::options::{EnginePair, RunOptions};
+use aspenloft_load::run::processes::{cpu, resident};
+use aspenloft_standin::engine::{EngineFront, EngineOptions, EngineStandin};
+use aspenloft_transport::server;
+use async_std::net::TcpListener;
+use async_std::task;
+
+fn addr(text: &str) -> SocketAddr {
+    text.parse().expect("an address")
+}
+
+#[test]
+fn refuses_what_is_out_of_bounds_with_all_findings() {
+    let options = RunOptions {
+        routers: vec![addr("192.0.2.1:80"), addr("127.0.0.1:80"), addr("[2001:db8::1]:80")],
+        rate_per_s: f64::NAN,
+        duration: Duration::from_secs(601),
+        count: 0,
+        max_tokens: 0,
+        ..RunOptions::default()
+    };
+    let findings = options.check();
+    let places: Vec<_> = findings.0.iter().map(|finding| finding.place.as_str()).collect();
+    let wrong = ["192.0.2.1:80", "[2001:db8::1]:80", "--rate", "--duration-s", "--count"];
+    assert_eq!(places, [wrong.as_slice(), &["--max-tokens"]].concat());
+    assert!(!RunOptions::default().check().is_empty(), "no target");
+}
+
+#[test]
+fn reads_processor_time_after_any_name() {
+    let stat = "7 (a) b (c) S 1 7 7 0 -1 4194304 10 0 0 0 150 50 0 0 20 0 1 0 100 1 1";
+    assert_eq!(cpu(stat), Some(Duration::from_secs(2)));
+    assert_eq!(resident("Name:\tx\nVmRSS:\t  2048 kB\n"), Some(2_048));
+    assert_eq!(cpu("7 (a"), None);
+}
+
+async fn engine() -> (Arc<EngineStandin>, SocketAddr) {
+    let step = Duration::from_millis(1);
+    let standin = EngineStandin::new(EngineOptions { step, ..EngineOptions::default() });
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let addr = listener.local_addr().expect("an address");
+    task::spawn(server::serve(listener, Arc::new(EngineFront(standin.clone()))));
+    (standin, addr)
+}
+
+#[async_std::test]
+async fn counts_every_request_once() {
+    let ((from, prefill), (to, decode)) = (engine().await, engine().await);
+    let options = RunOptions {
+        direct: Some(EnginePair { prefill, decode }),
+        rate_per_s: 200.0,
+        count: 20,
+        max_tokens: 5,
+        ..RunOptions::default()
+    };
+    let report = driver::run(options.clone()).await.expect("a run");
+    let direct = report.direct.expect("the target");
+    assert_eq!((direct.sent, direct.whole, direct.failed), (20, 20, 0));
+    assert_eq!((direct.tokens, direct.between_tokens.count), (100, 80));
+    assert_eq!(from.records().prefilled.len(), 20);
+    assert!(from.holds().is_empty());
+
+    to.faults.lock().refusing = true;
+    let report = driver::run(options).await.expect("a run");
+    assert_eq!(report.failed(), 20);
+}
