Add limits, retry budgets, suspects and burn as pure decisions

Cause: the table's limits must hold over all hosts together, retries must not storm, one request must not fell server after server, and decline must be seen before callers see it.

Ruled out: dividing a limit by shares of demand with leases, because during a change of home the old and the new home's grants overlap; permits drawn from one bucket exist only once, and a new home's bucket starts empty. Comparing a server with a fixed threshold, because it sees nothing before the target is missed.

Change: PermitBucket and PermitPool for rates, InFlightHome for requests in flight, RetryBudget, SuspectBook, RowWindows, ServerBook and mergeable roll-ups.

--- /dev/null
+++ b/crates/policy/src/suspects.rs
@@ -0,0 +1,164 @@
+//! The `suspects` module finds the request that crashes backend servers.
+//!
+//! When a server dies, all that it was running are suspects. A suspect runs again
+//! only on a server that runs no other suspect, so the next death names it. An
+//! innocent request clears itself by finishing. `docs/design/suspects.md` gives
+//! the bound and what remains possible.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// How long a suspicion stands. A caller that sends again does so far sooner.
+pub const SUSPICION_LIFE: Duration = Duration::from_secs(120);
+
+/// How long a conviction stands. It ends, because an engine may have been mended
+/// or a death may have had another cause.
+pub const CONVICTION_LIFE: Duration = Duration::from_secs(1_800);
+
+/// The most fingerprints that one host remembers; the oldest go first.
+pub const MAX_REMEMBERED: usize = 4_096;
+
+/// `Fingerprint` names what a request asks of an engine. It is the same when the
+/// caller sends the request again, by whatever host.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Fingerprint(pub u64);
+
+impl Fingerprint {
+    /// Returns the fingerprint of a prompt for a model.
+    pub fn of(model: &str, prompt: &str) -> Fingerprint {
+        let seed = xxh3_64_with_seed(model.as_bytes(), 0);
+        Fingerprint(xxh3_64_with_seed(prompt.as_bytes(), seed))
+    }
+}
+
+/// `Standing` is what is held against a fingerprint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Standing {
+    /// Nothing.
+    Clear,
+    /// It ran on a server when that server died.
+    Suspect,
+    /// It was the only suspect on a server that died.
+    Convicted,
+}
+
+/// `Verdict` is a change of standing, which all hosts must learn.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Verdict {
+    /// The request.
+    pub fingerprint: Fingerprint,
+    /// Its new standing.
+    pub standing: Standing,
+}
+
+/// `SuspectBook` is a host's knowledge of suspects.
+#[derive(Debug, Clone, Default)]
+pub struct SuspectBook {
+    entries: HashMap<Fingerprint, Entry>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Entry {
+    standing: Standing,
+    since: Instant,
+}
+
+impl SuspectBook {
+    /// Returns what is held against `fingerprint`.
+    pub fn standing(&self, fingerprint: Fingerprint, now: Instant) -> Standing {
+        match self.entries.get(&fingerprint) {
+            Some(entry) if now.saturating_duration_since(entry.since) < life(entry.standing) => {
+                entry.standing
+            }
+            _ => Standing::Clear,
+        }
+    }
+
+    /// Returns the verdicts over what a server was running when it died.
+    ///
+    /// With one suspect among them that one is convicted, and the others stay
+    /// clear, for the death has its cause. Otherwise all are suspects.
+    pub fn server_died(&mut self, running: &[Fingerprint], now: Instant) -> Vec<Verdict> {
+        let mut distinct = running.to_vec();
+        distinct.sort();
+        distinct.dedup();
+        let known = distinct.iter().filter(|f| self.standing(**f, now) == Standing::Suspect);
+        let suspects: Vec<Fingerprint> = known.copied().collect();
+        let verdicts: Vec<Verdict> = match suspects.as_slice() {
+            [only] => vec![Verdict { fingerprint: *only, standing: Standing::Convicted }],
+            _ => distinct.iter().map(|f| suspect(*f)).collect(),
+        };
+        self.learn(&verdicts, now);
+        verdicts
+    }
+
+    /// Takes in verdicts of another host. A conviction is never softened by a
+    /// suspicion that arrives late.
+    pub fn learn(&mut self, verdicts: &[Verdict], now: Instant) {
+        for verdict in verdicts {
+            let held = self.standing(verdict.fingerprint, now);
+            let softened = held == Standing::Convicted && verdict.standing != Standing::Convicted;
+            if !softened {
+                self.set(*verdict, now);
+            }
+        }
+        self.forget(now);
+    }
+
+    /// Clears a suspect that has finished on a server; returns the verdict if its
+    /// standing changed.
+    pub fn finished(&mut self, fingerprint: Fingerprint, now: Instant) -> Option<Verdict> {
+        if self.standing(fingerprint, now) != Standing::Suspect {
+            return None;
+        }
+        let verdict = Verdict { fingerprint, standing: Standing::Clear };
+        self.set(verdict, now);
+        Some(verdict)
+    }
+
+    /// Returns how many fingerprints are remembered.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Tells whether none are remembered.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    fn set(&mut self, verdict: Verdict, now: Instant) {
+        if verdict.standing == Standing::Clear {
+            self.entries.remove(&verdict.fingerprint);
+            return;
+        }
+        let entry = Entry { standing: verdict.standing, since: now };
+        self.entries.insert(verdict.fingerprint, entry);
+    }
+
+    /// Drops what has lapsed, and the oldest beyond the bound.
+    fn forget(&mut self, now: Instant) {
+        self.entries.retain(|_, e| now.saturating_duration_since(e.since) < life(e.standing));
+        while self.entries.len() > MAX_REMEMBERED {
+            // Suspects go before convictions, and older ones first.
+            let oldest = self.entries.iter().min_by_key(|(_, e)| (e.standing, e.since));
+            let Some(fingerprint) = oldest.map(|(f, _)| *f) else { return };
+            self.entries.remove(&fingerprint);
+        }
+    }
+}
+
+fn suspect(fingerprint: Fingerprint) -> Verdict {
+    Verdict { fingerprint, standing: Standing::Suspect }
+}
+
+fn life(standing: Standing) -> Duration {
+    match standing {
+        Standing::Convicted => CONVICTION_LIFE,
+        _ => SUSPICION_LIFE,
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/limits.rs
@@ -0,0 +1,151 @@
+//! Limits over all hosts together, against an oracle that only counts: whatever
+//! hosts and homes do, no more requests pass than the bucket has filled.
+
+use std::time::{Duration, Instant};
+
+use aspenloft_core::prelude::Name;
+use aspenloft_policy::concurrency::{InFlightHome, LEASE_LIFE};
+use aspenloft_policy::limits::{
+    PERMIT_LIFE, PermitBucket, PermitPool, Spend, fallback_rate, issued_rate,
+};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+const SEEDS: u64 = 200;
+const STEPS: u32 = 2_000;
+
+/// Spends one permit at a host, drawing from the home when needed.
+fn request(pool: &mut PermitPool, home: &mut PermitBucket, now: Instant) -> bool {
+    let mut spend = pool.spend(now);
+    if let Spend::Draw(wanted) = spend {
+        let draw = home.draw(wanted, now);
+        pool.drawn(draw, now);
+        spend = pool.spend_again(now);
+    }
+    spend == Spend::Granted
+}
+
+#[test]
+fn never_passes_more_than_the_limit_while_homes_and_hosts_change() {
+    for seed in 0..SEEDS {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        let start = Instant::now();
+        let rate = rng.random_range(1.0..500.0);
+        let hosts = rng.random_range(1..40);
+        let mut now = start;
+        let mut home = PermitBucket::new(rate, now);
+        let mut pools = vec![PermitPool::new(now); hosts];
+        let mut passed = 0_u64;
+        for _ in 0..STEPS {
+            now += Duration::from_micros(rng.random_range(0..20_000));
+            let host = rng.random_range(0..hosts);
+            match rng.random_range(0..500) {
+                // The home dies and another host takes the limit over.
+                0 => home = PermitBucket::new(rate, now),
+                // A host is replaced.
+                1 => pools[host] = PermitPool::new(now),
+                _ => passed += u64::from(request(&mut pools[host], &mut home, now)),
+            }
+            let filled = rate * (now - start).as_secs_f64();
+            assert!(passed as f64 <= filled + 1.0, "seed {seed}: {passed} passed of {filled}");
+        }
+    }
+}
+
+#[test]
+fn passes_nearly_all_of_the_limit_under_overload() {
+    for seed in 0..20 {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        let start = Instant::now();
+        let (rate, hosts) = (100.0, 7);
+        let mut home = PermitBucket::new(rate, start);
+        let mut pools = vec![PermitPool::new(start); hosts];
+        let mut passed = 0_u64;
+        let mut now = start;
+        while now - start < Duration::from_secs(30) {
+            now += Duration::from_millis(5);
+            passed += u64::from(request(&mut pools[rng.random_range(0..hosts)], &mut home, now));
+        }
+        let used = passed as f64 / (rate * 30.0);
+        assert!(used > 0.95, "seed {seed}: only {used} of the limit was used");
+    }
+}
+
+#[test]
+fn an_idle_host_gives_up_its_stock() {
+    let start = Instant::now();
+    let later = start + PERMIT_LIFE + Duration::from_millis(1);
+    let mut home = PermitBucket::new(1_000.0, start);
+    let mut pool = PermitPool::new(start);
+    pool.drawn(home.draw(50, start + Duration::from_secs(1)), start);
+    assert_eq!(pool.stock(), 50);
+    assert!(matches!(pool.spend(later), Spend::Draw(_)));
+}
+
+#[test]
+fn a_refusal_names_when_the_next_permit_comes() {
+    let start = Instant::now();
+    let mut home = PermitBucket::new(0.5, start);
+    let draw = home.draw(1, start);
+    assert_eq!((draw.permits, draw.retry_after), (0, Duration::from_secs(2)));
+    let mut pool = PermitPool::new(start);
+    pool.drawn(draw, start);
+    assert_eq!(pool.spend(start), Spend::Refused(Duration::from_secs(2)));
+    assert_eq!(home.draw(1, start + Duration::from_secs(2)).permits, 1);
+}
+
+#[test]
+fn fallback_shares_and_what_the_home_issues_add_up_to_the_limit() {
+    for listed in 1..50_usize {
+        for silent in 0..listed {
+            let alone = fallback_rate(100.0, listed) * silent as f64;
+            let sum = issued_rate(100.0, listed, silent) + alone;
+            assert!(sum <= 100.0 + 1e-9, "{listed} listed, {silent} silent: {sum}");
+        }
+    }
+}
+
+#[test]
+fn requests_in_flight_stay_within_the_stated_bound() {
+    const LIMIT: u32 = 40;
+    // Eight hosts renew in turn, each once a second, in steps of 5 ms.
+    const RENEW_STEPS: u32 = 25;
+    for seed in 0..SEEDS {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        let names: Vec<Name> = (0..8).map(|i| format!("h{i}").into()).collect();
+        let mut held = vec![0_u32; names.len()];
+        let mut now = Instant::now();
+        let mut home = InFlightHome::new(now);
+        let mut changed = now;
+        for step in 0..STEPS {
+            now += Duration::from_millis(5);
+            // Renewals go round, each host about once a second.
+            if step % RENEW_STEPS == 0 {
+                let host = (step / RENEW_STEPS) as usize % names.len();
+                home.renew(&names[host], held[host], now);
+            }
+            let host = rng.random_range(0..names.len());
+            match rng.random_range(0..1_000) {
+                0 if now - changed > LEASE_LIFE => {
+                    home = InFlightHome::new(now);
+                    changed = now;
+                }
+                1..=550 if home.acquire(&names[host], LIMIT, now) => {
+                    held[host] += 1;
+                    // A home that has heard from every host admits none above it.
+                    let total: u32 = held.iter().sum();
+                    let warm = now - changed >= LEASE_LIFE;
+                    assert!(!warm || total <= LIMIT, "seed {seed}: admitted the {total}th");
+                }
+                _ if held[host] > 0 => {
+                    held[host] -= 1;
+                    home.release(&names[host]);
+                }
+                _ => (),
+            }
+            // After a change of home the bound is one and a half times the limit.
+            let total: u32 = held.iter().sum();
+            assert!(total <= LIMIT + LIMIT.div_ceil(2), "seed {seed}: {total} in flight");
+        }
+    }
+}
