Enforce limits, spread suspects, and report service-level burn

Cause: the pure decisions were not yet in force: no row's limits held over hosts, a poisonous request was known to one host alone, and nothing counted targets.

Change: draws through an agent in each data centre; renewals of requests in flight; verdicts told within a data centre and through one host of each other; a meter on each request; mergeable hourly and daily values in the key-value service; GET /admin/burn over all hosts.

With three host processes a row of 20 requests a second passes at most 20 a second over two seconds of calls at all three.

Conclusion: limits and history hold; a server's death is not yet reported to the suspects, which waits for the homes' own change.

--- a/crates/daemon/src/admin/mod.rs
+++ b/crates/daemon/src/admin/mod.rs
@@ -1,5 +1,6 @@
 //! The `admin` module answers operators, the command-line tool and the balancer.
 
+pub mod burn;
 pub mod status;
 pub mod table;
 
@@ -26,6 +27,7 @@
             (Method::Get, "/healthz") => server::json(&"ok"),
             (Method::Get, "/readyz") => server::outcome(status::ready(&self.0)),
             (Method::Get, paths::STATUS) => server::json(&status::status(&self.0)),
+            (Method::Get, paths::BURN) => burn::handle(&self.0, &req).await,
             _ => server::outcome(Err::<(), _>(not_found("no such path"))),
         }
     }
--- a/crates/daemon/src/callers/answer.rs
+++ b/crates/daemon/src/callers/answer.rs
@@ -15,6 +15,8 @@
 use serde::Serialize;
 
 use super::openai::{Failure, Shape, Usage};
+use crate::levels::meter::Meter;
+use crate::limits::service::Admitted;
 use crate::node::Node;
 use crate::path::model::{self, ModelEvent, ModelRequest};
 
@@ -28,6 +30,9 @@
     shape: Shape,
     req: ModelRequest,
     generated: u64,
+    meter: Meter,
+    /// Holds the request's place under the limits until its end.
+    _admitted: Admitted,
 }
 
 impl Drop for Running {
@@ -37,8 +42,14 @@
 }
 
 impl Running {
-    /// Starts a model request.
-    pub fn start(node: &Arc<Node>, shape: Shape, req: ModelRequest) -> Running {
+    /// Starts a model request that its limits have admitted.
+    pub fn start(
+        node: &Arc<Node>,
+        shape: Shape,
+        req: ModelRequest,
+        meter: Meter,
+        admitted: Admitted,
+    ) -> Running {
         let (tx, events) = bounded(EVENT_BUFFER);
         let (node, job) = (node.clone(), req.clone());
         let (work, abort) = abortable(async move {
@@ -61,16 +72,21 @@
             }
         });
         task::spawn(work);
-        Running { events, abort, shape, req, generated: 0 }
+        Running { events, abort, shape, req, generated: 0, meter, _admitted: admitted }
     }
 
     /// Waits for the next event.
     pub async fn next(&mut self) -> Result<ModelEvent> {
-        let event = self.events.recv().await.unwrap_or_else(|_| Err(ended_early()))?;
-        if let ModelEvent::Tokens(tokens) = &event {
-            self.generated += tokens.len() as u64;
+        let event = self.events.recv().await.unwrap_or_else(|_| Err(ended_early()));
+        match &event {
+            Ok(ModelEvent::Tokens(tokens)) => {
+                self.generated += tokens.len() as u64;
+                self.meter.tokens(tokens.len());
+            }
+            Ok(ModelEvent::Finished(_)) => self.meter.finished(),
+            Err(e) => self.meter.ended(e),
         }
-        Ok(event)
+        event
     }
 
     fn usage(&self) -> Usage {
--- a/crates/daemon/src/callers/front.rs
+++ b/crates/daemon/src/callers/front.rs
@@ -4,6 +4,7 @@
 
 use aspenloft_core::errors::{Error, ErrorCode, Result, invalid, not_found};
 use aspenloft_core::prelude::{RequestId, Tokens};
+use aspenloft_core::standing::Fingerprint;
 use aspenloft_table::row::{Caller, RowKind};
 use aspenloft_table::table::Table;
 use aspenloft_transport::server::{self, Connection, HttpHandler};
@@ -15,9 +16,12 @@
 
 use super::answer::{Running, failure};
 use super::openai::{CompletionRequest, Shape, chat_prompt};
+use crate::levels::meter::Meter;
+use crate::limits::service as limits;
 use crate::node::Node;
 use crate::path::model::ModelRequest;
 use crate::path::service::{self, ServiceCall};
+use crate::suspects;
 
 /// The largest body that a caller may send, in bytes.
 const MAX_BODY_BYTES: usize = 2 * 1024 * 1024;
@@ -88,13 +92,14 @@
             Shape::Chat => chat_prompt(&asked.messages),
         };
         let max_tokens = Tokens(asked.max_tokens.unwrap_or(16)).min(row.max_output_tokens);
-        let req = ModelRequest {
-            id: id.clone(),
-            row: Arc::new(row.clone()),
-            prompt: prompt.into(),
-            max_tokens,
-        };
-        let mut running = Running::start(&self.0, shape, req);
+        let row = Arc::new(row.clone());
+        let meter = Meter::start(&self.0, &row);
+        let fingerprint = Fingerprint::of(&row.serves, &prompt);
+        suspects::check(&self.0, fingerprint).inspect_err(|e| meter.ended(e))?;
+        let admitted = limits::admit(&self.0, &row, caller).await;
+        let admitted = admitted.inspect_err(|e| meter.ended(e))?;
+        let req = ModelRequest { id: id.clone(), row, prompt: prompt.into(), max_tokens };
+        let mut running = Running::start(&self.0, shape, req, meter, admitted);
         let first = {
             let first = running.next();
             let gone = connection.closed();
@@ -126,16 +131,21 @@
         let path = req.url().path();
         let row = table.service_row(req.method().as_ref(), path, caller);
         let row = row.ok_or_else(|| not_found(format!("no row for {path}")))?;
+        let row = Arc::new(row.clone());
+        let meter = Meter::start(&self.0, &row);
+        let admitted = limits::admit(&self.0, &row, caller).await;
+        let _admitted = admitted.inspect_err(|e| meter.ended(e))?;
         let query = req.url().query().map(|query| format!("?{query}")).unwrap_or_default();
         let call = ServiceCall {
-            row: Arc::new(row.clone()),
+            row,
             caller: caller.name.clone(),
             method: req.method(),
             path: format!("{path}{query}"),
             body,
             key: req.header(KEY_HEADER).map(|values| values.as_str().into()),
         };
-        let answer = service::run(&self.0, &call).await?;
+        let answer = service::run(&self.0, &call).await.inspect_err(|e| meter.ended(e))?;
+        meter.finished();
         let mut response = Response::new(answer.status);
         response.set_body(answer.body);
         if !answer.content_type.is_empty() {
--- /dev/null
+++ b/crates/daemon/src/levels/record.rs
@@ -0,0 +1,131 @@
+//! The `record` module takes in how requests went.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use aspenloft_core::prelude::{Name, Tokens};
+use aspenloft_policy::burn::rollup::Rollup;
+use aspenloft_policy::burn::servers::{ServerBook, SlowServer};
+use aspenloft_policy::burn::windows::{RowWindows, Tally};
+use aspenloft_table::row::Row;
+use parking_lot::Mutex;
+
+/// How long a backend server is remembered without being heard of.
+const SERVER_SILENCE: Duration = Duration::from_secs(300);
+
+/// The most rows that are counted; the table's size bounds them as well.
+const MAX_ROWS: usize = 1_024;
+
+/// `Levels` is a host's count of how requests went.
+#[derive(Debug, Default)]
+pub struct Levels {
+    state: Mutex<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    rows: HashMap<Name, RowWindows>,
+    /// What has not reached the history yet.
+    pending: Rollup,
+    servers: ServerBook,
+}
+
+/// `Served` is how a request went that was answered.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Served {
+    /// From its arrival to its first token, or to the whole answer of a service.
+    pub ttft: Duration,
+    /// The mean time between its tokens; `None` with fewer than two.
+    pub tbt: Option<Duration>,
+}
+
+impl Levels {
+    /// Counts a request that was answered.
+    pub fn served(&self, row: &Row, served: Served, now: Instant) {
+        let tally = Tally {
+            served: 1,
+            ttft_missed: u64::from(served.ttft > row.ttft),
+            tbt_missed: u64::from(served.tbt.is_some_and(|tbt| tbt > row.tbt)),
+            ..Tally::default()
+        };
+        let mut state = self.state.lock();
+        state.add(&row.name, tally, now);
+        let pending = state.pending.rows.entry(row.name.clone()).or_default();
+        pending.ttft.record(served.ttft);
+        if let Some(tbt) = served.tbt {
+            pending.tbt.record(tbt);
+        }
+    }
+
+    /// Counts a request that was refused.
+    pub fn refused(&self, row: &Name, now: Instant) {
+        self.state.lock().add(row, Tally { refused: 1, ..Tally::default() }, now);
+    }
+
+    /// Counts a request that failed after it had been accepted.
+    pub fn failed(&self, row: &Name, now: Instant) {
+        self.state.lock().add(row, Tally { failed: 1, ..Tally::default() }, now);
+    }
+
+    /// Counts prefill work, and whether its result was used.
+    pub fn prefilled(&self, row: &Name, tokens: Tokens, used: bool, now: Instant) {
+        let wasted = if used { 0 } else { tokens.0 };
+        let tally = Tally { prefilled: tokens.0, wasted, ..Tally::default() };
+        self.state.lock().add(row, tally, now);
+    }
+
+    /// Takes in the pace of a backend server: `work` for `tokens`. Servers of one
+    /// group do the same work.
+    pub fn pace(&self, server: &Name, group: &Name, tokens: u64, work: Duration, now: Instant) {
+        if tokens == 0 {
+            return;
+        }
+        let mut state = self.state.lock();
+        let pace = work.as_secs_f64() / tokens as f64;
+        state.servers.observe(server, group, pace, now);
+        let pending = state.pending.servers.entry(server.clone()).or_default();
+        pending.tokens += tokens;
+        pending.micros += u64::try_from(work.as_micros()).unwrap_or(u64::MAX);
+    }
+
+    /// Takes in the pace of a server whose home is another host, from its digest.
+    pub fn heard_pace(&self, server: &Name, group: &Name, pace: f64, now: Instant) {
+        self.state.lock().servers.observe(server, group, pace, now);
+    }
+
+    /// Returns the servers that are declining; the dwell of the findings is counted
+    /// from look to look, so a host looks each second.
+    pub fn slow_servers(&self, now: Instant) -> Vec<SlowServer> {
+        let mut state = self.state.lock();
+        state.servers.forget(SERVER_SILENCE, now);
+        state.servers.findings(now)
+    }
+
+    /// Returns the tally of each row over `window`.
+    pub fn tallies(&self, window: Duration, now: Instant) -> HashMap<Name, Tally> {
+        let mut state = self.state.lock();
+        state.rows.iter_mut().map(|(name, row)| (name.clone(), row.sum(window, now))).collect()
+    }
+
+    /// Takes out what has not reached the history yet.
+    pub fn take_pending(&self) -> Rollup {
+        std::mem::take(&mut self.state.lock().pending)
+    }
+
+    /// Puts back what could not be written.
+    pub fn put_back(&self, rollup: &Rollup) {
+        // Both come from this program, so their histograms have the same bounds.
+        let _ = self.state.lock().pending.absorb(rollup);
+    }
+}
+
+impl State {
+    fn add(&mut self, row: &Name, tally: Tally, now: Instant) {
+        if !self.rows.contains_key(row) && self.rows.len() >= MAX_ROWS {
+            return;
+        }
+        let windows = self.rows.entry(row.clone()).or_insert_with(|| RowWindows::new(now));
+        windows.add(tally, now);
+        self.pending.rows.entry(row.clone()).or_default().tally += tally;
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/levels/report.rs
@@ -0,0 +1,217 @@
+//! The `report` module makes the report on service-level burn: the present windows
+//! over all hosts, the servers that decline, and the history.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+use std::time::Duration;
+
+use aspenloft_core::errors::{Error, ErrorCode, Result, internal};
+use aspenloft_core::prelude::{Host, Name};
+use aspenloft_policy::burn::rollup::Rollup;
+use aspenloft_policy::burn::servers::{Cause, SlowServer};
+use aspenloft_policy::burn::windows::{Alarm, SLOW_BURN, Tally, WINDOWS};
+use aspenloft_protocol::admin::burn::{
+    AlarmState, BurnReport, HistoryPoint, RowBurn, SlowServerReport, WindowBurn,
+};
+use aspenloft_protocol::peer::control::{ControlReply, ControlRequest};
+use aspenloft_protocol::peer::{PeerReply, PeerRequest};
+use async_std::future::timeout;
+use futures::stream::{self, StreamExt};
+use serde::{Deserialize, Serialize};
+
+use super::history::{self, Grain};
+use crate::node::Node;
+use crate::suspects::others;
+
+/// The longest wait for the counts of one host.
+const ASK_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Hosts that are asked at once.
+const ASK_WIDTH: usize = 32;
+
+/// Points of the history that a report shows at most.
+const MAX_POINTS: usize = 400;
+
+/// `HostTallies` is one host's part of a report.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct HostTallies {
+    /// The tallies of each row, one for each of the windows.
+    pub rows: HashMap<Name, [Tally; WINDOWS.len()]>,
+    /// The servers that the host sees declining.
+    pub slow: Vec<SlowServer>,
+}
+
+/// Returns this host's part of a report.
+pub fn own_tallies(node: &Node) -> HostTallies {
+    let now = node.clock.now();
+    let mut rows: HashMap<Name, [Tally; WINDOWS.len()]> = HashMap::new();
+    for (i, window) in WINDOWS.iter().enumerate() {
+        for (row, tally) in node.levels.tallies(*window, now) {
+            rows.entry(row).or_default()[i] = tally;
+        }
+    }
+    HostTallies { rows, slow: node.levels.slow_servers(now) }
+}
+
+/// Serves another host's question for this host's part.
+pub fn serve(node: &Node) -> Result<ControlReply> {
+    let text = serde_json::to_string(&own_tallies(node)).map_err(|e| internal(e.to_string()))?;
+    Ok(ControlReply::Tallies(text.into()))
+}
+
+/// Makes the report over all hosts.
+pub async fn report(node: &Arc<Node>, grain: Grain) -> BurnReport {
+    let asked = stream::iter(others(node)).map(|host| async move {
+        let tallies = ask(node, &host).await;
+        (host.name, tallies)
+    });
+    let answers: Vec<(Name, Result<HostTallies>)> =
+        asked.buffer_unordered(ASK_WIDTH).collect().await;
+
+    let mut sum = own_tallies(node);
+    let mut missing = Vec::new();
+    for (host, answer) in answers {
+        match answer {
+            Ok(tallies) => sum.absorb(tallies),
+            Err(_) => missing.push(host),
+        }
+    }
+    let history = history_points(node, grain).await;
+    BurnReport {
+        rows: rows(node, &sum),
+        slow_servers: slow_servers(sum.slow),
+        hosts_missing: missing,
+        history_error: history.as_ref().err().map(|e| e.to_string()),
+        history: history.unwrap_or_default(),
+    }
+}
+
+impl HostTallies {
+    fn absorb(&mut self, other: HostTallies) {
+        for (row, tallies) in other.rows {
+            let mine = self.rows.entry(row).or_default();
+            for (mine, other) in mine.iter_mut().zip(tallies) {
+                *mine += other;
+            }
+        }
+        self.slow.extend(other.slow);
+    }
+}
+
+async fn ask(node: &Arc<Node>, host: &Host) -> Result<HostTallies> {
+    let req = PeerRequest::Control(ControlRequest::Tallies);
+    let late = |_| Error::new(ErrorCode::Timeout, "the host did not answer");
+    match timeout(ASK_TIMEOUT, node.peers.ask(host, req)).await.map_err(late)?? {
+        PeerReply::Control(ControlReply::Tallies(text)) => {
+            serde_json::from_str(&text).map_err(|e| internal(e.to_string()))
+        }
+        other => Err(crate::peers::unexpected(&other)),
+    }
+}
+
+/// Makes the rows of the report, in the table's order and then by name.
+fn rows(node: &Node, sum: &HostTallies) -> Vec<RowBurn> {
+    let table = node.view.table().ok();
+    let order = |name: &Name| {
+        let rows = table.as_ref().map(|table| table.rows.as_slice()).unwrap_or_default();
+        rows.iter().position(|row| row.name == *name).unwrap_or(usize::MAX)
+    };
+    let mut rows: Vec<RowBurn> = sum.rows.iter().map(|(name, t)| row(name, t)).collect();
+    rows.sort_by_key(|row| (order(&row.row), row.row.clone()));
+    rows
+}
+
+fn row(name: &Name, tallies: &[Tally; WINDOWS.len()]) -> RowBurn {
+    let windows = WINDOWS.iter().zip(tallies).map(|(window, tally)| {
+        let burn = tally.burn();
+        WindowBurn {
+            window: *window,
+            served: tally.served,
+            refused: tally.refused,
+            failed: tally.failed,
+            ttft: burn.ttft,
+            tbt: burn.tbt,
+            failures: burn.failed,
+            waste: burn.waste,
+        }
+    });
+    let windows: Vec<WindowBurn> = windows.collect();
+    RowBurn { row: name.clone(), alarm: alarm(tallies), cause: cause(tallies), windows }
+}
+
+/// Judges the sums of all hosts by the rule that a host applies to its own.
+fn alarm(tallies: &[Tally; WINDOWS.len()]) -> AlarmState {
+    let [short, middle, long] = tallies.map(|tally| tally.burn().worst());
+    match Alarm::of(short, middle, long) {
+        Alarm::Steady => AlarmState::Steady,
+        Alarm::Warning => AlarmState::Warning,
+        Alarm::Page => AlarmState::Page,
+    }
+}
+
+/// Names the allowance that burns fastest over the middle window.
+fn cause(tallies: &[Tally; WINDOWS.len()]) -> Option<Name> {
+    let burn = tallies[1].burn();
+    let burns = [
+        (burn.ttft, "time to first token"),
+        (burn.tbt, "time between tokens"),
+        (burn.failed, "failed requests"),
+        (burn.waste, "wasted prefill"),
+    ];
+    let worst = burns.into_iter().max_by(|a, b| a.0.total_cmp(&b.0))?;
+    (worst.0 >= SLOW_BURN).then(|| worst.1.into())
+}
+
+/// Keeps the worst finding of each server, for several hosts may see it.
+fn slow_servers(found: Vec<SlowServer>) -> Vec<SlowServerReport> {
+    let mut worst: BTreeMap<Name, SlowServer> = BTreeMap::new();
+    for slow in found {
+        match worst.get(&slow.server) {
+            Some(known) if known.ratio >= slow.ratio => (),
+            _ => {
+                worst.insert(slow.server.clone(), slow);
+            }
+        }
+    }
+    let mut reports: Vec<SlowServerReport> = worst.into_values().map(slow_server).collect();
+    reports.sort_by(|a, b| b.ratio.total_cmp(&a.ratio));
+    reports
+}
+
+fn slow_server(slow: SlowServer) -> SlowServerReport {
+    let against = match slow.cause {
+        Cause::Peers => "its peers",
+        Cause::Past => "its own past",
+    };
+    SlowServerReport {
+        server: slow.server,
+        group: slow.group,
+        against: against.into(),
+        ratio: slow.ratio,
+    }
+}
+
+/// Reads the history and joins the data centres.
+async fn history_points(node: &Arc<Node>, grain: Grain) -> Result<Vec<HistoryPoint>> {
+    let mut spans: BTreeMap<u64, Rollup> = BTreeMap::new();
+    for found in node.kv.list(&grain.prefix()).await? {
+        let Some(start) = history::start_of(grain, &found.key) else { continue };
+        spans.entry(start).or_default().absorb(&history::parse(&found.value)?)?;
+    }
+    let skip = spans.len().saturating_sub(MAX_POINTS);
+    let points = spans.into_iter().skip(skip);
+    Ok(points.flat_map(|(start, rollup)| points_of(start, &rollup)).collect())
+}
+
+fn points_of(start_s: u64, rollup: &Rollup) -> Vec<HistoryPoint> {
+    let rows = rollup.rows.iter().map(|(name, row)| HistoryPoint {
+        start_s,
+        row: name.clone(),
+        served: row.tally.served,
+        refused: row.tally.refused,
+        ttft_p95_ms: row.ttft.quantile_ms(0.95),
+        tbt_p95_ms: row.tbt.quantile_ms(0.95),
+        worst_burn: row.tally.burn().worst(),
+    });
+    rows.collect()
+}
--- /dev/null
+++ b/crates/daemon/src/limits/service.rs
@@ -0,0 +1,259 @@
+//! The `service` module admits requests under the table's limits and serves the
+//! draws of other hosts.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use aspenloft_core::errors::{Error, ErrorCode, Result};
+use aspenloft_core::prelude::{Host, Name};
+use aspenloft_membership::homes::weight;
+use aspenloft_policy::concurrency::RENEW_INTERVAL;
+use aspenloft_policy::limits::{Draw, Spend, fallback_rate};
+use aspenloft_protocol::peer::control::{ControlReply, ControlRequest, DrawRequest, LimitKey};
+use aspenloft_protocol::peer::{PeerReply, PeerRequest};
+use aspenloft_table::row::{Caller, Row};
+use async_std::future::timeout;
+use async_std::task;
+use parking_lot::Mutex;
+
+use super::state::LimitState;
+use crate::node::Node;
+use crate::peers::unexpected;
+
+/// The longest wait for permits. Beyond it the host uses its own share.
+const DRAW_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// When a caller with too many requests in flight should come back.
+const IN_FLIGHT_RETRY: Duration = Duration::from_secs(1);
+
+/// `Limits` is a host's part of the table's limits.
+#[derive(Debug, Default)]
+pub struct Limits {
+    state: Mutex<LimitState>,
+}
+
+/// `Admitted` stands for one request under its limits; its drop gives the place in
+/// flight back.
+pub struct Admitted {
+    held: Option<(Arc<Node>, LimitKey)>,
+}
+
+impl Drop for Admitted {
+    fn drop(&mut self) {
+        if let Some((node, key)) = self.held.take() {
+            node.limits.state.lock().unhold(&key);
+        }
+    }
+}
+
+/// Admits a request of `caller` under the limits of `row`, or refuses it with the
+/// time after which it is worth coming back.
+pub async fn admit(node: &Arc<Node>, row: &Row, caller: &Caller) -> Result<Admitted> {
+    let key = LimitKey { row: row.name.clone(), caller: caller.name.clone() };
+    if row.rate_per_s > 0 {
+        spend(node, &key, f64::from(row.rate_per_s)).await?;
+    }
+    if row.concurrency == 0 {
+        return Ok(Admitted { held: None });
+    }
+    acquire(node, &key, row.concurrency).await?;
+    node.limits.state.lock().hold(&key);
+    Ok(Admitted { held: Some((node.clone(), key)) })
+}
+
+async fn spend(node: &Arc<Node>, key: &LimitKey, rate: f64) -> Result<()> {
+    let now = node.clock.now();
+    let wanted = match node.limits.state.lock().spend(key, true, now) {
+        Spend::Granted => return Ok(()),
+        Spend::Refused(after) => return Err(over_rate(key, after)),
+        Spend::Draw(wanted) => wanted,
+    };
+    let drawn = draw(node, key, rate, wanted).await;
+    let now = node.clock.now();
+    let mut state = node.limits.state.lock();
+    let draw = match drawn {
+        Ok(draw) => draw,
+        Err(_) => {
+            // The home cannot be reached: only this host's own share is safe.
+            let hosts = node.view.listing().hosts.len();
+            state.fallback_draw(key, fallback_rate(rate, hosts), now)
+        }
+    };
+    state.drawn(key, draw, now);
+    match state.spend(key, false, now) {
+        Spend::Granted => Ok(()),
+        Spend::Refused(after) => Err(over_rate(key, after)),
+        // The stock was spent by others in the meantime, which is scarcity too.
+        Spend::Draw(_) => Err(over_rate(key, DRAW_TIMEOUT)),
+    }
+}
+
+fn over_rate(key: &LimitKey, after: Duration) -> Error {
+    let message = format!("the rate of row {} is used up", key.row);
+    Error::new(ErrorCode::Limited, message).retry_after(after)
+}
+
+/// Draws permits through the agent of this host's data centre.
+async fn draw(node: &Arc<Node>, key: &LimitKey, rate: f64, wanted: u32) -> Result<Draw> {
+    let agent = agent_of(node, key)?;
+    if agent.name == node.settings.host {
+        return draw_as_agent(node, key, rate, wanted).await;
+    }
+    let req = DrawRequest { key: key.clone(), wanted };
+    ask_draw(node, &agent, ControlRequest::DrawFromAgent(req)).await
+}
+
+/// Draws permits from the agent's stock, refilling it from the home.
+async fn draw_as_agent(node: &Arc<Node>, key: &LimitKey, rate: f64, wanted: u32) -> Result<Draw> {
+    let now = node.clock.now();
+    let upstream = {
+        let mut state = node.limits.state.lock();
+        let permits = state.agent_take(key, wanted, now);
+        if permits > 0 {
+            return Ok(Draw { permits, retry_after: Duration::ZERO });
+        }
+        state.agent_upstream(key, wanted, now)
+    };
+    let upstream = match upstream {
+        Ok(upstream) => upstream,
+        Err(retry_after) => return Ok(Draw { permits: 0, retry_after }),
+    };
+    let drawn = draw_from_home(node, key, rate, upstream).await?;
+    let now = node.clock.now();
+    let mut state = node.limits.state.lock();
+    state.agent_drawn(key, drawn, now);
+    let permits = state.agent_take(key, wanted, now);
+    Ok(Draw { permits, retry_after: drawn.retry_after })
+}
+
+async fn draw_from_home(node: &Arc<Node>, key: &LimitKey, rate: f64, wanted: u32) -> Result<Draw> {
+    let home = home_of_key(node, key)?;
+    if home.name == node.settings.host {
+        let now = node.clock.now();
+        return Ok(node.limits.state.lock().home_draw(key, rate, wanted, now));
+    }
+    let req = DrawRequest { key: key.clone(), wanted };
+    ask_draw(node, &home, ControlRequest::DrawFromHome(req)).await
+}
+
+async fn ask_draw(node: &Arc<Node>, host: &Host, req: ControlRequest) -> Result<Draw> {
+    match ask(node, host, req).await? {
+        ControlReply::Drawn { permits, retry_after } => Ok(Draw { permits, retry_after }),
+        other => Err(unexpected(&PeerReply::Control(other))),
+    }
+}
+
+async fn ask(node: &Arc<Node>, host: &Host, req: ControlRequest) -> Result<ControlReply> {
+    let asked = timeout(DRAW_TIMEOUT, node.peers.ask(host, PeerRequest::Control(req))).await;
+    let late = |_| Error::new(ErrorCode::Timeout, "the home of the limit did not answer");
+    match asked.map_err(late)?? {
+        PeerReply::Control(reply) => Ok(reply),
+        other => Err(unexpected(&other)),
+    }
+}
+
+async fn acquire(node: &Arc<Node>, key: &LimitKey, limit: u32) -> Result<()> {
+    let home = home_of_key(node, key)?;
+    let host = node.settings.host.clone();
+    let admitted = if home.name == host {
+        let now = node.clock.now();
+        node.limits.state.lock().acquire(key, &host, limit, now)
+    } else {
+        match ask(node, &home, ControlRequest::Acquire { key: key.clone(), host }).await {
+            Ok(ControlReply::Acquired(admitted)) => admitted,
+            // Without its home a host may hold its own share.
+            _ => {
+                let hosts = node.view.listing().hosts.len() as u32;
+                node.limits.state.lock().held(key) < limit / hosts.max(1)
+            }
+        }
+    };
+    if admitted {
+        return Ok(());
+    }
+    let message = format!("too many requests of row {} in flight", key.row);
+    Err(Error::new(ErrorCode::Limited, message).retry_after(IN_FLIGHT_RETRY))
+}
+
+/// Serves the calls of other hosts about limits; `None` for other subjects.
+pub async fn serve(node: &Arc<Node>, req: &ControlRequest) -> Option<Result<ControlReply>> {
+    let now = node.clock.now();
+    Some(match req {
+        ControlRequest::DrawFromAgent(draw) => {
+            let rate = rate_of(node, &draw.key);
+            let drawn = draw_as_agent(node, &draw.key, rate, draw.wanted).await;
+            drawn.map(|d| ControlReply::Drawn { permits: d.permits, retry_after: d.retry_after })
+        }
+        ControlRequest::DrawFromHome(draw) => {
+            let rate = rate_of(node, &draw.key);
+            let d = node.limits.state.lock().home_draw(&draw.key, rate, draw.wanted, now);
+            Ok(ControlReply::Drawn { permits: d.permits, retry_after: d.retry_after })
+        }
+        ControlRequest::Acquire { key, host } => {
+            let limit = in_flight_limit_of(node, key);
+            let admitted = node.limits.state.lock().acquire(key, host, limit, now);
+            Ok(ControlReply::Acquired(admitted))
+        }
+        ControlRequest::Renew { host, held } => {
+            node.limits.state.lock().renew(host, held, now);
+            Ok(ControlReply::Noted)
+        }
+        _ => return None,
+    })
+}
+
+/// Returns the rate that the table in force here gives a limit.
+fn rate_of(node: &Node, key: &LimitKey) -> f64 {
+    row_value(node, key, |row| row.rate_per_s).into()
+}
+
+fn in_flight_limit_of(node: &Node, key: &LimitKey) -> u32 {
+    row_value(node, key, |row| row.concurrency)
+}
+
+fn row_value(node: &Node, key: &LimitKey, value: impl Fn(&Row) -> u32) -> u32 {
+    let Ok(table) = node.view.table() else { return 0 };
+    table.rows.iter().find(|row| row.name == key.row).map_or(0, value)
+}
+
+/// Tells the homes of limits, for ever, what this host holds.
+pub async fn renew_for_ever(node: Arc<Node>) {
+    loop {
+        task::sleep(RENEW_INTERVAL).await;
+        let held = node.limits.state.lock().renewals();
+        renew(&node, held).await;
+    }
+}
+
+async fn renew(node: &Arc<Node>, held: Vec<(LimitKey, u32)>) {
+    let mut by_home: std::collections::BTreeMap<Name, (Host, Vec<(LimitKey, u32)>)> =
+        std::collections::BTreeMap::new();
+    for (key, count) in held {
+        let Ok(home) = home_of_key(node, &key) else { continue };
+        let entry = by_home.entry(home.name.clone()).or_insert_with(|| (home, Vec::new()));
+        entry.1.push((key, count));
+    }
+    for (home, held) in by_home.into_values() {
+        let req = ControlRequest::Renew { host: node.settings.host.clone(), held };
+        // A lost renewal is made good by the next one.
+        let _ = ask(node, &home, req).await;
+    }
+}
+
+/// Finds the home of a limit among all live hosts.
+fn home_of_key(node: &Node, key: &LimitKey) -> Result<Host> {
+    ranked(node, key, |_| true)
+}
+
+/// Finds the agent of a limit among the live hosts of this data centre.
+fn agent_of(node: &Node, key: &LimitKey) -> Result<Host> {
+    ranked(node, key, |host| host.data_centre == node.settings.data_centre)
+}
+
+fn ranked(node: &Node, key: &LimitKey, eligible: impl Fn(&Host) -> bool) -> Result<Host> {
+    let name = format!("limit/{}/{}", key.row, key.caller);
+    let listing = node.view.listing();
+    let hosts = listing.hosts.iter().filter(|host| !host.leaving && eligible(host));
+    let best = hosts.max_by_key(|host| (weight(&name, &host.name), host.name.clone()));
+    best.cloned().ok_or_else(|| Error::new(ErrorCode::Unavailable, "no live host"))
+}
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -11,6 +11,7 @@
 use aspenloft_daemon::peers::Unpacked;
 use aspenloft_daemon::refresh;
 use aspenloft_daemon::settings::Settings;
+use aspenloft_daemon::tasks;
 use aspenloft_transport::{mesh, server};
 use async_std::net::TcpListener;
 use async_std::task;
@@ -43,6 +44,7 @@
     let peers = bind(node.settings.peers).await?;
     let admin = bind(node.settings.admin).await?;
     refresh::start(&node);
+    tasks::start(&node);
     let dispatch = Arc::new(Unpacked(Arc::new(Dispatch(node.clone()))));
     task::spawn(mesh::serve(peers, dispatch));
     task::spawn(server::serve(admin, Arc::new(AdminFront(node.clone()))));
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -7,19 +7,24 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use aspenloft_core::clock::unix_millis;
-use aspenloft_core::errors::internal;
+use aspenloft_core::errors::{Result, internal};
 use aspenloft_core::prelude::{RequestId, SharedClock};
+use aspenloft_protocol::peer::control::{ControlReply, ControlRequest};
 use aspenloft_protocol::peer::table::{TableReply, TableRequest};
 use aspenloft_protocol::peer::{PeerReply, PeerRequest};
 use aspenloft_protocol::platform::{HostList, HostListClient, KeyValue, KvClient};
 use async_trait::async_trait;
 use parking_lot::Mutex;
 use rand::seq::SliceRandom;
-use rand::{SeedableRng, rngs::StdRng};
+use rand::{Rng, SeedableRng, rngs::StdRng};
 
 use crate::home::service::HomeService;
+use crate::levels::record::Levels;
+use crate::levels::report;
+use crate::limits::service::{self as limits, Limits};
 use crate::peers::{PeerHandler, Peers, ReplySender};
 use crate::settings::Settings;
+use crate::suspects::{self, Suspects};
 use crate::view::View;
 
 /// `Node` is one host of the router.
@@ -38,6 +43,12 @@
     pub host_list: Arc<dyn HostList>,
     /// Its work as the home of backend servers.
     pub home: HomeService,
+    /// Its part of the table's limits.
+    pub limits: Limits,
+    /// What it knows of requests that crash backend servers.
+    pub suspects: Suspects,
+    /// Its count of how requests went.
+    pub levels: Levels,
     requests: AtomicU64,
     born_ms: u64,
     random: Mutex<StdRng>,
@@ -46,12 +57,27 @@
 impl Node {
     /// Creates the host that `settings` describe.
     pub fn new(settings: Settings, clock: SharedClock) -> Arc<Node> {
+        let kv = Arc::new(KvClient::new(settings.platform.key_value));
+        let host_list = Arc::new(HostListClient::new(settings.platform.host_list));
+        Node::with_platform(settings, clock, kv, host_list)
+    }
+
+    /// Creates the host that `settings` describe before the given platform.
+    pub fn with_platform(
+        settings: Settings,
+        clock: SharedClock,
+        kv: Arc<dyn KeyValue>,
+        host_list: Arc<dyn HostList>,
+    ) -> Arc<Node> {
         let view = Arc::new(View::new(settings.host()));
         let node = Arc::new(Node {
-            kv: Arc::new(KvClient::new(settings.platform.key_value)),
-            host_list: Arc::new(HostListClient::new(settings.platform.host_list)),
+            kv,
+            host_list,
             peers: Peers::new(settings.host.clone()),
             home: HomeService::new(clock.clone(), view.clone()),
+            limits: Limits::default(),
+            suspects: Suspects::default(),
+            levels: Levels::default(),
             requests: AtomicU64::new(0),
             born_ms: unix_millis(clock.wall()),
             random: Mutex::new(StdRng::from_os_rng()),
@@ -70,6 +96,11 @@
         RequestId(format!("{}-{:x}-{count:x}", self.settings.host, self.born_ms).into())
     }
 
+    /// Returns a random number below `bound`, which must not be zero.
+    pub fn random_below(&self, bound: u64) -> u64 {
+        self.random.lock().random_range(0..bound)
+    }
+
     /// Puts `items` into a random order.
     pub fn shuffle<T>(&self, items: &mut [T]) {
         items.shuffle(&mut *self.random.lock());
@@ -88,7 +119,11 @@
                 let reply = newer_table(&self.0, have);
                 let _ = tx.send(PeerReply::Table(reply)).await;
             }
-            PeerRequest::Heartbeat(_) | PeerRequest::Ledger(_) | PeerRequest::Control(_) => {
+            PeerRequest::Control(req) => {
+                let reply = control(&self.0, &req).await;
+                let _ = tx.send(reply.map_or_else(PeerReply::Failed, PeerReply::Control)).await;
+            }
+            PeerRequest::Heartbeat(_) | PeerRequest::Ledger(_) => {
                 let refusal = internal("this host does not serve such calls yet");
                 let _ = tx.send(PeerReply::Failed(refusal)).await;
             }
@@ -106,3 +141,14 @@
         Err(_) => TableReply::Same,
     }
 }
+
+/// Hands a call about limits, suspects or service levels to its part.
+async fn control(node: &Arc<Node>, req: &ControlRequest) -> Result<ControlReply> {
+    if let Some(served) = limits::serve(node, req).await {
+        return served;
+    }
+    if let Some(served) = suspects::serve(node, req).await {
+        return served;
+    }
+    report::serve(node)
+}
--- /dev/null
+++ b/crates/daemon/tests/levels.rs
@@ -0,0 +1,126 @@
+//! The history of service levels in the key-value service, and the report.
+
+mod common;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use aspenloft_core::clock::ManualClock;
+use aspenloft_core::errors::Result;
+use aspenloft_daemon::levels::history::{self, Grain};
+use aspenloft_daemon::levels::record::Served;
+use aspenloft_daemon::levels::report;
+use aspenloft_daemon::node::Node;
+use aspenloft_daemon::settings::Settings;
+use aspenloft_protocol::admin::burn::{AlarmState, BurnReport};
+use aspenloft_protocol::platform::{HostList, Listing};
+use aspenloft_standin::engine::EngineOptions;
+use aspenloft_standin::kv::KvStandin;
+use aspenloft_table::row::{Row, RowKind};
+use aspenloft_transport::http;
+use async_trait::async_trait;
+use common::Deployment;
+use http_types::Method;
+use serde_json::json;
+
+struct NoHosts;
+
+#[async_trait]
+impl HostList for NoHosts {
+    async fn list(&self) -> Result<Listing> {
+        Ok(Listing::default())
+    }
+}
+
+fn node(name: &str, kv: &Arc<KvStandin>, clock: &Arc<ManualClock>) -> Arc<Node> {
+    let settings: Settings = serde_json::from_value(json!({
+        "host": name, "data_centre": "dc-a", "callers": "127.0.0.1:1", "peers": "127.0.0.1:2",
+        "admin": "127.0.0.1:3",
+        "platform": {"key_value": "127.0.0.1:4", "host_list": "127.0.0.1:5"}
+    }))
+    .expect("settings");
+    Node::with_platform(settings, clock.clone(), kv.clone(), Arc::new(NoHosts))
+}
+
+/// Counts `count` requests of which `late` miss the time to first token.
+fn serve(node: &Node, count: u32, late: u32) {
+    let row = Row::new("scribe", RowKind::Model, "scribe");
+    for i in 0..count {
+        let ttft = if i < late { row.ttft * 2 } else { row.ttft / 2 };
+        node.levels.served(&row, Served { ttft, tbt: Some(row.tbt / 2) }, node.clock.now());
+    }
+}
+
+#[async_std::test]
+async fn hosts_add_up_in_the_history_and_a_lost_answer_adds_nothing_twice() {
+    let (kv, clock) = (Arc::new(KvStandin::default()), Arc::new(ManualClock::default()));
+    let hosts = ["h0", "h1", "h2"].map(|name| node(name, &kv, &clock));
+    for host in &hosts {
+        serve(host, 100, 10);
+        // The first write of each host takes effect, and its answer is lost.
+        kv.faults.lock().lose_answers = 1;
+        history::write(host).await.expect("the history is written");
+    }
+    for grain in [Grain::Hour, Grain::Day] {
+        let report = report::report(&hosts[0], grain).await;
+        let served: Vec<u64> = report.history.iter().map(|point| point.served).collect();
+        assert_eq!(served, [300], "{grain:?}");
+    }
+}
+
+#[async_std::test]
+async fn counts_survive_an_outage_of_the_service() {
+    let (kv, clock) = (Arc::new(KvStandin::default()), Arc::new(ManualClock::default()));
+    let host = node("h0", &kv, &clock);
+    serve(&host, 100, 0);
+    kv.faults.lock().down = true;
+    assert!(history::write(&host).await.is_err());
+    kv.faults.lock().down = false;
+    history::write(&host).await.expect("the history is written");
+    let report = report::report(&host, Grain::Hour).await;
+    assert_eq!(report.history[0].served, 100);
+}
+
+#[async_std::test]
+async fn old_hours_go() {
+    let (kv, clock) = (Arc::new(KvStandin::default()), Arc::new(ManualClock::default()));
+    let host = node("h0", &kv, &clock);
+    // Start well after the epoch, so that there is a past.
+    clock.advance(Duration::from_secs(1_000 * 24 * 3_600));
+    for _ in 0..300 {
+        serve(&host, 1, 0);
+        history::write(&host).await.expect("the history is written");
+        clock.advance(Duration::from_secs(3_600));
+    }
+    let hours = report::report(&host, Grain::Hour).await.history.len();
+    assert_eq!(hours, 8 * 24);
+}
+
+#[async_std::test]
+async fn the_report_names_the_allowance_that_burns() {
+    let (kv, clock) = (Arc::new(KvStandin::default()), Arc::new(ManualClock::default()));
+    let host = node("h0", &kv, &clock);
+    serve(&host, 100, 50);
+    let report = report::report(&host, Grain::Hour).await;
+    assert_eq!(report.rows[0].alarm, AlarmState::Page);
+    assert_eq!(report.rows[0].cause.as_deref(), Some("time to first token"));
+}
+
+#[async_std::test]
+async fn a_report_adds_up_what_several_processes_served() {
+    let deployment = Deployment::start(2, 1, EngineOptions::default()).await;
+    for i in 0..2 {
+        let body = json!({"model": "scribe", "prompt": "Hello", "max_tokens": 3});
+        let req = deployment.post(i, "/v1/completions", &body);
+        let limit = Duration::from_secs(10);
+        let answer = http::send(deployment.callers(i), req, limit).await.expect("an answer");
+        assert!(answer.status().is_success());
+    }
+    let addr = deployment.admin(0);
+    let req = http::request(Method::Get, addr, "/admin/burn", Vec::new()).expect("a request");
+    let mut answer = http::send(addr, req, Duration::from_secs(10)).await.expect("an answer");
+    let report: BurnReport = http::read_json(&mut answer, addr).await.expect("a report");
+    assert_eq!(report.rows[0].row.as_ref(), "scribe");
+    assert_eq!(report.rows[0].windows[0].served, 2);
+    assert!(report.hosts_missing.is_empty());
+}
--- /dev/null
+++ b/crates/daemon/tests/limits_hosts.rs
@@ -0,0 +1,54 @@
+//! The table's limits over several host processes together.
+
+mod common;
+
+use std::time::{Duration, Instant};
+
+use aspenloft_standin::engine::EngineOptions;
+use aspenloft_transport::http;
+use common::{Deployment, default_table};
+use futures::future::join_all;
+use http_types::StatusCode;
+use serde_json::json;
+
+const RATE: u32 = 20;
+const HOSTS: u16 = 3;
+const LIMIT: Duration = Duration::from_secs(10);
+
+#[async_std::test]
+async fn a_rate_holds_over_all_hosts_and_refusals_say_when_to_come_back() {
+    let deployment = Deployment::start(HOSTS, 1, EngineOptions::default()).await;
+    let mut table = default_table();
+    table.version = 2;
+    table.rows[2].rate_per_s = RATE;
+    deployment.put_table(&table).await;
+    for i in 0..HOSTS {
+        let in_force = || async { deployment.status(i).await.table_version == 2 };
+        common::eventually("the table is in force", Duration::from_secs(8), in_force).await;
+    }
+
+    let started = Instant::now();
+    let mut passed = 0;
+    let mut refused = 0;
+    while started.elapsed() < Duration::from_secs(2) {
+        let calls = (0..HOSTS).map(|i| {
+            let req = deployment.post(i, "/stock", &json!({}));
+            http::send(deployment.callers(i), req, LIMIT)
+        });
+        for answer in join_all(calls.collect::<Vec<_>>()).await {
+            let answer = answer.expect("an answer");
+            match answer.status() {
+                StatusCode::Ok => passed += 1,
+                StatusCode::TooManyRequests => {
+                    refused += 1;
+                    assert!(answer.header("retry-after").is_some());
+                }
+                other => panic!("unexpected {other}"),
+            }
+        }
+    }
+    let filled = f64::from(RATE) * started.elapsed().as_secs_f64();
+    assert!(f64::from(passed) <= filled + 1.0, "{passed} passed of {filled}");
+    assert!(passed > RATE / 2, "only {passed} passed");
+    assert!(refused > 0);
+}
--- a/crates/policy/src/burn/windows.rs
+++ b/crates/policy/src/burn/windows.rs
@@ -99,6 +99,20 @@
     Page,
 }
 
+impl Alarm {
+    /// Returns the alarm for the worst burns of the three [`WINDOWS`].
+    pub fn of(short: f64, middle: f64, long: f64) -> Alarm {
+        if short >= FAST_BURN && middle >= FAST_BURN {
+            Alarm::Page
+        } else if long >= SLOW_BURN && middle >= SLOW_BURN {
+            // The middle window ends the warning soon after the cause has gone.
+            Alarm::Warning
+        } else {
+            Alarm::Steady
+        }
+    }
+}
+
 /// `RowWindows` is the ring of one row.
 #[derive(Debug, Clone)]
 pub struct RowWindows {
@@ -137,14 +151,7 @@
     /// Returns the alarm that the burns raise.
     pub fn alarm(&mut self, now: Instant) -> Alarm {
         let [short, middle, long] = self.burns(now).map(|burn| burn.worst());
-        if short >= FAST_BURN && middle >= FAST_BURN {
-            Alarm::Page
-        } else if long >= SLOW_BURN && middle >= SLOW_BURN {
-            // The middle window ends the warning soon after the cause has gone.
-            Alarm::Warning
-        } else {
-            Alarm::Steady
-        }
+        Alarm::of(short, middle, long)
     }
 
     /// Opens the spans up to `now` and drops those beyond the longest window.
--- a/crates/policy/src/limits.rs
+++ b/crates/policy/src/limits.rs
@@ -64,6 +64,11 @@
         Draw { permits, retry_after: bounded(wait) }
     }
 
+    /// Returns when the bucket was last drawn from, for forgetting the idle first.
+    pub fn last_used(&self) -> Instant {
+        self.filled
+    }
+
     /// The bucket holds a second's permits and at least one.
     fn capacity(&self) -> f64 {
         self.rate_per_s.max(1.0)
@@ -134,17 +139,13 @@
 
     /// Spends a permit for one request.
     pub fn spend(&mut self, now: Instant) -> Spend {
-        self.note_demand(now);
+        self.note_demand(1, now);
         self.spend_again(now)
     }
 
     /// Spends a permit for a request that has been counted before.
     pub fn spend_again(&mut self, now: Instant) -> Spend {
-        if now.saturating_duration_since(self.drawn) > PERMIT_LIFE {
-            self.permits = 0;
-        }
-        if self.permits > 0 {
-            self.permits -= 1;
+        if self.take(1, now) == 1 {
             return Spend::Granted;
         }
         match self.refused_until {
@@ -153,6 +154,26 @@
         }
     }
 
+    /// Takes up to `wanted` permits out of the stock, for a host that draws here.
+    pub fn take(&mut self, wanted: u32, now: Instant) -> u32 {
+        if now.saturating_duration_since(self.drawn) > PERMIT_LIFE {
+            self.permits = 0;
+        }
+        let taken = wanted.min(self.permits);
+        self.permits -= taken;
+        taken
+    }
+
+    /// Counts the demand of a host that draws here, and returns what is worth
+    /// drawing from the home for it; `Err` while the home has nothing.
+    pub fn upstream(&mut self, wanted: u32, now: Instant) -> Result<u32, Duration> {
+        self.note_demand(wanted, now);
+        match self.refused_until {
+            Some(until) if until > now => Err(until - now),
+            _ => Ok(wanted.max(self.wanted())),
+        }
+    }
+
     /// Takes in the answer to a draw.
     pub fn drawn(&mut self, draw: Draw, now: Instant) {
         if draw.permits == 0 {
@@ -180,13 +201,13 @@
         (ahead.ceil() as u32).clamp(1, MAX_DRAW)
     }
 
-    fn note_demand(&mut self, now: Instant) {
+    fn note_demand(&mut self, wanted: u32, now: Instant) {
         let span = now.saturating_duration_since(self.span_start);
         if span >= DEMAND_SPAN {
             self.demand_per_s = f64::from(self.spent) / span.as_secs_f64();
             self.spent = 0;
             self.span_start = now;
         }
-        self.spent += 1;
+        self.spent += wanted;
     }
 }
--- a/crates/policy/src/suspects.rs
+++ b/crates/policy/src/suspects.rs
@@ -8,8 +8,7 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-use serde::{Deserialize, Serialize};
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+pub use aspenloft_core::standing::{Fingerprint, Standing, Verdict};
 
 /// How long a suspicion stands. A caller that sends again does so far sooner.
 pub const SUSPICION_LIFE: Duration = Duration::from_secs(120);
@@ -21,41 +20,6 @@
 /// The most fingerprints that one host remembers; the oldest go first.
 pub const MAX_REMEMBERED: usize = 4_096;
 
-/// `Fingerprint` names what a request asks of an engine. It is the same when the
-/// caller sends the request again, by whatever host.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-#[serde(transparent)]
-pub struct Fingerprint(pub u64);
-
-impl Fingerprint {
-    /// Returns the fingerprint of a prompt for a model.
-    pub fn of(model: &str, prompt: &str) -> Fingerprint {
-        let seed = xxh3_64_with_seed(model.as_bytes(), 0);
-        Fingerprint(xxh3_64_with_seed(prompt.as_bytes(), seed))
-    }
-}
-
-/// `Standing` is what is held against a fingerprint.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Standing {
-    /// Nothing.
-    Clear,
-    /// It ran on a server when that server died.
-    Suspect,
-    /// It was the only suspect on a server that died.
-    Convicted,
-}
-
-/// `Verdict` is a change of standing, which all hosts must learn.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Verdict {
-    /// The request.
-    pub fingerprint: Fingerprint,
-    /// Its new standing.
-    pub standing: Standing,
-}
-
 /// `SuspectBook` is a host's knowledge of suspects.
 #[derive(Debug, Clone, Default)]
 pub struct SuspectBook {
@@ -121,6 +85,13 @@
         Some(verdict)
     }
 
+    /// Returns all that is held now, for a host that has just started.
+    pub fn verdicts(&self, now: Instant) -> Vec<Verdict> {
+        let held = self.entries.keys().map(|f| (*f, self.standing(*f, now)));
+        let standing = held.filter(|(_, standing)| *standing != Standing::Clear);
+        standing.map(|(fingerprint, standing)| Verdict { fingerprint, standing }).collect()
+    }
+
     /// Returns how many fingerprints are remembered.
     pub fn len(&self) -> usize {
         self.entries.len()
--- a/crates/protocol/src/admin.rs
+++ b/crates/protocol/src/admin/mod.rs
@@ -1,6 +1,8 @@
 //! The `admin` module defines the administration API that the command-line tool
 //! speaks; `docs/ADMIN-API.md` shows the shapes.
 
+pub mod burn;
+
 use aspenloft_core::prelude::Name;
 use serde::{Deserialize, Serialize};
 
@@ -44,4 +46,6 @@
     pub const STATUS: &str = "/admin/status";
     /// `GET`: the table. `POST`: an edit.
     pub const TABLE: &str = "/admin/table";
+    /// `GET`: the [`super::burn::BurnReport`]; `?grain=day` for days of history.
+    pub const BURN: &str = "/admin/burn";
 }
