Serve callers within bounds, and lose no pipelined request

Cause: async-h1's accept loop reads ahead for each request and drops what is left over, answers a malformed head with a bare close, has no bound on a slow head but 60 s, none on a body, a slow reader or the number of connections, and a failed accept ended the daemon. A caller who had sent a byte of a next request could not be seen to go.

Change: a server of our own round async-h1's decoder and encoder. A gate hands the decoder the bytes of one request only; the rest waits for the next. The same socket is watched for its end while a handler or a stream waits. Bounds for connections, idle time, head, body and writing stand in the settings. The API takes arrays and parts, both token limits and stream_options, sends the usage only when asked, and refuses the rest by field. Each request ends in one log line and in the metrics. The error word of a request that gave tokens is "run", that of a caller who left is "unknown"; both said "not run" before.

A host counts its work in flight, and SIGTERM drains it.

Ruled out: peek on a second handle, which one early byte blinds; refusing to pipeline, which a client learns too late.

On a scratch copy without the gate, answers_pipelined_requests_in_order failed with "Prompt number 1 in order"; with early bytes hiding the end, notices_in_each_state_that_the_caller_has_gone failed with "not within 2s: ClosesWithPipelinedBytes stream false decode false".

--- a/crates/core/src/errors.rs
+++ b/crates/core/src/errors.rs
@@ -76,6 +76,15 @@
     /// Something that should not happen did.
     #[display("internal")]
     Internal,
+    /// The path does not take this method.
+    #[display("method_not_allowed")]
+    MethodNotAllowed,
+    /// The body is of a type that the path does not take.
+    #[display("unsupported_type")]
+    UnsupportedType,
+    /// The caller took too long to send its request.
+    #[display("request_timeout")]
+    SlowRequest,
 }
 
 impl Error {
--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -56,8 +56,8 @@
             data_centre: view.me().data_centre.clone(),
             table_version: view.table_version(),
             platform_reachable: view.platform_reachable(),
-            leaving: false,
-            in_flight: 0,
+            leaving: self.0.shutdown.is_leaving(),
+            in_flight: self.0.shutdown.requests() as u64,
             peers: peers.collect(),
             homes: homes.map(|backend| backend.name.clone()).collect(),
         }
--- a/crates/daemon/src/callers/front.rs
+++ b/crates/daemon/src/callers/front.rs
@@ -1,27 +1,35 @@
 //! The `front` module answers callers' requests.
 
+use std::future::Future;
 use std::sync::Arc;
 
 use aspenloft_core::errors::{Error, ErrorCode, Result, invalid, not_found};
-use aspenloft_core::prelude::{RequestId, Tokens};
-use aspenloft_table::row::{Caller, RowKind};
+use aspenloft_core::execution::Execution;
+use aspenloft_core::prelude::RequestId;
+use aspenloft_table::row::{Caller, Row, RowKind};
 use aspenloft_table::table::Table;
 use aspenloft_transport::server::{self, Connection, HttpHandler};
 use async_trait::async_trait;
 use futures::future::{Either, select};
 use futures::pin_mut;
-use http_types::{Method, Request, Response};
-use serde_json::json;
+use http_types::{Request, Response, headers};
+use serde_json::{Value, json};
 
+use super::account::Account;
 use super::answer::{Running, failure};
-use super::openai::{CompletionRequest, Shape, chat_prompt};
+use super::request::{CompletionRequest, Shape, Streaming};
+use super::routes::{self, Route};
 use crate::node::Node;
 use crate::path::model::ModelRequest;
 use crate::path::service::{self, ServiceCall};
+use crate::shutdown::{InFlight, Stage};
 
 /// The largest body that a caller may send, in bytes.
 const MAX_BODY_BYTES: usize = 2 * 1024 * 1024;
 
+/// The longest idempotency key, in bytes.
+const MAX_KEY_BYTES: usize = 256;
+
 /// The header that names the request in every answer.
 const ID_HEADER: &str = "x-request-id";
 
@@ -31,136 +39,214 @@
 /// `CallerFront` serves callers.
 pub struct CallerFront(pub Arc<Node>);
 
+/// `Asked` is one authenticated request with its body.
+struct Asked<'a> {
+    id: &'a RequestId,
+    table: &'a Table,
+    caller: &'a Caller,
+    req: &'a Request,
+    body: Vec<u8>,
+    connection: &'a Connection,
+    in_flight: InFlight,
+}
+
 #[async_trait]
 impl HttpHandler for CallerFront {
-    async fn handle(&self, req: Request, connection: &Connection) -> Response {
+    async fn handle(&self, mut req: Request, connection: &Connection) -> Response {
         let id = self.0.next_request();
-        let answered = self.answer(req, &id, connection).await;
-        let mut response = answered.unwrap_or_else(|e| {
-            log::info!(event = "refused", request = id.as_str(), code = e.code.to_string().as_str(); "");
-            failure(&e)
-        });
+        let answered = self.answer(&mut req, &id, connection).await;
+        let mut response = match answered {
+            Ok(response) => response,
+            Err(e) => self.refused(&e, &id, req.url().path()),
+        };
+        response.insert_header(ID_HEADER, id.as_str());
+        if self.0.shutdown.stage() == Stage::Draining {
+            response.insert_header(headers::CONNECTION, "close");
+        }
+        response
+    }
+
+    fn refuse(&self, e: &Error) -> Response {
+        let id = self.0.next_request();
+        let mut response = self.refused(e, &id, "");
         response.insert_header(ID_HEADER, id.as_str());
         response
     }
 }
 
 impl CallerFront {
-    async fn answer(
-        &self,
-        mut req: Request,
-        id: &RequestId,
-        connection: &Connection,
-    ) -> Result<Response> {
-        let table = self.0.view.table()?;
-        let caller = authenticate(&table, &req)?.clone();
-        let method = req.method();
-        let path = req.url().path().to_string();
-        let body = server::read_body(&mut req, MAX_BODY_BYTES).await?;
-        match (method, path.as_str()) {
-            (Method::Get, "/v1/models") => Ok(models(&table, &caller)),
-            (Method::Post, "/v1/completions") => {
-                self.complete(Shape::Completion, &table, &caller, &body, id, connection).await
+    /// Makes the answer to a request that gets nothing else.
+    fn refused(&self, e: &Error, id: &RequestId, path: &str) -> Response {
+        let code = e.code.to_string();
+        let execution = e.execution.to_string();
+        log::info!(
+            event = "refused",
+            request = id.as_str(),
+            code = code.as_str(),
+            execution = execution.as_str(),
+            message = e.message.as_str();
+            ""
+        );
+        self.0.metrics.refusal("", e.code);
+        let mut response = failure(e);
+        match e.code {
+            ErrorCode::MethodNotAllowed => {
+                response.insert_header(headers::ALLOW, routes::allow(path));
             }
-            (Method::Post, "/v1/chat/completions") => {
-                self.complete(Shape::Chat, &table, &caller, &body, id, connection).await
+            // The rest of such a body is not read.
+            ErrorCode::TooLarge | ErrorCode::SlowRequest => {
+                response.insert_header(headers::CONNECTION, "close");
             }
-            _ => self.call_service(&table, &caller, &req, body).await,
+            _ => (),
         }
+        response
     }
 
-    async fn complete(
+    async fn answer(
         &self,
-        shape: Shape,
-        table: &Table,
-        caller: &Caller,
-        body: &[u8],
+        req: &mut Request,
         id: &RequestId,
         connection: &Connection,
     ) -> Result<Response> {
-        let asked: CompletionRequest =
-            serde_json::from_slice(body).map_err(|e| invalid(e.to_string()))?;
-        let row = table.model_row(&asked.model, caller);
-        let row = row.ok_or_else(|| not_found(format!("no model {}", asked.model)))?;
-        let prompt = match shape {
-            Shape::Completion => asked.prompt.ok_or_else(|| invalid("prompt is missing"))?,
-            Shape::Chat if asked.messages.is_empty() => return Err(invalid("messages is empty")),
-            Shape::Chat => chat_prompt(&asked.messages),
-        };
-        let max_tokens = Tokens(asked.max_tokens.unwrap_or(16)).min(row.max_output_tokens);
+        let in_flight = self.0.shutdown.admit()?;
+        let table = self.0.view.table()?;
+        let caller = authenticate(&table, req)?;
+        let route = Route::of(req)?;
+        if matches!(route, Route::Complete(_)) {
+            routes::expect_json(req)?;
+        }
+        let body = server::read_body(req, MAX_BODY_BYTES).await?;
+        let asked = Asked { id, table: &table, caller, req, body, connection, in_flight };
+        match route {
+            Route::Models => Ok(models(&table, caller)),
+            Route::Model(name) => model(&table, caller, &name),
+            Route::Complete(shape) => self.complete(shape, asked).await,
+            Route::Service => self.call_service(asked).await,
+        }
+    }
+
+    async fn complete(&self, shape: Shape, asked: Asked<'_>) -> Result<Response> {
+        let body = CompletionRequest::from_json(&asked.body)?;
+        let row = asked.table.model_row(&body.model, asked.caller);
+        let row = Arc::new(row.ok_or_else(|| no_model(&body.model))?.clone());
         let req = ModelRequest {
-            id: id.clone(),
-            row: Arc::new(row.clone()),
-            prompt: prompt.into(),
-            max_tokens,
-        };
-        let mut running = Running::start(&self.0, shape, req);
-        let first = {
-            let first = running.next();
-            let gone = connection.closed();
-            pin_mut!(first, gone);
-            match select(first, gone).await {
-                Either::Left((first, _)) => first?,
-                Either::Right(_) => return Err(gone_error()),
-            }
+            id: asked.id.clone(),
+            prompt: body.prompt(shape)?.into(),
+            max_tokens: body.max_tokens(shape, row.max_output_tokens)?,
+            row: row.clone(),
         };
-        if asked.stream {
-            return Ok(running.streamed(first));
-        }
-        let whole = running.whole(first);
-        let gone = connection.closed();
-        pin_mut!(whole, gone);
-        match select(whole, gone).await {
-            Either::Left((whole, _)) => whole,
-            Either::Right(_) => Err(gone_error()),
+        let account = Account::open(&self.0, asked.id, &row, &asked.caller.name, asked.in_flight);
+        let mut running = Running::start(&self.0, shape, req, account);
+        let first = unless_gone(asked.connection, running.next()).await?;
+        match body.streaming() {
+            Streaming::Chunks { usage } => Ok(running.streamed(first, usage)),
+            Streaming::Whole => unless_gone(asked.connection, running.whole(first)).await,
         }
     }
 
-    async fn call_service(
-        &self,
-        table: &Table,
-        caller: &Caller,
-        req: &Request,
-        body: Vec<u8>,
-    ) -> Result<Response> {
-        let path = req.url().path();
-        let row = table.service_row(req.method().as_ref(), path, caller);
-        let row = row.ok_or_else(|| not_found(format!("no row for {path}")))?;
+    async fn call_service(&self, asked: Asked<'_>) -> Result<Response> {
+        let (req, path) = (asked.req, asked.req.url().path());
+        let row = asked.table.service_row(req.method().as_ref(), path, asked.caller);
+        let row = Arc::new(row.ok_or_else(|| not_found(format!("no row for {path}")))?.clone());
         let query = req.url().query().map(|query| format!("?{query}")).unwrap_or_default();
         let call = ServiceCall {
-            row: Arc::new(row.clone()),
-            caller: caller.name.clone(),
+            row: row.clone(),
+            caller: asked.caller.name.clone(),
             method: req.method(),
             path: format!("{path}{query}"),
-            body,
-            key: req.header(KEY_HEADER).map(|values| values.as_str().into()),
+            body: asked.body,
+            key: idempotency_key(req)?,
         };
-        let answer = service::run(&self.0, &call).await?;
+        let mut account =
+            Account::open(&self.0, asked.id, &row, &asked.caller.name, asked.in_flight);
+        let answered = run_service(&self.0, &row, &call, asked.connection).await;
+        match &answered {
+            Ok(_) => account.answered(),
+            Err(e) => account.failed(e),
+        }
+        let answer = answered?;
         let mut response = Response::new(answer.status);
         response.set_body(answer.body);
         if !answer.content_type.is_empty() {
-            response.insert_header("content-type", answer.content_type);
+            response.insert_header(headers::CONTENT_TYPE, answer.content_type);
         }
         Ok(response)
     }
 }
 
+/// Runs a call of a plain service.
+///
+/// A call that may not be repeated runs to its end even when its caller has gone,
+/// because its outcome must be known to the caller's next try.
+async fn run_service(
+    node: &Arc<Node>,
+    row: &Row,
+    call: &ServiceCall,
+    connection: &Connection,
+) -> Result<aspenloft_ledger::entry::Answer> {
+    let run = service::run(node, call);
+    if row.unrepeatable { run.await } else { unless_gone(connection, run).await }
+}
+
 /// Finds the caller by its bearer key.
 fn authenticate<'a>(table: &'a Table, req: &Request) -> Result<&'a Caller> {
     let wrong = || Error::new(ErrorCode::Unauthorized, "the API key is missing or wrong");
-    let header = req.header("authorization").ok_or_else(wrong)?;
-    let key = header.as_str().strip_prefix("Bearer ").ok_or_else(wrong)?;
+    let header = req.header(headers::AUTHORIZATION).ok_or_else(wrong)?;
+    let (scheme, key) = header.as_str().split_once(' ').ok_or_else(wrong)?;
+    if !scheme.eq_ignore_ascii_case("bearer") {
+        return Err(wrong());
+    }
     table.caller_of_key(key.trim()).ok_or_else(wrong)
 }
 
+/// Reads the idempotency key, if the request has one.
+fn idempotency_key(req: &Request) -> Result<Option<aspenloft_core::ids::Name>> {
+    let Some(values) = req.header(KEY_HEADER) else { return Ok(None) };
+    let key = values.as_str();
+    if values.iter().count() > 1 || key.is_empty() || key.len() > MAX_KEY_BYTES {
+        let message = format!("Idempotency-Key: give one of 1 to {MAX_KEY_BYTES} bytes");
+        return Err(invalid(message));
+    }
+    Ok(Some(key.into()))
+}
+
 /// Lists the models that the caller may use.
 fn models(table: &Table, caller: &Caller) -> Response {
     let rows = table.rows.iter().filter(|row| row.kind == RowKind::Model);
     let usable = rows.filter(|row| table.model_row(&row.serves, caller).is_some());
-    let data: Vec<_> = usable.map(|row| json!({"id": &*row.serves, "object": "model"})).collect();
+    let mut names: Vec<_> = usable.map(|row| &*row.serves).collect();
+    names.sort_unstable();
+    names.dedup();
+    let data: Vec<_> = names.into_iter().map(described).collect();
     server::json(&json!({"object": "list", "data": data}))
 }
 
-fn gone_error() -> Error {
-    Error::new(ErrorCode::Cancelled, "the caller has gone")
+/// Describes one model that the caller may use.
+fn model(table: &Table, caller: &Caller, name: &str) -> Result<Response> {
+    let row = table.model_row(name, caller).ok_or_else(|| no_model(name))?;
+    Ok(server::json(&described(&row.serves)))
+}
+
+fn described(model: &str) -> Value {
+    json!({"id": model, "object": "model", "created": 0, "owned_by": "aspenloft"})
+}
+
+fn no_model(name: &str) -> Error {
+    not_found(format!("no model {name}"))
+}
+
+/// Waits for `work` for as long as the caller is there.
+async fn unless_gone<T>(
+    connection: &Connection,
+    work: impl Future<Output = Result<T>>,
+) -> Result<T> {
+    let gone = connection.closed();
+    pin_mut!(work, gone);
+    match select(work, gone).await {
+        Either::Left((outcome, _)) => outcome,
+        Either::Right(_) => {
+            Err(Error::new(ErrorCode::Cancelled, "the caller has gone")
+                .execution(Execution::Unknown))
+        }
+    }
 }
--- a/crates/daemon/src/callers/openai.rs
+++ b/crates/daemon/src/callers/openai.rs
@@ -1,59 +1,13 @@
-//! The `openai` module defines the shapes of the model API that callers use.
-
-use std::fmt::Write;
+//! The `openai` module defines the shapes of the answers that callers of the model
+//! API get; the requests are in [`super::request`].
 
 use aspenloft_core::errors::{Error, ErrorCode};
 use aspenloft_core::execution::Execution;
 use aspenloft_protocol::engine::FinishReason;
-use serde::{Deserialize, Serialize};
-
-/// `CompletionRequest` is the body of both kinds of completion. Unknown fields are
-/// ignored, as this API's callers expect.
-#[derive(Debug, Clone, PartialEq, Deserialize)]
-pub struct CompletionRequest {
-    /// The model.
-    pub model: String,
-    /// The prompt of a plain completion.
-    #[serde(default)]
-    pub prompt: Option<String>,
-    /// The messages of a chat.
-    #[serde(default)]
-    pub messages: Vec<Message>,
-    /// The most tokens to generate.
-    #[serde(default, alias = "max_completion_tokens")]
-    pub max_tokens: Option<u64>,
-    /// Whether the answer is streamed.
-    #[serde(default)]
-    pub stream: bool,
-}
-
-/// `Message` is one message of a chat.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Message {
-    /// Who speaks.
-    pub role: String,
-    /// What is said.
-    pub content: String,
-}
-
-/// Joins a chat's messages into one prompt.
-pub fn chat_prompt(messages: &[Message]) -> String {
-    let mut prompt = String::new();
-    for message in messages {
-        let _ = writeln!(prompt, "{}: {}", message.role, message.content);
-    }
-    prompt.push_str("assistant:");
-    prompt
-}
+use serde::Serialize;
+use serde_with::{DisplayFromStr, serde_as};
 
-/// `Shape` is which of the two kinds of completion an answer is for.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Shape {
-    /// `/v1/completions`.
-    Completion,
-    /// `/v1/chat/completions`.
-    Chat,
-}
+use super::request::Shape;
 
 /// `Usage` counts the tokens of a request.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Serialize)]
@@ -73,11 +27,13 @@
     pub id: &'a str,
     /// The kind of object.
     pub object: &'static str,
+    /// When the request came, in seconds since the Unix epoch.
+    pub created: u64,
     /// The model.
     pub model: &'a str,
-    /// The choices; there is always one.
-    pub choices: [Choice<'a>; 1],
-    /// The usage, in a whole answer and the last chunk.
+    /// The choices; there is one, but for a chunk that only tells the usage.
+    pub choices: &'a [Choice<'a>],
+    /// The usage, in a whole answer and in the last chunk where it was asked for.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub usage: Option<Usage>,
 }
@@ -101,59 +57,99 @@
 }
 
 /// `Said` is what the model says in a chat.
-#[derive(Debug, Clone, PartialEq, Serialize)]
+#[derive(Debug, Clone, Default, PartialEq, Serialize)]
 pub struct Said<'a> {
-    /// Always the assistant.
-    pub role: &'static str,
-    /// The text.
-    pub content: &'a str,
+    /// Always the assistant; only in a whole message and the first part.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub role: Option<&'static str>,
+    /// The text; the last part has none.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub content: Option<&'a str>,
+}
+
+/// `Head` is what all parts of one answer have in common.
+#[derive(Debug, Clone)]
+pub struct Head<'a> {
+    /// The kind of completion.
+    pub shape: Shape,
+    /// The request's id.
+    pub id: &'a str,
+    /// When the request came, in seconds since the Unix epoch.
+    pub created: u64,
+    /// The model.
+    pub model: &'a str,
 }
 
-impl Shape {
-    /// Makes a whole answer.
-    pub fn whole<'a>(
-        self,
-        id: &'a str,
-        model: &'a str,
-        text: &'a str,
-        reason: FinishReason,
-        usage: Usage,
-    ) -> Completion<'a> {
+/// The role of all that the model says.
+const ASSISTANT: &str = "assistant";
+
+impl<'a> Head<'a> {
+    /// Makes the choice of a whole answer.
+    pub fn whole(&self, text: &'a str, reason: FinishReason) -> Choice<'a> {
         let mut choice = Choice { finish_reason: Some(reason), ..Choice::default() };
-        let object = match self {
-            Shape::Completion => {
-                choice.text = Some(text);
-                "text_completion"
-            }
+        match self.shape {
+            Shape::Completion => choice.text = Some(text),
             Shape::Chat => {
-                choice.message = Some(Said { role: "assistant", content: text });
-                "chat.completion"
+                choice.message = Some(Said { role: Some(ASSISTANT), content: Some(text) });
             }
-        };
-        Completion { id, object, model, choices: [choice], usage: Some(usage) }
+        }
+        choice
     }
 
-    /// Makes one chunk of a streamed answer.
-    pub fn chunk<'a>(
-        self,
-        id: &'a str,
-        model: &'a str,
-        text: &'a str,
-        reason: Option<FinishReason>,
-        usage: Option<Usage>,
-    ) -> Completion<'a> {
-        let mut choice = Choice { finish_reason: reason, ..Choice::default() };
-        let object = match self {
-            Shape::Completion => {
-                choice.text = Some(text);
-                "text_completion"
-            }
+    /// Makes the choice of a chunk with text; `opens` marks the first one.
+    pub fn part(&self, text: &'a str, opens: bool) -> Choice<'a> {
+        let mut choice = Choice::default();
+        match self.shape {
+            Shape::Completion => choice.text = Some(text),
             Shape::Chat => {
-                choice.delta = Some(Said { role: "assistant", content: text });
-                "chat.completion.chunk"
+                choice.delta = Some(Said { role: opens.then_some(ASSISTANT), content: Some(text) });
             }
+        }
+        choice
+    }
+
+    /// Makes the choice of the chunk that ends the text.
+    pub fn end(&self, reason: FinishReason) -> Choice<'a> {
+        let mut choice = Choice { finish_reason: Some(reason), ..Choice::default() };
+        match self.shape {
+            Shape::Completion => choice.text = Some(""),
+            Shape::Chat => choice.delta = Some(Said::default()),
+        }
+        choice
+    }
+
+    /// Joins the parts of a whole answer.
+    pub fn answer(&self, choices: &'a [Choice<'a>], usage: Usage) -> Completion<'a> {
+        let object = match self.shape {
+            Shape::Completion => "text_completion",
+            Shape::Chat => "chat.completion",
         };
-        Completion { id, object, model, choices: [choice], usage }
+        self.completion(object, choices, Some(usage))
+    }
+
+    /// Joins the parts of one chunk.
+    pub fn chunk<'b>(&self, choices: &'b [Choice<'b>], usage: Option<Usage>) -> Completion<'b>
+    where
+        'a: 'b,
+    {
+        let object = match self.shape {
+            Shape::Completion => "text_completion",
+            Shape::Chat => "chat.completion.chunk",
+        };
+        self.completion(object, choices, usage)
+    }
+
+    fn completion<'b>(
+        &self,
+        object: &'static str,
+        choices: &'b [Choice<'b>],
+        usage: Option<Usage>,
+    ) -> Completion<'b>
+    where
+        'a: 'b,
+    {
+        let Head { id, created, model, .. } = *self;
+        Completion { id, object, created, model, choices, usage }
     }
 }
 
@@ -165,12 +161,14 @@
 }
 
 /// `FailureBody` says what went wrong in the words of this API.
+#[serde_as]
 #[derive(Debug, Clone, PartialEq, Serialize)]
 pub struct FailureBody {
     /// The broad type.
     #[serde(rename = "type")]
     pub kind: &'static str,
     /// The stable code.
+    #[serde_as(as = "DisplayFromStr")]
     pub code: ErrorCode,
     /// What went wrong, for people.
     pub message: String,
@@ -187,6 +185,9 @@
             ErrorCode::Invalid
             | ErrorCode::NotFound
             | ErrorCode::TooLarge
+            | ErrorCode::MethodNotAllowed
+            | ErrorCode::UnsupportedType
+            | ErrorCode::SlowRequest
             | ErrorCode::Poisonous
             | ErrorCode::Conflict => "invalid_request_error",
             _ => "server_error",
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,19 +1,28 @@
 //! `aspenloftd` is the daemon that every host of the router runs.
 
 use std::net::SocketAddr;
+use std::process::exit;
 use std::sync::Arc;
 
 use aspenloft_core::clock::SystemClock;
 use aspenloft_core::errors::{Result, unavailable};
 use aspenloft_daemon::admin::AdminFront;
 use aspenloft_daemon::callers::front::CallerFront;
+use aspenloft_daemon::leave::{self, Left};
+use aspenloft_daemon::logging;
 use aspenloft_daemon::node::{Dispatch, Node};
 use aspenloft_daemon::peers::Unpacked;
 use aspenloft_daemon::refresh;
 use aspenloft_daemon::settings::Settings;
+use aspenloft_daemon::shutdown::Guarded;
 use aspenloft_transport::{mesh, server};
 use async_std::net::TcpListener;
 use async_std::task;
+use futures::StreamExt;
+use futures::future::{Either, select};
+use futures::pin_mut;
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook_async_std::Signals;
 
 mod flags {
     #![allow(missing_docs)]
@@ -21,51 +30,93 @@
 
     xflags::xflags! {
         /// Runs one host of the router.
+        ///
+        /// Every host runs the same program. The settings file names the host, its
+        /// data centre, its three addresses (callers, peers, admin) and where the
+        /// platform is; docs/SETTINGS.md shows one.
+        ///
+        /// SIGTERM stops the host gracefully: it finishes what is in flight and exits
+        /// with 0. A second SIGTERM cuts what is left, says how much, and exits with 3.
+        ///
+        /// Exit codes: 0 stopped and cut nothing, 1 failed to start or run, 2 the
+        /// settings cannot be used, 3 stopped and cut requests.
         cmd aspenloftd {
-            /// The settings file.
+            /// The settings file, in JSON.
             required settings: PathBuf
-            /// Checks the settings and exits.
+            /// Checks the settings, prints all findings with their places, and exits.
             optional --check
         }
     }
 }
 
+/// The exit code for a failure to start or run.
+const EXIT_FAILED: i32 = 1;
+
 /// The exit code for settings that cannot be used.
 const EXIT_SETTINGS: i32 = 2;
 
+/// The exit code for a stop that cut requests.
+const EXIT_CUT: i32 = 3;
+
 async fn bind(addr: SocketAddr) -> Result<TcpListener> {
     TcpListener::bind(addr).await.map_err(|e| unavailable(format!("{addr}: {e}")))
 }
 
-async fn run(settings: Settings) -> Result<()> {
-    let node = Node::new(settings, Arc::new(SystemClock));
+async fn run(settings: Settings) -> Result<Left> {
+    let signals = Signals::new([SIGTERM, SIGINT]).map_err(|e| unavailable(e.to_string()))?;
+    let node = Node::new(settings, Arc::new(SystemClock))?;
     let callers = bind(node.settings.callers).await?;
     let peers = bind(node.settings.peers).await?;
     let admin = bind(node.settings.admin).await?;
     refresh::start(&node);
-    let dispatch = Arc::new(Unpacked(Arc::new(Dispatch(node.clone()))));
-    task::spawn(mesh::serve(peers, dispatch));
+    let guarded =
+        Guarded { inner: Arc::new(Dispatch(node.clone())), shutdown: node.shutdown.clone() };
+    task::spawn(mesh::serve(peers, Arc::new(Unpacked(Arc::new(guarded)))));
     task::spawn(server::serve(admin, Arc::new(AdminFront(node.clone()))));
+    let bounds = node.settings.limits.server();
+    task::spawn(server::serve_with(callers, Arc::new(CallerFront(node.clone())), bounds));
     log::info!(event = "started", host = &*node.settings.host; "");
-    server::serve(callers, Arc::new(CallerFront(node))).await
+    Ok(until_left(&node, signals).await)
+}
+
+/// Waits for the word to stop, then leaves; a second signal ends that at once.
+async fn until_left(node: &Arc<Node>, mut signals: Signals) -> Left {
+    let asked = node.shutdown.asked();
+    pin_mut!(asked);
+    select(signals.next(), asked).await;
+    let leaving = leave::leave(node);
+    let again = signals.next();
+    pin_mut!(leaving, again);
+    match select(leaving, again).await {
+        Either::Left((left, _)) => left,
+        Either::Right(_) => {
+            let left = leave::remaining(node);
+            leave::log_end(left);
+            left
+        }
+    }
 }
 
 fn main() {
-    env_logger::init();
     let flags = flags::Aspenloftd::from_env_or_exit();
     let settings = match Settings::load(&flags.settings) {
         Ok(settings) => settings,
         Err(findings) => {
             eprintln!("{findings}");
-            std::process::exit(EXIT_SETTINGS);
+            exit(EXIT_SETTINGS);
         }
     };
     if flags.check {
         println!("{}: ok", flags.settings.display());
         return;
     }
-    if let Err(e) = task::block_on(run(settings)) {
-        eprintln!("aspenloftd: {e}");
-        std::process::exit(1);
+    logging::start();
+    match task::block_on(run(settings)) {
+        Ok(Left::Whole) => (),
+        Ok(Left::Cut { .. }) => exit(EXIT_CUT),
+        Err(e) => {
+            eprintln!("aspenloftd: {e}");
+            exit(EXIT_FAILED);
+        }
     }
 }
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -7,7 +7,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use aspenloft_core::clock::unix_millis;
-use aspenloft_core::errors::internal;
+use aspenloft_core::errors::{Result, internal};
 use aspenloft_core::prelude::{RequestId, SharedClock};
 use aspenloft_protocol::peer::table::{TableReply, TableRequest};
 use aspenloft_protocol::peer::{PeerReply, PeerRequest};
@@ -18,8 +18,10 @@
 use rand::{SeedableRng, rngs::StdRng};
 
 use crate::home::service::HomeService;
+use crate::metrics::Metrics;
 use crate::peers::{PeerHandler, Peers, ReplySender};
 use crate::settings::Settings;
+use crate::shutdown::Shutdown;
 use crate::view::View;
 
 /// `Node` is one host of the router.
@@ -38,6 +40,10 @@
     pub host_list: Arc<dyn HostList>,
     /// Its work as the home of backend servers.
     pub home: HomeService,
+    /// What it counts for operators.
+    pub metrics: Metrics,
+    /// Its way out, and the work in flight.
+    pub shutdown: Arc<Shutdown>,
     requests: AtomicU64,
     born_ms: u64,
     random: Mutex<StdRng>,
@@ -45,13 +51,15 @@
 
 impl Node {
     /// Creates the host that `settings` describe.
-    pub fn new(settings: Settings, clock: SharedClock) -> Arc<Node> {
+    pub fn new(settings: Settings, clock: SharedClock) -> Result<Arc<Node>> {
         let view = Arc::new(View::new(settings.host()));
         let node = Arc::new(Node {
             kv: Arc::new(KvClient::new(settings.platform.key_value)),
             host_list: Arc::new(HostListClient::new(settings.platform.host_list)),
             peers: Peers::new(settings.host.clone()),
             home: HomeService::new(clock.clone(), view.clone()),
+            metrics: Metrics::new(&settings.host)?,
+            shutdown: Arc::default(),
             requests: AtomicU64::new(0),
             born_ms: unix_millis(clock.wall()),
             random: Mutex::new(StdRng::from_os_rng()),
@@ -60,7 +68,7 @@
             settings,
         });
         node.peers.set_local(Arc::new(Dispatch(node.clone())));
-        node
+        Ok(node)
     }
 
     /// Returns a new request id. The time of the host's start keeps ids of its
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -1,11 +1,14 @@
 //! The `settings` module reads and checks the daemon's settings file; see
-//! `docs/OPERATING.md` for each field.
+//! `docs/SETTINGS.md` for each field.
 
 use std::net::SocketAddr;
 use std::path::Path;
+use std::time::Duration;
 
 use aspenloft_core::prelude::{Findings, Host, Name};
+use aspenloft_transport::server::ServerOptions;
 use serde::{Deserialize, Serialize};
+use serde_with::{DurationMilliSeconds, serde_as};
 
 /// `Settings` is what a host learns from its settings file.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -23,6 +26,9 @@
     pub admin: SocketAddr,
     /// Where the platform is.
     pub platform: Platform,
+    /// The bounds that the host keeps; each has a default.
+    #[serde(default)]
+    pub limits: Limits,
 }
 
 /// `Platform` is where the platform's services listen.
@@ -35,6 +41,87 @@
     pub host_list: SocketAddr,
 }
 
+/// `Limits` is the bounds that a host keeps. `docs/SETTINGS.md` says when to change
+/// one.
+#[serde_as]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Limits {
+    /// The most connections of callers at once.
+    pub max_connections: usize,
+    /// The longest wait between a caller's requests on one connection.
+    #[serde_as(as = "DurationMilliSeconds")]
+    #[serde(rename = "idle_ms")]
+    pub idle: Duration,
+    /// The longest time for the head of a request.
+    #[serde_as(as = "DurationMilliSeconds")]
+    #[serde(rename = "head_ms")]
+    pub head: Duration,
+    /// The longest time for the body of a request.
+    #[serde_as(as = "DurationMilliSeconds")]
+    #[serde(rename = "body_ms")]
+    pub body: Duration,
+    /// The longest time in which a caller may take nothing of its answer.
+    #[serde_as(as = "DurationMilliSeconds")]
+    #[serde(rename = "write_ms")]
+    pub write: Duration,
+    /// How long a leaving host still takes new requests, so that the balancer can
+    /// notice.
+    #[serde_as(as = "DurationMilliSeconds")]
+    #[serde(rename = "leave_grace_ms")]
+    pub leave_grace: Duration,
+    /// How long a leaving host waits for requests in flight before it cuts them.
+    #[serde_as(as = "DurationMilliSeconds")]
+    #[serde(rename = "drain_ms")]
+    pub drain: Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        let server = ServerOptions::default();
+        Limits {
+            max_connections: server.max_connections,
+            idle: server.idle,
+            head: server.head,
+            body: server.body,
+            write: server.write,
+            leave_grace: Duration::from_secs(2),
+            drain: Duration::from_secs(600),
+        }
+    }
+}
+
+impl Limits {
+    /// Returns what the callers' listener keeps of these bounds.
+    pub fn server(&self) -> ServerOptions {
+        ServerOptions {
+            max_connections: self.max_connections,
+            idle: self.idle,
+            head: self.head,
+            body: self.body,
+            write: self.write,
+        }
+    }
+
+    fn check(&self, findings: &mut Findings) {
+        if self.max_connections == 0 {
+            findings.add("limits.max_connections", "must be at least 1");
+        }
+        let bounds = [
+            ("limits.idle_ms", self.idle),
+            ("limits.head_ms", self.head),
+            ("limits.body_ms", self.body),
+            ("limits.write_ms", self.write),
+            ("limits.drain_ms", self.drain),
+        ];
+        for (place, bound) in bounds {
+            if bound.is_zero() {
+                findings.add(place, "must be at least 1; nothing would get through otherwise");
+            }
+        }
+    }
+}
+
 impl Settings {
     /// Reads the settings file at `path`, or returns all that is wrong with it.
     pub fn load(path: &Path) -> Result<Settings, Findings> {
@@ -69,10 +156,22 @@
             if addr.port() == 0 {
                 findings.add(*place, "needs a port");
             }
+            if *place == "peers" && addr.ip().is_unspecified() {
+                findings.add(*place, "must be an address that other hosts can reach");
+            }
             if addrs[..i].iter().any(|(_, earlier)| earlier == addr) {
                 findings.add(*place, format!("{addr} is used twice"));
             }
         }
+        for (place, addr) in [
+            ("platform.key_value", self.platform.key_value),
+            ("platform.host_list", self.platform.host_list),
+        ] {
+            if addr.port() == 0 {
+                findings.add(place, "needs a port");
+            }
+        }
+        self.limits.check(&mut findings);
         findings
     }
 
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -14,7 +14,7 @@
 use aspenloft_core::backend::{Backend, BackendRole};
 use aspenloft_core::host::Host;
 use aspenloft_core::secret::key_digest;
-use aspenloft_daemon::settings::{Platform, Settings};
+use aspenloft_daemon::settings::{Limits, Platform, Settings};
 use aspenloft_protocol::admin::{HostStatus, paths};
 use aspenloft_protocol::platform::{KeyValue, Listing, Put};
 use aspenloft_standin::engine::{EngineFront, EngineOptions, EngineStandin};
@@ -60,12 +60,23 @@
     pub decode: Vec<Engine>,
     pub hosts: Vec<Option<Child>>,
     pub listing: Listing,
+    pub limits: Limits,
     dir: PathBuf,
 }
 
 impl Deployment {
     /// Starts `hosts` hosts before `engines` engines of each role.
     pub async fn start(hosts: u16, engines: u16, options: EngineOptions) -> Deployment {
+        Deployment::start_with(hosts, engines, options, Limits::default()).await
+    }
+
+    /// Starts a deployment whose hosts keep `limits`.
+    pub async fn start_with(
+        hosts: u16,
+        engines: u16,
+        options: EngineOptions,
+        limits: Limits,
+    ) -> Deployment {
         // Each deployment has a loopback address of its own, so none share ports.
         let n = NEXT_DEPLOYMENT.fetch_add(1, Ordering::Relaxed);
         let pid = std::process::id();
@@ -80,6 +91,7 @@
             decode: Vec::new(),
             hosts: Vec::new(),
             listing: Listing::default(),
+            limits,
             dir,
         };
         deployment.start_standins(engines, options).await;
@@ -175,6 +187,7 @@
             peers: at(PEERS_PORT + i),
             admin: at(ADMIN_PORT + i),
             platform: Platform { key_value: at(KV_PORT), host_list: at(HOSTS_PORT) },
+            limits: self.limits.clone(),
         };
         let path = self.dir.join(format!("h{i}.json"));
         let text = serde_json::to_string(&settings).expect("settings");
@@ -210,6 +223,12 @@
         assert!(sent.expect("kill runs").success());
     }
 
+    /// Returns where the plain service listens.
+    pub fn service_addr(&self) -> SocketAddr {
+        let mut backends = self.listing.backends.iter();
+        backends.find(|b| b.role == BackendRole::Service).expect("a service").addr
+    }
+
     /// Returns where callers reach host `i`.
     pub fn callers(&self, i: u16) -> SocketAddr {
         SocketAddr::new(self.ip, CALLERS_PORT + i)
--- a/crates/transport/src/server.rs
+++ b/crates/transport/src/server/mod.rs
@@ -1,70 +1,52 @@
 //! The `server` module accepts HTTP/1.1 connections and hands each request to a
 //! handler, together with a way to notice that the client has gone.
 
-use std::sync::Arc;
+mod options;
+mod serve;
+mod socket;
 
-use aspenloft_core::errors::{Error, ErrorCode, Result, unavailable};
-use async_std::net::{TcpListener, TcpStream};
-use async_std::task;
+use aspenloft_core::errors::{Error, ErrorCode, Result, invalid};
+use async_std::future::timeout;
+use async_std::io::ReadExt;
 use async_trait::async_trait;
 use http_types::{Request, Response, StatusCode};
 use serde::Serialize;
 
+pub use options::ServerOptions;
+pub use serve::{serve, serve_with};
+
+use serve::BodyBound;
+use socket::Socket;
+
 /// `HttpHandler` answers requests.
 #[async_trait]
 pub trait HttpHandler: Send + Sync {
     /// Answers one request that came in on `connection`.
     async fn handle(&self, req: Request, connection: &Connection) -> Response;
+
+    /// Makes the answer to a request that cannot be handed over, for instance one
+    /// whose head is malformed. The server sets its status.
+    fn refuse(&self, error: &Error) -> Response {
+        outcome(Err::<(), _>(error.clone()))
+    }
 }
 
 /// `Connection` is the connection on which a request came in.
 #[derive(Debug, Clone)]
 pub struct Connection {
-    stream: TcpStream,
+    socket: Socket,
 }
 
 impl Connection {
-    /// Waits until the client has closed the connection.
+    /// Waits until the client has closed its side of the connection.
     ///
-    /// The request's body must have been read whole before, because unread bytes
-    /// hide the end of the connection. Bytes of a pipelined request hide it too;
-    /// the future then never ends.
+    /// The request's body must have been read whole before. Bytes of a pipelined
+    /// request are kept meanwhile, so that they do not hide the end.
     pub async fn closed(&self) {
-        let mut byte = [0_u8; 1];
-        match self.stream.peek(&mut byte).await {
-            Ok(0) | Err(_) => (),
-            Ok(_) => std::future::pending().await,
-        }
+        self.socket.closed().await;
     }
 }
 
-/// Accepts connections for ever.
-pub async fn serve(listener: TcpListener, handler: Arc<dyn HttpHandler>) -> Result<()> {
-    loop {
-        let (stream, _) = listener.accept().await.map_err(|e| unavailable(e.to_string()))?;
-        let handler = handler.clone();
-        task::spawn(async move {
-            if let Err(e) = serve_connection(stream, handler).await {
-                log::debug!(event = "http_connection_ended", error = e.to_string().as_str(); "");
-            }
-        });
-    }
-}
-
-async fn serve_connection(
-    stream: TcpStream,
-    handler: Arc<dyn HttpHandler>,
-) -> http_types::Result<()> {
-    stream.set_nodelay(true)?;
-    let connection = Connection { stream: stream.clone() };
-    async_h1::accept(stream, |req| {
-        let handler = handler.clone();
-        let connection = connection.clone();
-        async move { Ok(handler.handle(req, &connection).await) }
-    })
-    .await
-}
-
 /// Makes a JSON answer with status 200.
 pub fn json(body: &impl Serialize) -> Response {
     json_with(StatusCode::Ok, body)
@@ -98,6 +80,9 @@
         ErrorCode::Unauthorized => StatusCode::Unauthorized,
         ErrorCode::Forbidden => StatusCode::Forbidden,
         ErrorCode::NotFound => StatusCode::NotFound,
+        ErrorCode::MethodNotAllowed => StatusCode::MethodNotAllowed,
+        ErrorCode::UnsupportedType => StatusCode::UnsupportedMediaType,
+        ErrorCode::SlowRequest => StatusCode::RequestTimeout,
         ErrorCode::TooLarge => StatusCode::PayloadTooLarge,
         ErrorCode::Limited => StatusCode::TooManyRequests,
         ErrorCode::Conflict => StatusCode::Conflict,
@@ -117,20 +102,35 @@
     limit: usize,
 ) -> Result<R> {
     let bytes = read_body(req, limit).await?;
-    serde_json::from_slice(&bytes).map_err(|e| aspenloft_core::errors::invalid(e.to_string()))
+    serde_json::from_slice(&bytes).map_err(|e| invalid(e.to_string()))
 }
 
-/// Reads the whole body of `req`, refusing more than `limit` bytes.
+/// Reads the whole body of `req`, refusing more than `limit` bytes and a body that
+/// does not come within the server's bound.
 pub async fn read_body(req: &mut Request, limit: usize) -> Result<Vec<u8>> {
-    use async_std::io::ReadExt;
+    let too_large = || Error::new(ErrorCode::TooLarge, format!("body exceeds {limit} bytes"));
+    let declared = req.len();
+    if declared.is_some_and(|length| length > limit) {
+        return Err(too_large());
+    }
+    let bound = req.ext().get::<BodyBound>().copied();
     let mut bytes = Vec::new();
-    let body = req.take_body();
-    body.take(limit as u64 + 1)
-        .read_to_end(&mut bytes)
-        .await
-        .map_err(|e| aspenloft_core::errors::invalid(format!("body: {e}")))?;
+    let mut body = req.take_body().take(limit as u64 + 1);
+    let read = body.read_to_end(&mut bytes);
+    let read = match bound {
+        Some(BodyBound(bound)) => timeout(bound, read).await,
+        None => Ok(read.await),
+    };
+    match read {
+        Ok(Ok(_)) => {}
+        Ok(Err(e)) => return Err(invalid(format!("body: {e}"))),
+        Err(_) => return Err(Error::new(ErrorCode::SlowRequest, "the body did not come in time")),
+    }
     if bytes.len() > limit {
-        return Err(Error::new(ErrorCode::TooLarge, format!("body exceeds {limit} bytes")));
+        return Err(too_large());
+    }
+    if declared.is_some_and(|length| bytes.len() < length) {
+        return Err(invalid("the body ended early"));
     }
     Ok(bytes)
 }
