--- a/crates/daemon/src/levels/mod.rs
+++ b/crates/daemon/src/levels/mod.rs
@@ -3,6 +3,5 @@
 //! makes the burn report. The decisions are in `aspenloft_policy::burn`.
 
 pub mod history;
-pub mod meter;
 pub mod record;
 pub mod report;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -22,8 +22,10 @@
 use crate::levels::record::Levels;
 use crate::levels::report;
 use crate::limits::service::{self as limits, Limits};
+use crate::metrics::Metrics;
 use crate::peers::{PeerHandler, Peers, ReplySender};
 use crate::settings::Settings;
+use crate::shutdown::Shutdown;
 use crate::suspects::{self, Suspects};
 use crate::view::View;
 
@@ -49,6 +51,10 @@
     pub suspects: Suspects,
     /// Its count of how requests went.
     pub levels: Levels,
+    /// What it counts for operators.
+    pub metrics: Metrics,
+    /// Its way out, and the work in flight.
+    pub shutdown: Arc<Shutdown>,
     requests: AtomicU64,
     born_ms: u64,
     random: Mutex<StdRng>,
@@ -56,7 +62,7 @@
 
 impl Node {
     /// Creates the host that `settings` describe.
-    pub fn new(settings: Settings, clock: SharedClock) -> Arc<Node> {
+    pub fn new(settings: Settings, clock: SharedClock) -> Result<Arc<Node>> {
         let kv = Arc::new(KvClient::new(settings.platform.key_value));
         let host_list = Arc::new(HostListClient::new(settings.platform.host_list));
         Node::with_platform(settings, clock, kv, host_list)
@@ -68,7 +74,7 @@
         clock: SharedClock,
         kv: Arc<dyn KeyValue>,
         host_list: Arc<dyn HostList>,
-    ) -> Arc<Node> {
+    ) -> Result<Arc<Node>> {
         let view = Arc::new(View::new(settings.host()));
         let node = Arc::new(Node {
             kv,
@@ -78,6 +84,8 @@
             limits: Limits::default(),
             suspects: Suspects::default(),
             levels: Levels::default(),
+            metrics: Metrics::new(&settings.host)?,
+            shutdown: Arc::default(),
             requests: AtomicU64::new(0),
             born_ms: unix_millis(clock.wall()),
             random: Mutex::new(StdRng::from_os_rng()),
@@ -86,7 +94,7 @@
             settings,
         });
         node.peers.set_local(Arc::new(Dispatch(node.clone())));
-        node
+        Ok(node)
     }
 
     /// Returns a new request id. The time of the host's start keeps ids of its
--- a/crates/daemon/tests/levels.rs
+++ b/crates/daemon/tests/levels.rs
@@ -39,7 +39,7 @@
         "platform": {"key_value": "127.0.0.1:4", "host_list": "127.0.0.1:5"}
     }))
     .expect("settings");
-    Node::with_platform(settings, clock.clone(), kv.clone(), Arc::new(NoHosts))
+    Node::with_platform(settings, clock.clone(), kv.clone(), Arc::new(NoHosts)).expect("a node")
 }
 
 /// Counts `count` requests of which `late` miss the time to first token.
