--- a/crates/daemon/src/admin/status.rs
+++ b/crates/daemon/src/admin/status.rs
@@ -34,8 +34,8 @@
         data_centre: view.me().data_centre.clone(),
         table_version: view.table_version(),
         platform_reachable: view.platform_reachable(),
-        leaving: view.leaving(),
-        in_flight: 0,
+        leaving: node.shutdown.is_leaving(),
+        in_flight: node.shutdown.requests() as u64,
         peers: peers.collect(),
         homes: homes.map(|backend| backend.name.clone()).collect(),
     }
