Add the pure decisions on routing, reservations and admission

Cause: the home counted slots without time, and the entry host took the first server that had one, so a prefill could start with no decode slot in prospect and a slot stood idle through a long prefill.

Change: the policy crate gets timed reservations, a prefill queue in tokens, learned estimates, the choice of prefill and decode server as one pair with a verdict for each candidate, admission with fair shares by weight, a bounded index of cached prefixes and a bounded memory of decisions. BackendState moves to the core crate, because decisions and digests share it.

--- a/crates/core/src/backend.rs
+++ b/crates/core/src/backend.rs
@@ -1,11 +1,13 @@
 //! The `backend` module describes backend servers as the platform lists them.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
 use crate::ids::Name;
+use crate::units::Tokens;
 
 /// `BackendRole` is the work that a backend server does.
 #[derive(
@@ -41,3 +43,23 @@
     #[serde(default)]
     pub leaving: bool,
 }
+
+/// `BackendState` is a home host's exact word on one backend server. It travels in
+/// digests, thus all of it is needed to rank the server and none is for people.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BackendState {
+    /// Slots in all.
+    pub slots: u32,
+    /// Slots in use or reserved.
+    pub taken: u32,
+    /// Tokens of prefill that wait or run.
+    pub queued_tokens: Tokens,
+    /// When a slot is likely to be free, counted from now.
+    pub free_in: Duration,
+    /// The time for a token of prefill as measured lately; zero for not known.
+    pub prefill_per_token: Duration,
+    /// The time of a decode step as measured lately; zero for not known.
+    pub step: Duration,
+    /// Whether the server refuses new work or cannot be reached.
+    pub closed: bool,
+}
--- a/crates/core/src/prelude.rs
+++ b/crates/core/src/prelude.rs
@@ -4,7 +4,7 @@
 pub use std::sync::Arc;
 pub use std::time::Duration;
 
-pub use crate::backend::{Backend, BackendRole};
+pub use crate::backend::{Backend, BackendRole, BackendState};
 pub use crate::clock::{Clock, SharedClock};
 pub use crate::errors::{Error, Result};
 pub use crate::execution::Execution;
--- a/crates/daemon/src/home/service.rs
+++ b/crates/daemon/src/home/service.rs
@@ -8,18 +8,18 @@
 
 use aspenloft_core::errors::{Error, ErrorCode, Result};
 use aspenloft_core::prelude::{Backend, Name, RequestId, ReservationId, SharedClock};
-use aspenloft_policy::slots::SlotBook;
+use aspenloft_policy::reservations::{Begin, Reservations, SlotRequest};
 use aspenloft_protocol::engine::{CancelCommand, EngineClient, ModelEngine};
 use aspenloft_protocol::peer::PeerReply;
-use aspenloft_protocol::peer::home::{BackendState, HomeReply, HomeRequest, ReserveRequest};
+use aspenloft_protocol::peer::home::{HomeReply, HomeRequest, ReserveRequest};
 use parking_lot::Mutex;
 
 use crate::cleanup::OnDrop;
 use crate::peers::ReplySender;
 use crate::view::View;
 
-/// How long a reservation stands before its work begins, beyond the time asked.
-const RESERVATION_SLACK: Duration = Duration::from_secs(5);
+/// How long a slot is taken to be in use where nothing better is known.
+const START_EXPECTED: Duration = Duration::from_secs(5);
 
 /// How long an engine keeps work without sign of life from its home.
 pub const ENGINE_HOLD: Duration = Duration::from_secs(2);
@@ -31,7 +31,7 @@
 pub struct HomeService {
     pub(super) clock: SharedClock,
     pub(super) view: Arc<View>,
-    books: Mutex<HashMap<Name, SlotBook>>,
+    books: Mutex<HashMap<Name, Reservations>>,
     next: AtomicU64,
 }
 
@@ -82,23 +82,27 @@
     fn take(&self, req: &ReserveRequest) -> HomeReply {
         let id = ReservationId(self.next.fetch_add(1, Ordering::Relaxed));
         let now = self.clock.now();
-        let ends = now + req.starts_in + RESERVATION_SLACK;
+        let ask = SlotRequest {
+            id,
+            request: req.request.clone(),
+            starts: now + req.starts_in,
+            expected: START_EXPECTED,
+            priority: req.priority,
+        };
         let mut books = self.books.lock();
         let book = books.entry(req.backend.clone()).or_default();
-        if book.take(id, req.request.clone(), ends, now) {
-            return HomeReply::Reserved(id);
+        match book.reserve(ask, now) {
+            Ok(()) => HomeReply::Reserved(id),
+            Err(state) => HomeReply::Refused(state),
         }
-        let state =
-            BackendState { slots: book.slots(), taken: book.taken(), ..BackendState::default() };
-        HomeReply::Refused(state)
     }
 
     /// Extends a reservation for as long as its work may run.
     pub(super) fn begin(&self, backend: &Name, id: ReservationId, limit: Duration) -> Result<()> {
-        let ends = self.clock.now() + limit;
+        let now = self.clock.now();
         let mut books = self.books.lock();
-        let standing = books.get_mut(backend).is_some_and(|book| book.extend(id, ends));
-        if standing {
+        let begun = books.get_mut(backend).map(|book| book.begin(id, limit, now));
+        if begun == Some(Begin::Started) {
             return Ok(());
         }
         Err(Error::new(ErrorCode::Timeout, "the reservation has lapsed"))
--- /dev/null
+++ b/crates/policy/src/cache_index.rs
@@ -0,0 +1,240 @@
+//! The `cache_index` module guesses which engine has which prefix cached, from
+//! events that come late and with gaps. A wrong guess costs time, never
+//! correctness, because the engine computes what it lacks.
+
+use std::collections::{BTreeSet, HashMap};
+
+use aspenloft_core::pieces::PieceHash;
+use aspenloft_core::prelude::{Name, Tokens};
+use aspenloft_core::units::CACHE_PIECE_TOKENS;
+
+/// What one hit of a piece is worth, in ticks of use of the index.
+const HIT_TICKS: u64 = 64;
+
+/// The most hits that count.
+const MAX_HITS: u64 = 16;
+
+/// `ReplicaId` numbers a replica within the index.
+type ReplicaId = u16;
+
+/// `CacheIndex` maps pieces to the replicas that likely have them.
+///
+/// It holds at most `capacity` pairs of a piece and a replica. The piece with the
+/// least value is forgotten first: the one used longest ago, where each of its
+/// recent hits counts as being used a little later.
+#[derive(Debug)]
+pub struct CacheIndex {
+    capacity: usize,
+    pairs: usize,
+    tick: u64,
+    pieces: HashMap<PieceHash, Piece>,
+    by_value: BTreeSet<(u64, PieceHash)>,
+    replicas: HashMap<Name, ReplicaId>,
+    states: HashMap<ReplicaId, Replica>,
+    next: ReplicaId,
+}
+
+#[derive(Debug, Default)]
+struct Piece {
+    value: u64,
+    hits: u64,
+    replicas: Vec<ReplicaId>,
+}
+
+#[derive(Debug, Default)]
+struct Replica {
+    seq: u64,
+    doubtful: bool,
+}
+
+/// `Applied` says what an event meant to the index.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Applied {
+    /// It was next in order.
+    InOrder,
+    /// It had been seen.
+    Old,
+    /// Events before it are lost; a snapshot is needed.
+    Gap,
+}
+
+/// `Match` is how much of a prompt a replica likely has.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Match {
+    /// The tokens.
+    pub tokens: Tokens,
+    /// Whether events of the replica were lost since its last snapshot.
+    pub doubtful: bool,
+}
+
+impl CacheIndex {
+    /// Creates an index of at most `capacity` pairs of a piece and a replica.
+    pub fn new(capacity: usize) -> CacheIndex {
+        CacheIndex {
+            capacity,
+            pairs: 0,
+            tick: 0,
+            pieces: HashMap::new(),
+            by_value: BTreeSet::new(),
+            replicas: HashMap::new(),
+            states: HashMap::new(),
+            next: 0,
+        }
+    }
+
+    /// Returns how many pairs of a piece and a replica are held.
+    pub fn len(&self) -> usize {
+        self.pairs
+    }
+
+    /// Tells whether nothing is held.
+    pub fn is_empty(&self) -> bool {
+        self.pairs == 0
+    }
+
+    /// Takes one event of `replica` with its sequence number.
+    pub fn apply(&mut self, replica: &Name, seq: u64, piece: PieceHash, stored: bool) -> Applied {
+        let id = self.replica(replica);
+        let state = self.states.entry(id).or_default();
+        if seq <= state.seq {
+            return Applied::Old;
+        }
+        let gap = seq != state.seq + 1;
+        state.seq = seq;
+        state.doubtful |= gap;
+        if stored {
+            self.store(id, piece);
+        } else {
+            self.evict(id, piece);
+        }
+        if gap { Applied::Gap } else { Applied::InOrder }
+    }
+
+    /// Notes the newest number of a replica's events: when it lies beyond what was
+    /// applied, events are missing.
+    pub fn newest(&mut self, replica: &Name, newest: u64) {
+        let id = self.replica(replica);
+        let state = self.states.entry(id).or_default();
+        state.doubtful |= newest != state.seq;
+    }
+
+    /// Replaces all that is known of `replica`.
+    pub fn snapshot(
+        &mut self,
+        replica: &Name,
+        seq: u64,
+        pieces: impl IntoIterator<Item = PieceHash>,
+    ) {
+        self.forget(replica);
+        let id = self.replica(replica);
+        self.states.insert(id, Replica { seq, doubtful: false });
+        for piece in pieces {
+            self.store(id, piece);
+        }
+    }
+
+    /// Forgets all of `replica`, for instance when it has left.
+    pub fn forget(&mut self, replica: &str) {
+        let Some(id) = self.replicas.remove(replica) else { return };
+        self.states.remove(&id);
+        let held: Vec<PieceHash> =
+            self.pieces.iter().filter(|(_, p)| p.replicas.contains(&id)).map(|(h, _)| *h).collect();
+        for piece in held {
+            self.evict(id, piece);
+        }
+    }
+
+    /// Returns the last sequence number applied and whether a snapshot is needed.
+    pub fn progress(&self, replica: &str) -> (u64, bool) {
+        let id = self.replicas.get(replica);
+        let state = id.and_then(|id| self.states.get(id));
+        state.map_or((0, true), |state| (state.seq, state.doubtful))
+    }
+
+    /// Finds how much of a prompt with `pieces` each replica likely has. Only an
+    /// unbroken run from the start counts.
+    pub fn lookup(&mut self, pieces: &[PieceHash]) -> HashMap<Name, Match> {
+        let mut runs: HashMap<ReplicaId, u64> = HashMap::new();
+        for (place, piece) in pieces.iter().enumerate() {
+            self.hit(*piece);
+            let Some(found) = self.pieces.get(piece) else { break };
+            let mut went_on = 0;
+            for id in &found.replicas {
+                let run = runs.entry(*id).or_default();
+                if *run == place as u64 {
+                    *run += 1;
+                    went_on += 1;
+                }
+            }
+            if went_on == 0 {
+                break;
+            }
+        }
+        let names = self.replicas.iter().filter_map(|(name, id)| {
+            let run = runs.get(id).filter(|run| **run > 0)?;
+            let doubtful = self.states.get(id).is_none_or(|state| state.doubtful);
+            Some((name.clone(), Match { tokens: Tokens(run * CACHE_PIECE_TOKENS), doubtful }))
+        });
+        names.collect()
+    }
+
+    fn replica(&mut self, name: &Name) -> ReplicaId {
+        if let Some(id) = self.replicas.get(name) {
+            return *id;
+        }
+        // Numbers wrap only after more replicas than one host ever sees.
+        while self.states.contains_key(&self.next) {
+            self.next = self.next.wrapping_add(1);
+        }
+        let id = self.next;
+        self.next = self.next.wrapping_add(1);
+        self.replicas.insert(name.clone(), id);
+        self.states.insert(id, Replica::default());
+        id
+    }
+
+    fn store(&mut self, id: ReplicaId, piece: PieceHash) {
+        self.tick += 1;
+        let tick = self.tick;
+        let entry = self.pieces.entry(piece).or_default();
+        if entry.replicas.contains(&id) {
+            return;
+        }
+        entry.replicas.push(id);
+        self.pairs += 1;
+        if entry.replicas.len() == 1 {
+            entry.value = tick;
+            self.by_value.insert((tick, piece));
+        }
+        while self.pairs > self.capacity {
+            self.drop_least();
+        }
+    }
+
+    fn evict(&mut self, id: ReplicaId, piece: PieceHash) {
+        let Some(entry) = self.pieces.get_mut(&piece) else { return };
+        let before = entry.replicas.len();
+        entry.replicas.retain(|known| *known != id);
+        self.pairs -= before - entry.replicas.len();
+        if entry.replicas.is_empty() {
+            self.by_value.remove(&(entry.value, piece));
+            self.pieces.remove(&piece);
+        }
+    }
+
+    fn hit(&mut self, piece: PieceHash) {
+        self.tick += 1;
+        let Some(entry) = self.pieces.get_mut(&piece) else { return };
+        self.by_value.remove(&(entry.value, piece));
+        entry.hits = (entry.hits + 1).min(MAX_HITS);
+        entry.value = self.tick + entry.hits * HIT_TICKS;
+        self.by_value.insert((entry.value, piece));
+    }
+
+    fn drop_least(&mut self) {
+        let Some((_, piece)) = self.by_value.pop_first() else { return };
+        if let Some(entry) = self.pieces.remove(&piece) {
+            self.pairs -= entry.replicas.len();
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/estimate.rs
@@ -0,0 +1,230 @@
+//! The `estimate` module learns how long each part of a request takes, from what
+//! was measured lately; `docs/design/admission.md` gives the formulas.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use aspenloft_core::prelude::{Name, Tokens};
+
+use crate::queue::scale;
+
+/// The weight of a new measurement in a moving mean.
+const NEW_SHARE: f64 = 0.1;
+
+/// The weight that the past keeps at each step of the regression.
+const MEMORY: f64 = 0.98;
+
+/// `Mean` is an exponentially weighted moving mean.
+///
+/// Source: Roberts, "Control Chart Tests Based on Geometric Moving Averages", 1959.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Mean {
+    value: f64,
+    seen: bool,
+}
+
+impl Mean {
+    /// Adds a measurement.
+    pub fn add(&mut self, x: f64) {
+        if self.seen {
+            self.value += NEW_SHARE * (x - self.value);
+        } else {
+            *self = Mean { value: x, seen: true };
+        }
+    }
+
+    /// Returns the mean, or `start` before the first measurement.
+    pub fn or(&self, start: f64) -> f64 {
+        if self.seen { self.value } else { start }
+    }
+}
+
+/// `StepModel` learns the time of a decode step as a line over active streams.
+///
+/// It is a least-squares fit with exponential forgetting, clamped to a line that
+/// does not fall: more streams never make a step shorter.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct StepModel {
+    n: f64,
+    sx: f64,
+    sy: f64,
+    sxx: f64,
+    sxy: f64,
+}
+
+impl StepModel {
+    /// Adds the time of a step with `active` streams.
+    pub fn add(&mut self, active: u32, step: Duration) {
+        let (x, y) = (f64::from(active), step.as_secs_f64());
+        self.n = self.n * MEMORY + 1.0;
+        self.sx = self.sx * MEMORY + x;
+        self.sy = self.sy * MEMORY + y;
+        self.sxx = self.sxx * MEMORY + x * x;
+        self.sxy = self.sxy * MEMORY + x * y;
+    }
+
+    /// Predicts the time of a step with `active` streams, if any was measured.
+    pub fn predict(&self, active: u32) -> Option<Duration> {
+        if self.n <= 0.0 {
+            return None;
+        }
+        let spread = self.n * self.sxx - self.sx * self.sx;
+        let slope = (self.n * self.sxy - self.sx * self.sy) / spread;
+        let slope = if spread > 1e-9 && slope > 0.0 { slope } else { 0.0 };
+        let base = (self.sy - slope * self.sx) / self.n;
+        Some(Duration::from_secs_f64((base + slope * f64::from(active)).clamp(0.0, 60.0)))
+    }
+}
+
+/// `Learned` is a table of learned values with a bound; the one that was touched
+/// longest ago is forgotten first.
+#[derive(Debug)]
+pub struct Learned<T> {
+    capacity: usize,
+    values: HashMap<Name, (T, Instant)>,
+}
+
+impl<T: Default> Learned<T> {
+    /// Creates a table of at most `capacity` values.
+    pub fn new(capacity: usize) -> Learned<T> {
+        Learned { capacity, values: HashMap::new() }
+    }
+
+    /// Returns the value of `name`.
+    pub fn get(&self, name: &str) -> Option<&T> {
+        self.values.get(name).map(|(value, _)| value)
+    }
+
+    /// Returns the value of `name` for a change, new if need be.
+    pub fn touch(&mut self, name: &Name, now: Instant) -> &mut T {
+        if !self.values.contains_key(name) && self.values.len() >= self.capacity {
+            self.forget_oldest();
+        }
+        let entry = self.values.entry(name.clone()).or_insert_with(|| (T::default(), now));
+        entry.1 = now;
+        &mut entry.0
+    }
+
+    fn forget_oldest(&mut self) {
+        let oldest = self.values.iter().min_by_key(|(_, (_, at))| *at).map(|(n, _)| n.clone());
+        if let Some(name) = oldest {
+            self.values.remove(&name);
+        }
+    }
+}
+
+/// `Plan` is what a request will likely see on a pair of engines.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Plan {
+    /// The wait for the prefill engine.
+    pub queue: Duration,
+    /// The prefill itself.
+    pub prefill: Duration,
+    /// The transfer of its result.
+    pub transfer: Duration,
+    /// The wait for a decode slot after the transfer.
+    pub slot: Duration,
+    /// Delay on the network, there and back.
+    pub network: Duration,
+    /// The time between tokens.
+    pub step: Duration,
+}
+
+impl Plan {
+    /// Returns when the decode slot is needed, counted from now.
+    pub fn decode_starts_in(&self) -> Duration {
+        self.queue + self.prefill
+    }
+
+    /// Returns the time to the first token.
+    pub fn first_token(&self) -> Duration {
+        self.queue + self.prefill + self.transfer + self.slot + self.network + self.step
+    }
+}
+
+/// `LinkModel` learns the rate and the delay between two data centres.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct LinkModel {
+    per_token: Mean,
+    /// Tokens of KV cache that are on the link now.
+    in_flight: Tokens,
+}
+
+/// The time for a token's KV cache on a link that was never measured.
+const START_TRANSFER: Duration = Duration::from_micros(2);
+
+impl LinkModel {
+    /// Books a transfer on the link.
+    pub fn start(&mut self, tokens: Tokens) {
+        self.in_flight += tokens;
+    }
+
+    /// Takes a transfer off the link; `took` only when it went through whole.
+    pub fn end(&mut self, tokens: Tokens, took: Option<Duration>) {
+        self.in_flight = self.in_flight.saturating_sub(tokens);
+        if let Some(took) = took {
+            self.per_token.add(took.as_secs_f64() / (tokens.0.max(1)) as f64);
+        }
+    }
+
+    /// Returns the time of a token's KV cache.
+    pub fn per_token(&self) -> Duration {
+        Duration::from_secs_f64(self.per_token.or(START_TRANSFER.as_secs_f64()).max(0.0))
+    }
+
+    /// Estimates the transfer of `tokens` behind those on the link.
+    pub fn transfer(&self, tokens: Tokens) -> Duration {
+        scale(self.per_token(), self.in_flight + tokens)
+    }
+
+    /// Tells whether `tokens` more still arrive within `limit`.
+    pub fn has_room(&self, tokens: Tokens, limit: Duration) -> bool {
+        self.in_flight == Tokens(0) || self.transfer(tokens) <= limit
+    }
+}
+
+/// `Estimates` is what one host has learned.
+#[derive(Debug)]
+pub struct Estimates {
+    /// Seconds for a token of prefill, by backend server.
+    pub prefill: Learned<Mean>,
+    /// The time of a decode step, by backend server.
+    pub step: Learned<StepModel>,
+    /// Tokens of an answer, by row.
+    pub output: Learned<Mean>,
+    /// Links, by `from>to` of data centres.
+    pub links: Learned<LinkModel>,
+}
+
+/// Backend servers whose estimates are kept; more than stand before one host.
+const MAX_BACKENDS: usize = 1_024;
+
+/// Rows whose answers' lengths are kept.
+const MAX_ROWS: usize = 1_024;
+
+/// Pairs of data centres whose links are kept.
+const MAX_LINKS: usize = 256;
+
+impl Default for Estimates {
+    fn default() -> Self {
+        Estimates {
+            prefill: Learned::new(MAX_BACKENDS),
+            step: Learned::new(MAX_BACKENDS),
+            output: Learned::new(MAX_ROWS),
+            links: Learned::new(MAX_LINKS),
+        }
+    }
+}
+
+impl Estimates {
+    /// Returns how many tokens an answer of `row` likely has.
+    pub fn answer_tokens(&self, row: &str, max_tokens: Tokens) -> Tokens {
+        let mean = self.output.get(row).copied().unwrap_or_default();
+        Tokens((mean.or(max_tokens.0 as f64).ceil() as u64).clamp(1, max_tokens.0.max(1)))
+    }
+
+    /// Names the link between two data centres.
+    pub fn link_name(from: &str, to: &str) -> Name {
+        format!("{from}>{to}").into()
+    }
+}
--- a/crates/protocol/src/peer/home.rs
+++ b/crates/protocol/src/peer/home.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+pub use aspenloft_core::backend::BackendState;
 use aspenloft_core::prelude::{Name, RequestId, ReservationId, Tokens};
 use serde::{Deserialize, Serialize};
 
@@ -102,16 +103,3 @@
     /// The decode is whole.
     Finished(FinishReason),
 }
-
-/// `BackendState` is a home host's exact word on one backend server.
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
-pub struct BackendState {
-    /// Slots in all.
-    pub slots: u32,
-    /// Slots in use or reserved.
-    pub taken: u32,
-    /// Tokens of prefill that wait or run.
-    pub queued_tokens: Tokens,
-    /// When a slot is likely to be free, counted from now.
-    pub free_in: Duration,
-}
