--- a/crates/core/src/backend.rs
+++ b/crates/core/src/backend.rs
@@ -46,7 +46,7 @@
 
 /// `BackendState` is a home host's exact word on one backend server. It travels in
 /// digests, thus all of it is needed to rank the server and none is for people.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BackendState {
     /// Slots in all.
     pub slots: u32,
