--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -1,9 +1,16 @@
 //! The `policy` crate takes the decisions that move goodput and wasted prefill.
 //! Its functions are pure: state, event and time in, typed actions out.
 
+pub mod admission;
 pub mod burn;
+pub mod cache_index;
 pub mod concurrency;
+pub mod estimate;
+pub mod explain;
+pub mod fair_queue;
 pub mod limits;
+pub mod queue;
+pub mod reservations;
 pub mod retry;
-pub mod slots;
+pub mod route;
 pub mod suspects;
