Hold the policy against baselines, in process

Nothing said whether reservations, admission and routes move goodput and waste. `aspenloft-load compare` drives the policy crate over small fakes of engines and links on an injected clock, in eleven scenarios, beside random, least loaded and prefix affinity with sensible retries.

--- /dev/null
+++ b/crates/load/src/compare/host.rs
@@ -0,0 +1,151 @@
+//! The `host` module is what one host of the product knows and decides at its
+//! entry: its view of engines, its gate and its guesses about caches.
+
+use std::time::{Duration, Instant};
+
+use aspenloft_core::prelude::{BackendState, Name, Tokens};
+use aspenloft_policy::admission::Admission;
+use aspenloft_policy::cache_index::CacheIndex;
+use aspenloft_policy::estimate::Estimates;
+use aspenloft_policy::retry::RetryBudget;
+use aspenloft_policy::route::{Candidate, Links, RouteRequest};
+
+use super::fleet::{EngineId, Fleet, HostId, NEAR_DELAY, SLOTS};
+use super::workload::Request;
+
+/// Pairs of a piece and a replica that a host's index holds.
+const INDEX_PAIRS: usize = 4_096;
+
+/// The model that all engines serve.
+pub const MODEL: &str = "scribe";
+
+/// `EntryHost` is one host.
+#[derive(Debug)]
+pub struct EntryHost {
+    /// The gate.
+    pub admission: Admission,
+    /// Guesses about caches.
+    pub index: CacheIndex,
+    /// What was learned of answers and links.
+    pub estimates: Estimates,
+    /// The budget of retries.
+    pub retries: RetryBudget,
+    views: Vec<EngineView>,
+    model: Name,
+}
+
+/// `EngineView` is a host's word on one engine.
+#[derive(Debug, Clone)]
+struct EngineView {
+    name: Name,
+    state: BackendState,
+    heard: Instant,
+    down: bool,
+}
+
+impl EntryHost {
+    /// Creates a host that knows every engine's size and nothing of its load.
+    pub fn new(fleet: &Fleet, now: Instant) -> EntryHost {
+        let views = (0..fleet.engines.len()).map(|engine| EngineView {
+            name: engine_name(engine),
+            state: BackendState { slots: SLOTS, ..BackendState::default() },
+            heard: now,
+            down: false,
+        });
+        EntryHost {
+            admission: Admission::default(),
+            index: CacheIndex::new(INDEX_PAIRS),
+            estimates: Estimates::default(),
+            retries: RetryBudget::new(now),
+            views: views.collect(),
+            model: MODEL.into(),
+        }
+    }
+
+    /// Takes an engine's state.
+    pub fn hear(&mut self, engine: EngineId, state: BackendState, now: Instant) {
+        self.views[engine].state = state;
+        self.views[engine].heard = now;
+    }
+
+    /// Notes whether an engine can be reached.
+    pub fn set_down(&mut self, engine: EngineId, down: bool, now: Instant) {
+        self.views[engine].down = down;
+        self.views[engine].state = BackendState { slots: SLOTS, ..BackendState::default() };
+        self.views[engine].heard = now;
+        if down {
+            self.index.forget(&engine_name(engine));
+        }
+    }
+
+    /// Returns the tokens of a prompt that an engine has likely not cached.
+    pub fn uncached(&mut self, engine: EngineId, request: &Request) -> Tokens {
+        let matches = self.index.lookup(&request.pieces);
+        let found = matches.get(&self.views[engine].name);
+        Tokens(request.prompt).saturating_sub(found.map_or(Tokens(0), |found| found.tokens))
+    }
+
+    /// Lists the candidates for a request, but for the engines in `without`.
+    pub fn candidates(
+        &mut self,
+        fleet: &Fleet,
+        request: &Request,
+        without: &[EngineId],
+        suspect_on: impl Fn(EngineId) -> bool,
+        now: Instant,
+    ) -> Vec<Candidate> {
+        let matches = self.index.lookup(&request.pieces);
+        let views = self.views.iter().enumerate().map(|(engine, view)| Candidate {
+            name: view.name.clone(),
+            serves: self.model.clone(),
+            role: fleet.engines[engine].role,
+            centre: fleet.engines[engine].centre,
+            leaving: false,
+            down: view.down || without.contains(&engine),
+            suspect: suspect_on(engine),
+            state: view.state.clone(),
+            age: now.saturating_duration_since(view.heard),
+            cached: matches.get(&view.name).map_or(Tokens(0), |found| found.tokens),
+        });
+        views.collect()
+    }
+}
+
+/// Names an engine.
+pub fn engine_name(engine: EngineId) -> Name {
+    format!("engine-{engine}").into()
+}
+
+/// Makes the request for a route from `host`.
+pub fn route_request(
+    request: &Request,
+    host: HostId,
+    setting: &super::policy::Setting,
+    left: Duration,
+    seed: u64,
+) -> RouteRequest {
+    RouteRequest {
+        serves: MODEL.into(),
+        centre: setting.fleet.hosts[host],
+        prompt: Tokens(request.prompt),
+        deadline: left,
+        tbt: setting.tbt,
+        goodput_weight: setting.goodput_weight,
+        waste_weight: setting.waste_weight,
+        seed,
+    }
+}
+
+/// Returns the links between data centres.
+pub fn links(fleet: &Fleet) -> Links {
+    use aspenloft_policy::route::Link;
+    let mut links = Links::new(super::fleet::CENTRES, Link::default());
+    for from in 0..super::fleet::CENTRES {
+        for to in 0..super::fleet::CENTRES {
+            let delay = if from == to { NEAR_DELAY } else { fleet.delay(from, to) };
+            let per_token = fleet.transfer_per_token(from, to);
+            links.set(from, to, Link { delay, per_token, queued: Tokens(0) });
+        }
+    }
+    links
+}
--- /dev/null
+++ b/crates/load/src/compare/score.rs
@@ -0,0 +1,206 @@
+//! The `score` module accounts for every request of a run and computes what the
+//! users measure.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use serde::Serialize;
+
+use super::workload::{Request, RequestNo};
+use crate::run::stats::{Latencies, LatencySummary};
+
+/// The share of gaps between tokens that may exceed the target, in percent.
+const LATE_GAPS_PERCENT: u64 = 5;
+
+/// The span after a refusal in which the start of a lower priority is wrong.
+const WRONG_ORDER_SPAN: Duration = Duration::from_millis(100);
+
+/// `Outcome` is how a request ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    /// The answer was whole.
+    Served,
+    /// It was refused.
+    Refused,
+    /// It was accepted and got no whole answer.
+    Failed,
+}
+
+/// `Account` is what became of one request.
+#[derive(Debug, Clone, Default)]
+pub struct Account {
+    /// How it ended, and when.
+    pub ended: Option<(Outcome, Duration)>,
+    /// When its first prefill was sent.
+    pub started: Option<Duration>,
+    /// Time to first token.
+    pub ttft: Option<Duration>,
+    /// Gaps between tokens.
+    pub gaps: u64,
+    /// Gaps above the target.
+    pub late_gaps: u64,
+}
+
+/// `Score` is the outcome of one run.
+#[derive(Debug, Clone, Default, PartialEq, Serialize)]
+pub struct Score {
+    /// Requests that came.
+    pub arrivals: u64,
+    /// Whole answers.
+    pub served: u64,
+    /// Whole answers within both targets.
+    pub good: u64,
+    /// Refused requests.
+    pub refused: u64,
+    /// Accepted requests without a whole answer.
+    pub failed: u64,
+    /// Refusals while a lower priority that came later was started.
+    pub wrong_order_refusals: u64,
+    /// Prompt tokens on which prefill work was spent.
+    pub prefill_tokens: u64,
+    /// Of those, tokens whose result was never used, partial work included.
+    pub wasted_tokens: u64,
+    /// Share of prefill work that was wasted, in percent.
+    pub wasted_percent: f64,
+    /// Share of arrivals that met both targets, in percent.
+    pub goodput_percent: f64,
+    /// The least served among callers and priorities against its fair share, in
+    /// percent; only those that asked for more count.
+    pub worst_share_percent: f64,
+    /// Time to first token of whole answers.
+    pub ttft: LatencySummary,
+    /// Engines that died of the poisoned request.
+    pub poisoned_deaths: u64,
+}
+
+/// `Ledger` accounts for a run as it goes.
+#[derive(Debug, Default)]
+pub struct Ledger {
+    /// The requests.
+    pub accounts: Vec<Account>,
+    /// Prompt tokens on which work was spent.
+    pub prefill_tokens: u64,
+    /// Of those, tokens whose result was used.
+    pub used_tokens: u64,
+    /// Engines that died of the poisoned request.
+    pub poisoned_deaths: u64,
+}
+
+impl Ledger {
+    /// Creates a ledger for `requests` requests.
+    pub fn new(requests: usize) -> Ledger {
+        Ledger { accounts: vec![Account::default(); requests], ..Ledger::default() }
+    }
+
+    /// Notes a gap between tokens.
+    pub fn gap(&mut self, no: RequestNo, gap: Duration, target: Duration) {
+        let account = &mut self.accounts[no];
+        account.gaps += 1;
+        account.late_gaps += u64::from(gap > target);
+    }
+
+    /// Computes the score.
+    pub fn score(&self, requests: &[Request], ttft: Duration) -> Score {
+        let mut score = Score {
+            arrivals: requests.len() as u64,
+            prefill_tokens: self.prefill_tokens,
+            wasted_tokens: self.prefill_tokens - self.used_tokens,
+            poisoned_deaths: self.poisoned_deaths,
+            ..Score::default()
+        };
+        let mut latencies = Latencies::default();
+        for account in &self.accounts {
+            match account.ended {
+                Some((Outcome::Served, _)) => {
+                    score.served += 1;
+                    score.good += u64::from(is_good(account, ttft));
+                    latencies.add(account.ttft.unwrap_or_default());
+                }
+                Some((Outcome::Refused, _)) => score.refused += 1,
+                // What has not ended with the run has not been answered.
+                Some((Outcome::Failed, _)) | None => score.failed += 1,
+            }
+        }
+        score.ttft = latencies.summary();
+        score.goodput_percent = percent(score.good, score.arrivals);
+        score.wasted_percent = percent(score.wasted_tokens, score.prefill_tokens);
+        score.wrong_order_refusals = self.wrong_order(requests);
+        score.worst_share_percent = self.worst_share(requests);
+        score
+    }
+
+    fn wrong_order(&self, requests: &[Request]) -> u64 {
+        let starts: Vec<(Duration, &Request)> = self
+            .accounts
+            .iter()
+            .zip(requests)
+            .filter_map(|(account, request)| Some((account.started?, request)))
+            .collect();
+        let wrong = self.accounts.iter().zip(requests).filter(|(account, refused)| {
+            let Some((Outcome::Refused, at)) = account.ended else { return false };
+            starts.iter().any(|(started, other)| {
+                let soon = (at..at + WRONG_ORDER_SPAN).contains(started);
+                soon && other.priority < refused.priority && other.comes > refused.comes
+            })
+        });
+        wrong.count() as u64
+    }
+
+    /// Holds the tokens served to each caller and priority against a weighted
+    /// max-min fair division of all tokens served.
+    ///
+    /// Source: Bertsekas and Gallager, "Data Networks", 1992, section 6.5.2.
+    fn worst_share(&self, requests: &[Request]) -> f64 {
+        let mut flows: BTreeMap<(usize, u8), FlowTokens> = BTreeMap::new();
+        for (account, request) in self.accounts.iter().zip(requests) {
+            let flow = flows.entry((request.caller, request.priority)).or_default();
+            flow.asked += request.answer as f64;
+            if matches!(account.ended, Some((Outcome::Served, _))) {
+                flow.served += request.answer as f64;
+            }
+        }
+        let total: f64 = flows.values().map(|flow| flow.served).sum();
+        let level = fair_level(&flows, total);
+        let short =
+            flows.iter().filter(|((_, priority), flow)| flow.asked > level * weight(*priority));
+        let shares = short.map(|((_, priority), flow)| {
+            100.0 * flow.served / (level * weight(*priority)).max(1.0)
+        });
+        shares.fold(100.0, f64::min)
+    }
+}
+
+/// `FlowTokens` is what one caller asked for and got with one priority.
+#[derive(Debug, Default)]
+struct FlowTokens {
+    asked: f64,
+    served: f64,
+}
+
+/// Each step of priority doubles the share, as admission has it.
+fn weight(priority: u8) -> f64 {
+    f64::from(1_u32 << priority)
+}
+
+/// Finds the level at which the flows' fair shares add up to `total`.
+fn fair_level(flows: &BTreeMap<(usize, u8), FlowTokens>, total: f64) -> f64 {
+    let (mut low, mut high) = (0.0, total.max(1.0));
+    for _ in 0..100 {
+        let level = (low + high) / 2.0;
+        let sum: f64 = flows
+            .iter()
+            .map(|((_, priority), flow)| flow.asked.min(level * weight(*priority)))
+            .sum();
+        if sum < total { low = level } else { high = level }
+    }
+    high
+}
+
+fn is_good(account: &Account, ttft: Duration) -> bool {
+    let first = account.ttft.is_some_and(|first| first <= ttft);
+    first && account.late_gaps * 100 <= account.gaps * LATE_GAPS_PERCENT
+}
+
+fn percent(part: u64, whole: u64) -> f64 {
+    if whole == 0 { 0.0 } else { 100.0 * part as f64 / whole as f64 }
+}
--- /dev/null
+++ b/crates/load/src/compare/world.rs
@@ -0,0 +1,595 @@
+//! The `world` module moves one scenario forward: it carries out a policy's
+//! actions on the fake engines and links and tells the policy what happens.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use aspenloft_core::prelude::BackendRole;
+use aspenloft_standin::engine::link::Link;
+
+use super::engines::{DecodeEngine, PrefillEngine, PrefillJob};
+use super::events::EventQueue;
+use super::fleet::{CALLER_DELAY, EngineId, FAR_DELAY, HostId, RESULT_LIFE};
+use super::policy::{Action, Note, Policy, Reports, Setting};
+use super::scenario::{Fault, Scenario};
+use super::score::{Ledger, Outcome, Score};
+use super::workload::{Request, RequestNo};
+
+/// How often engines report.
+const REPORT_INTERVAL: Duration = Duration::from_secs(1);
+
+/// How long after the last arrival a run may still take.
+const DRAIN: Duration = Duration::from_secs(60);
+
+/// How long an engine that a request crashed is down.
+const POISON_DOWN: Duration = Duration::from_secs(5);
+
+/// `Phase` is where a request is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Phase {
+    /// With its policy.
+    Idle,
+    /// On its way to, waiting at, or in work at a prefill engine.
+    Prefill(EngineId),
+    /// Its result lies on a prefill engine.
+    Ready(EngineId),
+    /// Its result is on its way.
+    Importing(EngineId, EngineId),
+    /// It streams.
+    Decoding(EngineId),
+    /// It has ended.
+    Over,
+}
+
+/// `Live` is the state of one request.
+#[derive(Debug, Clone)]
+struct Live {
+    phase: Phase,
+    host: HostId,
+    /// Grows with each phase, so that events of an earlier one are known as old.
+    turn: u64,
+    tokens: u64,
+    last_token: Duration,
+    /// Work spent on a result that has not been used yet.
+    unused: u64,
+    /// When the result is evicted unless it is being exported.
+    evicted_at: Duration,
+}
+
+/// `Event` is something that happens at its time.
+#[derive(Debug)]
+enum Event {
+    Arrive(RequestNo),
+    Join(RequestNo, EngineId, u64, u8),
+    PrefillEnd(EngineId, u64),
+    Evict(RequestNo, u64),
+    Import(RequestNo, EngineId, u64),
+    Imported(RequestNo, u64),
+    Step(EngineId, u64, Duration),
+    Note(Box<Note>),
+    Fault(Fault),
+    Back(EngineId),
+    Report,
+    ReportSeen(Box<Reports>),
+}
+
+/// `Node` is one engine with its life.
+#[derive(Debug)]
+struct Node {
+    alive: bool,
+    life: u64,
+    work: Work,
+    seen_events: u64,
+}
+
+#[derive(Debug)]
+enum Work {
+    Prefill(Box<PrefillEngine>),
+    Decode(DecodeEngine),
+}
+
+/// `World` is one run of a scenario.
+pub struct World<'a> {
+    scenario: &'a Scenario,
+    setting: &'a Setting,
+    requests: &'a [Request],
+    policy: &'a mut dyn Policy,
+    base: Instant,
+    now: Duration,
+    events: EventQueue<Event>,
+    nodes: Vec<Node>,
+    links: HashMap<(usize, usize), Link>,
+    stalled: HashMap<(usize, usize), Duration>,
+    hosts_alive: Vec<bool>,
+    live: Vec<Live>,
+    over: usize,
+    ledger: Ledger,
+}
+
+/// Runs `scenario` with `policy` to its end.
+pub fn run(
+    scenario: &Scenario,
+    setting: &Setting,
+    requests: &[Request],
+    policy: &mut dyn Policy,
+) -> Score {
+    let mut world = World::new(scenario, setting, requests, policy);
+    world.run();
+    world.ledger.score(requests, setting.ttft)
+}
+
+impl<'a> World<'a> {
+    fn new(
+        scenario: &'a Scenario,
+        setting: &'a Setting,
+        requests: &'a [Request],
+        policy: &'a mut dyn Policy,
+    ) -> World<'a> {
+        let nodes = setting.fleet.engines.iter().map(|engine| Node {
+            alive: true,
+            life: 0,
+            work: match engine.role {
+                BackendRole::Prefill => Work::Prefill(Box::default()),
+                _ => Work::Decode(DecodeEngine::default()),
+            },
+            seen_events: 0,
+        });
+        World {
+            scenario,
+            setting,
+            requests,
+            policy,
+            base: Instant::now(),
+            now: Duration::ZERO,
+            events: EventQueue::default(),
+            nodes: nodes.collect(),
+            links: HashMap::new(),
+            stalled: HashMap::new(),
+            hosts_alive: vec![true; setting.fleet.hosts.len()],
+            live: Vec::new(),
+            over: 0,
+            ledger: Ledger::new(requests.len()),
+        }
+    }
+
+    fn run(&mut self) {
+        for (no, request) in self.requests.iter().enumerate() {
+            self.events.push(request.comes + CALLER_DELAY, Event::Arrive(no));
+            self.live.push(Live {
+                phase: Phase::Idle,
+                host: 0,
+                turn: 0,
+                tokens: 0,
+                last_token: Duration::ZERO,
+                unused: 0,
+                evicted_at: Duration::ZERO,
+            });
+        }
+        for (at, fault) in &self.scenario.faults {
+            self.events.push(*at, Event::Fault(*fault));
+        }
+        self.events.push(Duration::ZERO, Event::Report);
+        let actions = self.policy.start();
+        self.perform(actions);
+        let ends = self.scenario.length + DRAIN;
+        while self.over < self.requests.len() {
+            match self.events.pop() {
+                Some((at, event)) if at <= ends => {
+                    self.now = at;
+                    self.happen(event);
+                }
+                _ => return,
+            }
+        }
+    }
+
+    fn happen(&mut self, event: Event) {
+        match event {
+            Event::Arrive(no) => self.arrive(no),
+            Event::Join(no, engine, turn, priority) => self.join(no, engine, turn, priority),
+            Event::PrefillEnd(engine, life) => self.prefill_end(engine, life),
+            Event::Evict(no, turn) => self.evict(no, turn),
+            Event::Import(no, engine, turn) => self.import(no, engine, turn),
+            Event::Imported(no, turn) => self.imported(no, turn),
+            Event::Step(engine, life, took) => self.step(engine, life, took),
+            Event::Note(note) => {
+                let actions = self.policy.note(*note, self.now);
+                self.perform(actions);
+            }
+            Event::Fault(fault) => self.fault(fault),
+            Event::Back(engine) => {
+                self.nodes[engine].alive = true;
+                self.policy.engine_back(engine, self.now);
+            }
+            Event::Report => self.report(),
+            Event::ReportSeen(reports) => self.policy.reports(&reports, self.now),
+        }
+    }
+
+    fn perform(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Prefill(no, engine, priority) => self.send_prefill(no, engine, priority),
+                Action::Decode(no, engine) => self.send_decode(no, engine),
+                Action::Refuse(no) => self.end(no, Outcome::Refused),
+                Action::Fail(no) => self.end(no, Outcome::Failed),
+                Action::FailIfWaiting(no) => {
+                    if self.take_from_queue(no) {
+                        self.end(no, Outcome::Failed);
+                    }
+                }
+                Action::Later(after, note) => {
+                    self.events.push(self.now + after, Event::Note(Box::new(note)));
+                }
+            }
+        }
+    }
+
+    /// Chooses the entry host as a balancer does: a live one near the caller, in
+    /// turn.
+    fn arrive(&mut self, no: RequestNo) {
+        let request = &self.requests[no];
+        let hosts = &self.setting.fleet.hosts;
+        let alive = (0..hosts.len()).filter(|host| self.hosts_alive[*host]);
+        let (near, far): (Vec<_>, Vec<_>) = alive.partition(|h| hosts[*h] == request.centre);
+        let choice = if near.is_empty() { far } else { near };
+        let host = choice[no % choice.len()];
+        self.live[no].host = host;
+        let actions = self.policy.arrived(no, host, request, self.now);
+        self.perform(actions);
+    }
+
+    fn enter(&mut self, no: RequestNo, phase: Phase) -> u64 {
+        let live = &mut self.live[no];
+        live.phase = phase;
+        live.turn += 1;
+        live.turn
+    }
+
+    fn is_over(&self, no: RequestNo) -> bool {
+        self.live[no].phase == Phase::Over
+    }
+
+    fn send_prefill(&mut self, no: RequestNo, engine: EngineId, priority: u8) {
+        if self.is_over(no) {
+            return;
+        }
+        self.ledger.accounts[no].started.get_or_insert(self.now);
+        let turn = self.enter(no, Phase::Prefill(engine));
+        let delay = self.setting.fleet.to_engine(self.live[no].host, engine);
+        self.events.push(self.now + delay, Event::Join(no, engine, turn, priority));
+    }
+
+    fn join(&mut self, no: RequestNo, engine: EngineId, turn: u64, priority: u8) {
+        if self.live[no].turn != turn {
+            return;
+        }
+        let request = &self.requests[no];
+        let job = PrefillJob {
+            request: no,
+            // A resume works on the tokens that were sent as well.
+            tokens: request.prompt + self.live[no].tokens,
+            pieces: request.pieces.clone(),
+            priority,
+        };
+        let node = &mut self.nodes[engine];
+        match &mut node.work {
+            Work::Prefill(prefill) if node.alive => prefill.join(job),
+            _ => return self.break_off(no),
+        }
+        self.start_prefill(engine);
+    }
+
+    fn start_prefill(&mut self, engine: EngineId) {
+        let node = &mut self.nodes[engine];
+        let Work::Prefill(prefill) = &mut node.work else { return };
+        let Some(ends) = prefill.start(self.now) else { return };
+        let running = prefill.running.as_ref().map(|running| running.job.request);
+        let poisoned = running.is_some_and(|no| self.requests[no].poisoned);
+        self.events.push(ends, Event::PrefillEnd(engine, node.life));
+        if poisoned {
+            let half = self.now + (ends - self.now) / 2;
+            self.ledger.poisoned_deaths += 1;
+            self.events.push(half, Event::Fault(Fault::Crash(engine, POISON_DOWN)));
+        }
+    }
+
+    fn prefill_end(&mut self, engine: EngineId, life: u64) {
+        let at = self.base + self.now;
+        let node = &mut self.nodes[engine];
+        if node.life != life {
+            return;
+        }
+        let Work::Prefill(prefill) = &mut node.work else { return };
+        let Some(done) = prefill.finish(at) else { return };
+        self.ledger.prefill_tokens += done.worked;
+        self.start_prefill(engine);
+        let no = done.job.request;
+        if self.live[no].phase != Phase::Prefill(engine) {
+            return;
+        }
+        let turn = self.enter(no, Phase::Ready(engine));
+        self.live[no].unused = done.worked;
+        self.live[no].evicted_at = self.now + RESULT_LIFE;
+        self.events.push(self.now + RESULT_LIFE, Event::Evict(no, turn));
+        let actions = self.policy.prefilled(no, done.worked, self.now);
+        self.perform(actions);
+    }
+
+    fn evict(&mut self, no: RequestNo, turn: u64) {
+        // A result that was offered and refused keeps its end; turns in between
+        // belong to the same result.
+        let live = &self.live[no];
+        let ready = matches!(live.phase, Phase::Ready(_));
+        if !ready || live.turn < turn || self.now < live.evicted_at {
+            return;
+        }
+        self.enter(no, Phase::Idle);
+        let actions = self.policy.evicted(no, self.now);
+        self.perform(actions);
+    }
+
+    fn send_decode(&mut self, no: RequestNo, engine: EngineId) {
+        let from = match self.live[no].phase {
+            Phase::Ready(from) => from,
+            Phase::Importing(from, to) => {
+                self.drop_stream(no, to);
+                from
+            }
+            _ => return,
+        };
+        let turn = self.enter(no, Phase::Ready(from));
+        let delay = self.setting.fleet.to_engine(self.live[no].host, engine);
+        self.events.push(self.now + delay, Event::Import(no, engine, turn));
+    }
+
+    fn import(&mut self, no: RequestNo, engine: EngineId, turn: u64) {
+        let Phase::Ready(from) = self.live[no].phase else { return };
+        if self.live[no].turn != turn {
+            return;
+        }
+        let node = &mut self.nodes[engine];
+        let taken = match &mut node.work {
+            Work::Decode(decode) if node.alive => decode.import(no),
+            _ => false,
+        };
+        if !taken {
+            return self.refuse_import(no, engine);
+        }
+        let turn = self.enter(no, Phase::Importing(from, engine));
+        let ends = self.transfer(no, from, engine);
+        self.events.push(ends, Event::Imported(no, turn));
+    }
+
+    /// Tells the policy that an engine does not take a result, and evicts the
+    /// result when its time is up.
+    fn refuse_import(&mut self, no: RequestNo, engine: EngineId) {
+        let evicted_at = self.live[no].evicted_at.max(self.now);
+        let turn = self.live[no].turn;
+        self.events.push(evicted_at, Event::Evict(no, turn));
+        let actions = self.policy.decode_refused(no, engine, self.now);
+        self.perform(actions);
+    }
+
+    /// Puts a transfer on its link; returns when it ends.
+    fn transfer(&mut self, no: RequestNo, from: EngineId, to: EngineId) -> Duration {
+        let fleet = &self.setting.fleet;
+        let (a, b) = (fleet.engines[from].centre, fleet.engines[to].centre);
+        let tokens = self.requests[no].prompt + self.live[no].tokens;
+        let length = fleet.transfer_per_token(a, b) * tokens as u32;
+        let stalled = self.stalled.get(&(a, b)).copied().unwrap_or_default();
+        let starts = self.now.max(stalled);
+        let ends = self.links.entry((a, b)).or_default().take(length, self.base + starts);
+        ends - self.base + fleet.delay(a, b)
+    }
+
+    fn imported(&mut self, no: RequestNo, turn: u64) {
+        let Phase::Importing(_, engine) = self.live[no].phase else { return };
+        if self.live[no].turn != turn {
+            return;
+        }
+        self.enter(no, Phase::Decoding(engine));
+        self.ledger.used_tokens += std::mem::take(&mut self.live[no].unused);
+        if let Work::Decode(decode) = &mut self.nodes[engine].work {
+            decode.streams.insert(no, true);
+        }
+        self.start_step(engine);
+    }
+
+    fn start_step(&mut self, engine: EngineId) {
+        let node = &mut self.nodes[engine];
+        let Work::Decode(decode) = &mut node.work else { return };
+        if decode.stepping || decode.decoding().is_empty() {
+            return;
+        }
+        decode.stepping = true;
+        let took = decode.step();
+        self.events.push(self.now + took, Event::Step(engine, node.life, took));
+    }
+
+    fn step(&mut self, engine: EngineId, life: u64, took: Duration) {
+        let node = &mut self.nodes[engine];
+        if node.life != life {
+            return;
+        }
+        let Work::Decode(decode) = &mut node.work else { return };
+        decode.stepping = false;
+        let streams = decode.decoding();
+        self.policy.stepped(engine, streams.len() as u32, took, self.now);
+        for no in streams {
+            self.token(no, engine);
+        }
+        self.start_step(engine);
+    }
+
+    fn token(&mut self, no: RequestNo, engine: EngineId) {
+        let live = &mut self.live[no];
+        let gap = self.now - live.last_token;
+        live.last_token = self.now;
+        live.tokens += 1;
+        if live.tokens == 1 {
+            let back = self.setting.fleet.to_engine(live.host, engine) + CALLER_DELAY;
+            self.ledger.accounts[no].ttft = Some(self.now + back - self.requests[no].comes);
+            self.policy.streaming(no, self.now);
+        } else {
+            self.ledger.gap(no, gap, self.setting.tbt);
+        }
+        if self.live[no].tokens >= self.requests[no].answer {
+            self.drop_stream(no, engine);
+            self.end(no, Outcome::Served);
+        }
+    }
+
+    fn drop_stream(&mut self, no: RequestNo, engine: EngineId) {
+        if let Work::Decode(decode) = &mut self.nodes[engine].work {
+            decode.streams.remove(&no);
+        }
+    }
+
+    fn take_from_queue(&mut self, no: RequestNo) -> bool {
+        let Phase::Prefill(engine) = self.live[no].phase else { return false };
+        match &mut self.nodes[engine].work {
+            Work::Prefill(prefill) => prefill.leave(no),
+            Work::Decode(_) => false,
+        }
+    }
+
+    fn end(&mut self, no: RequestNo, outcome: Outcome) {
+        match self.live[no].phase {
+            Phase::Over => return,
+            Phase::Importing(_, to) | Phase::Decoding(to) => self.drop_stream(no, to),
+            Phase::Prefill(_) => {
+                self.take_from_queue(no);
+            }
+            Phase::Idle | Phase::Ready(_) => (),
+        }
+        self.enter(no, Phase::Over);
+        self.over += 1;
+        self.ledger.accounts[no].ended = Some((outcome, self.now));
+        let answer = if outcome == Outcome::Served { self.live[no].tokens } else { 0 };
+        self.policy.over(no, answer, self.now);
+    }
+
+    fn break_off(&mut self, no: RequestNo) {
+        self.enter(no, Phase::Idle);
+        let actions = self.policy.broken(no, self.now);
+        self.perform(actions);
+    }
+
+    fn fault(&mut self, fault: Fault) {
+        match fault {
+            Fault::Crash(engine, down) => {
+                self.crash(engine);
+                self.events.push(self.now + down, Event::Back(engine));
+            }
+            Fault::LoseCentre(centre) => self.lose_centre(centre),
+            Fault::StallLink(from, to, length) => {
+                self.stalled.insert((from, to), self.now + length);
+                self.stall_transfers(from, to, length);
+            }
+        }
+    }
+
+    /// Delays the transfers that are on a link.
+    fn stall_transfers(&mut self, from: usize, to: usize, length: Duration) {
+        let engines = &self.setting.fleet.engines;
+        let on_link: Vec<RequestNo> = (0..self.live.len())
+            .filter(|no| match self.live[*no].phase {
+                Phase::Importing(a, b) => (engines[a].centre, engines[b].centre) == (from, to),
+                _ => false,
+            })
+            .collect();
+        for no in on_link {
+            let phase = self.live[no].phase;
+            let turn = self.enter(no, phase);
+            self.events.push(self.now + length, Event::Imported(no, turn));
+        }
+    }
+
+    fn crash(&mut self, engine: EngineId) {
+        let node = &mut self.nodes[engine];
+        if !node.alive {
+            return;
+        }
+        node.alive = false;
+        node.life += 1;
+        node.seen_events = 0;
+        let mut running = Vec::new();
+        match &mut node.work {
+            Work::Prefill(prefill) => {
+                if let Some(run) = &prefill.running {
+                    let share = (self.now - run.began).as_secs_f64()
+                        / (run.ends - run.began).as_secs_f64().max(1e-9);
+                    self.ledger.prefill_tokens += (run.worked as f64 * share) as u64;
+                    running.push(run.job.request);
+                }
+                **prefill = PrefillEngine::default();
+            }
+            Work::Decode(decode) => {
+                running.extend(decode.streams.keys().copied());
+                *decode = DecodeEngine::default();
+            }
+        }
+        let actions = self.policy.engine_lost(engine, &running, self.now);
+        self.perform(actions);
+        for no in 0..self.live.len() {
+            match self.live[no].phase {
+                Phase::Prefill(on) | Phase::Ready(on) | Phase::Decoding(on) if on == engine => {
+                    self.break_off(no);
+                }
+                Phase::Importing(from, to) if from == engine => {
+                    self.drop_stream(no, to);
+                    self.break_off(no);
+                }
+                Phase::Importing(from, to) if to == engine => {
+                    self.enter(no, Phase::Ready(from));
+                    self.refuse_import(no, engine);
+                }
+                _ => (),
+            }
+        }
+    }
+
+    fn lose_centre(&mut self, centre: usize) {
+        let fleet = &self.setting.fleet;
+        if fleet.hosts.len() > 1 {
+            for (host, at) in fleet.hosts.iter().enumerate() {
+                self.hosts_alive[host] &= *at != centre;
+            }
+        }
+        for no in 0..self.live.len() {
+            let here = !self.hosts_alive[self.live[no].host];
+            if here && self.requests[no].comes + CALLER_DELAY <= self.now {
+                self.end(no, Outcome::Failed);
+            }
+        }
+        let engines = 0..self.setting.fleet.engines.len();
+        for engine in engines.filter(|engine| fleet.engines[*engine].centre == centre) {
+            self.crash(engine);
+        }
+    }
+
+    /// Takes the engines' reports, which policies see later.
+    fn report(&mut self) {
+        let at = self.base + self.now;
+        let mut reports = Reports::default();
+        for node in &mut self.nodes {
+            let (mut active, mut queued, mut events) = (0, 0, Vec::new());
+            match &node.work {
+                Work::Prefill(prefill) => {
+                    queued = prefill.queued_tokens();
+                    let seen = prefill.cache.events(node.seen_events, &self.scenario.events, at);
+                    node.seen_events = seen.newest;
+                    events = seen.events.iter().map(|e| (e.seq, e.piece, e.stored)).collect();
+                }
+                Work::Decode(decode) => active = decode.streams.len() as u32,
+            }
+            reports.active.push(active);
+            reports.queued.push(queued);
+            reports.events.push(events);
+        }
+        let seen = self.now + self.scenario.report_lag + FAR_DELAY;
+        self.events.push(seen, Event::ReportSeen(Box::new(reports)));
+        self.events.push(self.now + REPORT_INTERVAL, Event::Report);
+    }
+}
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -2,4 +2,5 @@
 //! baselines in process; see `docs/LOAD.md`.
 
 pub mod arrivals;
+pub mod compare;
 pub mod run;
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -3,8 +3,9 @@
 use std::time::Duration;
 
 use aspenloft_core::prelude::Findings;
+use aspenloft_load::compare::report::{self, CompareOptions};
 use aspenloft_load::run::driver;
-use aspenloft_load::run::options::{EnginePair, RunOptions};
+use aspenloft_load::run::options::{EnginePair, MAX_DURATION, RunOptions};
 use async_std::task;
 use serde::Serialize;
 
@@ -50,6 +51,20 @@
                 /// Prints JSON.
                 optional --json
             }
+            /// Holds the policy against baselines, in process and on a clock of
+            /// its own.
+            ///
+            /// Exit codes: 0 all aims are reached, 2 wrong flags, 4 an aim is missed.
+            cmd compare {
+                /// The seed of the requests (default 1).
+                optional --seed seed: u64
+                /// Seconds that each scenario lasts (default 60, at most 600).
+                optional --length-s seconds: u64
+                /// Runs only scenarios whose name contains this.
+                optional --scenario name: String
+                /// Prints JSON.
+                optional --json
+            }
         }
     }
 }
@@ -63,6 +78,9 @@
 /// The exit code when some requests failed or were not sent.
 const EXIT_FAILED: i32 = 3;
 
+/// The exit code when an aim is missed.
+const EXIT_MISSED: i32 = 4;
+
 fn options(f: &flags::Run) -> Result<RunOptions, Findings> {
     let default = RunOptions::default();
     let mut findings = Findings::default();
@@ -114,6 +132,23 @@
     }
 }
 
+fn compare(f: &flags::Compare) -> i32 {
+    let default = CompareOptions::default();
+    let options = CompareOptions {
+        seed: f.seed.unwrap_or(default.seed),
+        filter: f.scenario.clone().unwrap_or(default.filter),
+        length: f.length_s.map_or(default.length, Duration::from_secs).min(MAX_DURATION),
+    };
+    let comparison = report::compare(&options);
+    if comparison.scenarios.is_empty() {
+        eprintln!("--scenario: no scenario's name contains {}", options.filter);
+        return EXIT_FLAGS;
+    }
+    print(&comparison, f.json);
+    let reached = comparison.aims.iter().all(|aim| aim.reached);
+    if reached { 0 } else { EXIT_MISSED }
+}
+
 fn print(report: &(impl Serialize + std::fmt::Display), json: bool) {
     if !json {
         print!("{report}");
@@ -129,6 +164,7 @@
     let command = flags::AspenloftLoad::from_env_or_exit().subcommand;
     let code = match command {
         flags::AspenloftLoadCmd::Run(f) => run(&f),
+        flags::AspenloftLoadCmd::Compare(f) => compare(&f),
     };
     std::process::exit(code);
 }
