Run unrepeatable calls through a sharded intent ledger

Cause: one key-value entry for each idempotency key had no owner, no batching, no read-back of lost answers and no expiry, so the service's write rate followed the call rate and a lost answer refused a call that could have run.

Ruled out: a record for each key (two writes a call); one growing value for each shard (rewrites up to a megabyte with every swap); trusting the lease alone (a paused owner still believes in it).

A shard's owner is found by lease, but what lets a call be sent is the swap of the shard's head that holds its intent. A swap that did not plainly succeed is read back. Finished records are sealed into pages. The state machine is pure (crates/ledger); the daemon drives it. Entry hosts forward calls to the owner.

--- a/crates/core/src/errors.rs
+++ b/crates/core/src/errors.rs
@@ -64,6 +64,9 @@
     /// A compare-and-swap lost to another writer.
     #[display("conflict")]
     Conflict,
+    /// An idempotency key came again with a different request.
+    #[display("idempotency_key_reused")]
+    KeyReused,
     /// The request has crashed the backend servers that ran it.
     #[display("poisonous_request")]
     Poisonous,
--- a/crates/daemon/src/callers/front.rs
+++ b/crates/daemon/src/callers/front.rs
@@ -65,7 +65,7 @@
             (Method::Post, "/v1/chat/completions") => {
                 self.complete(Shape::Chat, &table, &caller, &body, id, connection).await
             }
-            _ => self.call_service(&table, &caller, &req, body).await,
+            _ => self.call_service(&table, &caller, &req, body, id).await,
         }
     }
 
@@ -122,12 +122,14 @@
         caller: &Caller,
         req: &Request,
         body: Vec<u8>,
+        id: &RequestId,
     ) -> Result<Response> {
         let path = req.url().path();
         let row = table.service_row(req.method().as_ref(), path, caller);
         let row = row.ok_or_else(|| not_found(format!("no row for {path}")))?;
         let query = req.url().query().map(|query| format!("?{query}")).unwrap_or_default();
         let call = ServiceCall {
+            id: id.clone(),
             row: Arc::new(row.clone()),
             caller: caller.name.clone(),
             method: req.method(),
--- a/crates/daemon/src/callers/openai.rs
+++ b/crates/daemon/src/callers/openai.rs
@@ -188,6 +188,7 @@
             | ErrorCode::NotFound
             | ErrorCode::TooLarge
             | ErrorCode::Poisonous
+            | ErrorCode::KeyReused
             | ErrorCode::Conflict => "invalid_request_error",
             _ => "server_error",
         };
--- /dev/null
+++ b/crates/daemon/src/ledger/mod.rs
@@ -0,0 +1,136 @@
+//! The `ledger` module drives the ledger of calls that may not be repeated: it
+//! performs the actions of `aspenloft-ledger`. See `docs/design/ledger.md`.
+
+pub mod entry;
+pub mod lease;
+pub mod owner;
+pub mod store;
+
+use std::sync::Arc;
+
+use aspenloft_core::errors::{Result, internal, not_found};
+use aspenloft_core::execution::Execution;
+use aspenloft_core::prelude::{Duration, Error, Name, SharedClock};
+use aspenloft_ledger::digest::{KeyDigest, RequestDigest};
+use aspenloft_ledger::options::{Options, SHARDS};
+use aspenloft_ledger::shard::event::{Event, Verdict};
+use aspenloft_protocol::peer::PeerReply;
+use aspenloft_protocol::peer::ledger::{LedgerCall, LedgerReply};
+use aspenloft_protocol::platform::KeyValue;
+use aspenloft_table::row::Row;
+use async_std::channel::{Sender, bounded, unbounded};
+use async_std::task;
+use async_trait::async_trait;
+
+use crate::view::View;
+use aspenloft_ledger::record::Answer;
+use lease::HostLease;
+use owner::{Input, ShardTask};
+use store::ShardStore;
+
+/// `Sending` is a call that the ledger lets through, once.
+#[derive(Debug, Clone)]
+pub struct Sending {
+    /// The call.
+    pub call: Arc<LedgerCall>,
+    /// Its row.
+    pub row: Arc<Row>,
+}
+
+/// `CallSender` sends calls to backend servers.
+#[async_trait]
+pub trait CallSender: Send + Sync {
+    /// Sends a call once. An error with [`Execution::NotRun`] means that no byte of
+    /// it left this host.
+    async fn send(&self, sending: &Sending) -> Result<Arc<Answer>>;
+}
+
+/// `Parts` is what the ledger is built from.
+pub struct Parts {
+    /// This host's name.
+    pub host: Name,
+    /// The platform's key-value service.
+    pub kv: Arc<dyn KeyValue>,
+    /// The clock.
+    pub clock: SharedClock,
+    /// The table in force.
+    pub view: Arc<View>,
+    /// Who sends the calls.
+    pub sender: Arc<dyn CallSender>,
+    /// The bounds of each shard.
+    pub options: Options,
+    /// What sets this host's retries apart from those of others.
+    pub seed: u64,
+}
+
+/// `LedgerService` serves calls to this host as an owner of shards.
+pub struct LedgerService {
+    view: Arc<View>,
+    shards: Vec<Sender<Input>>,
+}
+
+impl LedgerService {
+    /// Creates the service and starts a task for each shard. It calls the key-value
+    /// service only once calls come in.
+    pub fn start(parts: Parts) -> LedgerService {
+        let lease = Arc::new(HostLease::new(parts.kv.clone(), parts.clock.clone()));
+        let mut shards = Vec::new();
+        for number in 0..SHARDS {
+            let (tx, rx) = unbounded();
+            let store = ShardStore {
+                number,
+                host: parts.host.clone(),
+                kv: parts.kv.clone(),
+                lease: lease.clone(),
+            };
+            let seed = parts.seed.wrapping_add(number.into());
+            task::spawn(ShardTask::new(&parts, store, tx.clone(), seed).run(rx));
+            shards.push(tx);
+        }
+        let owners = shards.clone();
+        task::spawn(async move {
+            lease.keep(|| lose_all(&owners)).await;
+        });
+        LedgerService { view: parts.view, shards }
+    }
+
+    /// Serves one call as the owner, or says who is.
+    pub async fn serve(&self, call: LedgerCall) -> PeerReply {
+        match self.decide(call).await {
+            Ok(Verdict::Answer(answer)) => PeerReply::Ledger(LedgerReply::Answer {
+                status: answer.status,
+                content_type: answer.content_type.as_str().into(),
+                body: answer.body.clone(),
+            }),
+            Ok(Verdict::Redirect(owner)) => PeerReply::Ledger(LedgerReply::Redirect { owner }),
+            Ok(Verdict::Failed(e)) | Err(e) => PeerReply::Failed(e),
+        }
+    }
+
+    async fn decide(&self, call: LedgerCall) -> Result<Verdict> {
+        let table = self.view.table()?;
+        let row = table.rows.iter().find(|row| row.name == call.row && row.unrepeatable);
+        let row = row.ok_or_else(|| not_found(format!("no unrepeatable row {}", call.row)))?;
+        let key = KeyDigest::new(&call.row, &call.caller, &call.key);
+        let request = RequestDigest::new(&call.method, &call.path, &call.body);
+        let sending = Sending { call: Arc::new(call), row: Arc::new(row.clone()) };
+        let (tx, rx) = bounded(1);
+        let shard = &self.shards[key.shard(SHARDS) as usize];
+        let input = Input::Call { key, request, sending, tx };
+        shard.send(input).await.map_err(|_| ended())?;
+        rx.recv().await.map_err(|_| ended())
+    }
+}
+
+fn lose_all(owners: &[Sender<Input>]) {
+    for owner in owners {
+        let _ = owner.try_send(Input::Event(Event::LeaseLost));
+    }
+}
+
+fn ended() -> Error {
+    internal("the ledger has ended").execution(Execution::Unknown)
+}
+
+/// How long one call to the key-value service may take.
+pub const KV_LIMIT: Duration = Duration::from_secs(1);
--- /dev/null
+++ b/crates/daemon/src/ledger/owner.rs
@@ -0,0 +1,170 @@
+//! The `owner` module runs one shard at this host: it feeds the state machine with
+//! events and performs its actions.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Instant;
+
+use aspenloft_core::clock::unix_millis;
+use aspenloft_core::errors::timeout;
+use aspenloft_core::execution::Execution;
+use aspenloft_core::prelude::SharedClock;
+use aspenloft_ledger::digest::{KeyDigest, RequestDigest};
+use aspenloft_ledger::shard::event::{Action, Attempt, Call, CallId, Event, Outcome, Verdict};
+use aspenloft_ledger::shard::{Moment, Shard};
+use async_std::channel::{Receiver, Sender};
+use async_std::task;
+
+use super::store::ShardStore;
+use super::{CallSender, Parts, Sending};
+
+/// `Input` is what reaches a shard's task.
+pub enum Input {
+    /// A call of a caller.
+    Call {
+        /// The key.
+        key: KeyDigest,
+        /// What the call asks for.
+        request: RequestDigest,
+        /// What is sent if the ledger lets it.
+        sending: Sending,
+        /// Where the verdict goes.
+        tx: Sender<Verdict>,
+    },
+    /// The result of an action, or word of the lease.
+    Event(Event),
+}
+
+/// `ShardTask` runs one shard.
+pub struct ShardTask {
+    shard: Shard,
+    store: ShardStore,
+    sender: Arc<dyn CallSender>,
+    clock: SharedClock,
+    tx: Sender<Input>,
+    waiting: HashMap<CallId, Waiting>,
+    calls: CallId,
+}
+
+/// `Waiting` is a call without its verdict.
+struct Waiting {
+    sending: Sending,
+    tx: Sender<Verdict>,
+}
+
+impl ShardTask {
+    /// Creates the task; results of its actions come back through `tx`.
+    pub fn new(parts: &Parts, store: ShardStore, tx: Sender<Input>, seed: u64) -> ShardTask {
+        ShardTask {
+            shard: Shard::new(parts.options.clone(), seed),
+            store,
+            sender: parts.sender.clone(),
+            clock: parts.clock.clone(),
+            tx,
+            waiting: HashMap::new(),
+            calls: 0,
+        }
+    }
+
+    /// Runs for as long as the process.
+    pub async fn run(mut self, rx: Receiver<Input>) {
+        while let Some(event) = self.next(&rx).await {
+            let at = self.moment();
+            for action in self.shard.handle(event, at) {
+                self.perform(action).await;
+            }
+        }
+    }
+
+    fn moment(&self) -> Moment {
+        Moment { now: self.clock.now(), wall_ms: unix_millis(self.clock.wall()) }
+    }
+
+    /// Waits for the next input, or for the moment that the shard wants.
+    async fn next(&mut self, rx: &Receiver<Input>) -> Option<Event> {
+        let input = match self.shard.wake() {
+            None => rx.recv().await.ok()?,
+            Some(when) => {
+                let wait = when.saturating_duration_since(self.clock.now());
+                match async_std::future::timeout(wait, rx.recv()).await {
+                    Ok(input) => input.ok()?,
+                    Err(_) => return Some(Event::Tick),
+                }
+            }
+        };
+        Some(match input {
+            Input::Event(event) => event,
+            Input::Call { key, request, sending, tx } => {
+                self.calls += 1;
+                let (id, window) = (self.calls, sending.row.key_window);
+                let bytes = sending.call.body.len();
+                self.waiting.insert(id, Waiting { sending, tx });
+                Event::Call(Call { id, key, request, window, bytes })
+            }
+        })
+    }
+
+    async fn perform(&mut self, action: Action) {
+        match action {
+            Action::Answer(call, verdict) => {
+                if let Some(waiting) = self.waiting.remove(&call) {
+                    log_verdict(&waiting.sending, &verdict);
+                    // A host that no longer listens has lost its caller.
+                    let _ = waiting.tx.send(verdict).await;
+                }
+            }
+            Action::Send { key, attempt, call, not_after } => {
+                self.send(key, attempt, call, not_after);
+            }
+            action => {
+                let (store, tx) = (self.store.clone(), self.tx.clone());
+                task::spawn(async move {
+                    if let Some(event) = store.perform(action).await {
+                        let _ = tx.send(Input::Event(event)).await;
+                    }
+                });
+            }
+        }
+    }
+
+    /// Sends a call in a task of its own, which lives on when the caller goes.
+    fn send(&self, key: KeyDigest, attempt: Attempt, call: CallId, not_after: Instant) {
+        let Some(waiting) = self.waiting.get(&call) else { return };
+        let sending = waiting.sending.clone();
+        let (sender, clock, tx) = (self.sender.clone(), self.clock.clone(), self.tx.clone());
+        task::spawn(async move {
+            let outcome = send_once(&*sender, &sending, &clock, not_after).await;
+            let _ = tx.send(Input::Event(Event::Sent(key, attempt, outcome))).await;
+        });
+    }
+}
+
+/// Sends a call unless this host has been paused since its intent stood.
+async fn send_once(
+    sender: &dyn CallSender,
+    sending: &Sending,
+    clock: &SharedClock,
+    not_after: Instant,
+) -> Outcome {
+    if clock.now() > not_after {
+        return Outcome::NotSent(timeout("the host was paused; the call was not sent"));
+    }
+    match sender.send(sending).await {
+        Ok(answer) => Outcome::Answered(answer),
+        Err(e) if e.execution == Execution::NotRun => Outcome::NotSent(e),
+        Err(e) => Outcome::Unknown(e),
+    }
+}
+
+fn log_verdict(sending: &Sending, verdict: &Verdict) {
+    let (word, code) = match verdict {
+        Verdict::Answer(_) => ("run".to_string(), "ok".to_string()),
+        Verdict::Redirect(_) => ("not_run".to_string(), "redirect".to_string()),
+        Verdict::Failed(e) => (e.execution.to_string(), e.code.to_string()),
+    };
+    let (call, row) = (&sending.call, &*sending.row.name);
+    log::info!(
+        event = "ledger_verdict", request = call.request.as_str(), row = row,
+        caller = &*call.caller, execution = word.as_str(), code = code.as_str(); ""
+    );
+}
--- /dev/null
+++ b/crates/daemon/src/ledger/store.rs
@@ -0,0 +1,160 @@
+//! The `store` module performs a shard's actions on the key-value service. Each
+//! call is bounded, and one without an answer in time counts as "unknown".
+
+use std::collections::HashMap;
+use std::future::Future;
+use std::sync::Arc;
+
+use aspenloft_core::errors::{Error, Result, internal, timeout, unavailable};
+use aspenloft_core::execution::Execution;
+use aspenloft_core::prelude::Name;
+use aspenloft_ledger::head::{
+    Head, HeadMark, Loaded, Owner, PageRef, head_key, owner_key, page_key,
+};
+use aspenloft_ledger::record::Record;
+use aspenloft_ledger::shard::event::{Acquired, Action, Event};
+use aspenloft_protocol::platform::{KeyValue, LeaseId, Put, Swap, Version, Versioned};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use super::KV_LIMIT;
+use super::lease::HostLease;
+
+/// `ShardStore` is one shard in the key-value service.
+#[derive(Clone)]
+pub struct ShardStore {
+    /// The shard's number.
+    pub number: u32,
+    /// This host.
+    pub host: Name,
+    /// The service.
+    pub kv: Arc<dyn KeyValue>,
+    /// The lease on which this host's ownerships hang.
+    pub lease: Arc<HostLease>,
+}
+
+/// Waits for a call to the service up to [`KV_LIMIT`].
+pub async fn limited<R>(call: impl Future<Output = Result<R>>) -> Result<R> {
+    async_std::future::timeout(KV_LIMIT, call).await.unwrap_or_else(|_| {
+        Err(timeout("the key-value service did not answer").execution(Execution::Unknown))
+    })
+}
+
+impl ShardStore {
+    /// Performs `action`; `None` for one that is not for the service.
+    pub async fn perform(&self, action: Action) -> Option<Event> {
+        Some(match action {
+            Action::Acquire(op) => Event::Acquired(op, self.acquire().await),
+            Action::Load(op) => Event::Loaded(op, self.load().await),
+            Action::Swap { op, expect, head } => {
+                Event::Swapped(op, self.put(head_key(self.number), expect, &*head).await)
+            }
+            Action::ReadBack(op) => Event::ReadBack(op, self.read_back().await),
+            Action::WritePage { op, page, records } => {
+                Event::PageWritten(op, self.put(page_key(self.number, page), 0, &records).await)
+            }
+            Action::ReadPage(page, call) => {
+                let records = self.page(page).await;
+                let found = records.map(|records| records.into_iter().find(|r| r.key == call.key));
+                Event::PageRead(call, found)
+            }
+            Action::DeletePage(page) => {
+                self.delete(&page_key(self.number, page)).await;
+                return None;
+            }
+            Action::Send { .. } | Action::Answer(..) => return None,
+        })
+    }
+
+    /// Becomes the owner if nobody else is. An ownership of an earlier life of this
+    /// host is taken over, because the swap of the head is what proves ownership.
+    async fn acquire(&self) -> Result<Acquired> {
+        let lease = self.lease.get().await?;
+        let key = owner_key(self.number);
+        let found = limited(self.kv.get(&key)).await?;
+        let expect = match found {
+            None => 0,
+            Some(found) => {
+                let owner: Owner = decode(&found)?;
+                if owner.host != self.host {
+                    return Ok(Acquired::Other(owner.host));
+                }
+                found.version
+            }
+        };
+        let owner = Owner { host: self.host.clone(), lease };
+        let put = Put { key, expect, value: Some(encode(&owner)?), lease: Some(lease) };
+        match limited(self.kv.put(put)).await {
+            Ok(Swap::Done(epoch)) => Ok(Acquired::Mine(epoch)),
+            Ok(Swap::Conflict(_)) => Err(unavailable("another host takes the shard")),
+            Err(e) if e.execution == Execution::NotRun => Err(e),
+            Err(_) => self.acquired(expect, lease).await,
+        }
+    }
+
+    /// Learns whether a lost answer was a success.
+    async fn acquired(&self, before: Version, lease: LeaseId) -> Result<Acquired> {
+        let found = limited(self.kv.get(&owner_key(self.number))).await?;
+        let found = found.filter(|found| found.version != before);
+        let found = found.ok_or_else(|| unavailable("the shard was not taken"))?;
+        let owner: Owner = decode(&found)?;
+        if owner.host == self.host && owner.lease == lease {
+            return Ok(Acquired::Mine(found.version));
+        }
+        Ok(Acquired::Other(owner.host))
+    }
+
+    async fn load(&self) -> Result<Loaded> {
+        let Some(found) = limited(self.kv.get(&head_key(self.number))).await? else {
+            return Ok(Loaded { version: 0, head: None, sealed: Vec::new() });
+        };
+        let head: Head = decode(&found)?;
+        let mut sealed = HashMap::new();
+        for page in &head.pages {
+            let records = self.page(*page).await?;
+            sealed.extend(records.into_iter().map(|record| (record.key, *page)));
+        }
+        let sealed = sealed.into_iter().collect();
+        Ok(Loaded { version: found.version, head: Some(head), sealed })
+    }
+
+    async fn read_back(&self) -> Result<Option<HeadMark>> {
+        let Some(found) = limited(self.kv.get(&head_key(self.number))).await? else {
+            return Ok(None);
+        };
+        let head: Head = decode(&found)?;
+        Ok(Some(HeadMark { version: found.version, epoch: head.epoch, write: head.write }))
+    }
+
+    async fn page(&self, page: PageRef) -> Result<Vec<Record>> {
+        let found = limited(self.kv.get(&page_key(self.number, page))).await?;
+        decode(&found.ok_or_else(|| internal("a page of the ledger is missing"))?)
+    }
+
+    async fn put(&self, key: String, expect: Version, value: &impl Serialize) -> Result<Swap> {
+        let put = Put { key, expect, value: Some(encode(value)?), lease: None };
+        limited(self.kv.put(put)).await
+    }
+
+    /// Deletes a page that nothing refers to. A failure leaves an orphan.
+    async fn delete(&self, key: &str) {
+        let deleted = async {
+            let Some(found) = limited(self.kv.get(key)).await? else { return Ok(()) };
+            let put = Put { key: key.into(), expect: found.version, value: None, lease: None };
+            limited(self.kv.put(put)).await.map(|_| ())
+        };
+        let result: Result<()> = deleted.await;
+        if let Err(e) = result {
+            log::warn!(event = "ledger_page_left", key = key, error = e.to_string().as_str(); "");
+        }
+    }
+}
+
+fn encode(value: &impl Serialize) -> Result<String> {
+    serde_json::to_string(value).map_err(|e| internal(e.to_string()))
+}
+
+fn decode<R: DeserializeOwned>(found: &Versioned) -> Result<R> {
+    let misread = |e: serde_json::Error| -> Error { internal(format!("{}: {e}", found.key)) };
+    serde_json::from_str(&found.value).map_err(misread)
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod callers;
 pub mod cleanup;
 pub mod home;
+pub mod ledger;
 pub mod node;
 pub mod path;
 pub mod peers;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -9,15 +9,19 @@
 use aspenloft_core::clock::unix_millis;
 use aspenloft_core::errors::internal;
 use aspenloft_core::prelude::{RequestId, SharedClock};
+use aspenloft_ledger::options::Options;
 use aspenloft_protocol::peer::table::{TableReply, TableRequest};
 use aspenloft_protocol::peer::{PeerReply, PeerRequest};
 use aspenloft_protocol::platform::{HostList, HostListClient, KeyValue, KvClient};
 use async_trait::async_trait;
 use parking_lot::Mutex;
 use rand::seq::SliceRandom;
-use rand::{SeedableRng, rngs::StdRng};
+use rand::{Rng, SeedableRng, rngs::StdRng};
 
 use crate::home::service::HomeService;
+use crate::ledger::entry::OwnerHints;
+use crate::ledger::{LedgerService, Parts};
+use crate::path::service::Services;
 use crate::peers::{PeerHandler, Peers, ReplySender};
 use crate::settings::Settings;
 use crate::view::View;
@@ -38,6 +42,12 @@
     pub host_list: Arc<dyn HostList>,
     /// Its work as the home of backend servers.
     pub home: HomeService,
+    /// The servers of plain services.
+    pub services: Arc<Services>,
+    /// Its work as an owner of ledger shards.
+    pub ledger: LedgerService,
+    /// Where owners of ledger shards were last found.
+    pub owners: OwnerHints,
     requests: AtomicU64,
     born_ms: u64,
     random: Mutex<StdRng>,
@@ -47,14 +57,29 @@
     /// Creates the host that `settings` describe.
     pub fn new(settings: Settings, clock: SharedClock) -> Arc<Node> {
         let view = Arc::new(View::new(settings.host()));
+        let kv: Arc<dyn KeyValue> = Arc::new(KvClient::new(settings.platform.key_value));
+        let services = Arc::new(Services::new(view.clone(), clock.clone()));
+        let mut random = StdRng::from_os_rng();
+        let ledger = LedgerService::start(Parts {
+            host: settings.host.clone(),
+            kv: kv.clone(),
+            clock: clock.clone(),
+            view: view.clone(),
+            sender: services.clone(),
+            options: Options::default(),
+            seed: random.random(),
+        });
         let node = Arc::new(Node {
-            kv: Arc::new(KvClient::new(settings.platform.key_value)),
+            kv,
+            services,
+            ledger,
+            owners: OwnerHints::default(),
             host_list: Arc::new(HostListClient::new(settings.platform.host_list)),
             peers: Peers::new(settings.host.clone()),
             home: HomeService::new(clock.clone(), view.clone()),
             requests: AtomicU64::new(0),
             born_ms: unix_millis(clock.wall()),
-            random: Mutex::new(StdRng::from_os_rng()),
+            random: Mutex::new(random),
             view,
             clock,
             settings,
@@ -88,7 +113,10 @@
                 let reply = newer_table(&self.0, have);
                 let _ = tx.send(PeerReply::Table(reply)).await;
             }
-            PeerRequest::Heartbeat(_) | PeerRequest::Ledger(_) | PeerRequest::Control(_) => {
+            PeerRequest::Ledger(call) => {
+                let _ = tx.send(self.0.ledger.serve(*call).await).await;
+            }
+            PeerRequest::Heartbeat(_) | PeerRequest::Control(_) => {
                 let refusal = internal("this host does not serve such calls yet");
                 let _ = tx.send(PeerReply::Failed(refusal)).await;
             }
--- /dev/null
+++ b/crates/daemon/src/path/exchange.rs
@@ -0,0 +1,72 @@
+//! The `exchange` module makes one exchange with a server of a plain service, on a
+//! connection of its own.
+
+use std::str::FromStr;
+use std::time::Duration;
+
+use aspenloft_core::errors::{Error, ErrorCode, Result, invalid};
+use aspenloft_core::execution::Execution;
+use aspenloft_core::prelude::Backend;
+use aspenloft_ledger::record::Answer;
+use aspenloft_protocol::peer::ledger::LedgerCall;
+use aspenloft_transport::http;
+use async_std::future::timeout;
+use async_std::io::ReadExt;
+use http_types::{Method, Response};
+
+/// The longest answer of a plain service, in bytes.
+const MAX_ANSWER_BYTES: u64 = 2 * 1024 * 1024;
+
+/// `Exchange` is what one exchange sends.
+#[derive(Debug, Clone, Copy)]
+pub struct Exchange<'a> {
+    /// The method.
+    pub method: Method,
+    /// The path with the query.
+    pub path: &'a str,
+    /// The body.
+    pub body: &'a [u8],
+    /// The idempotency key, if one came.
+    pub key: Option<&'a str>,
+    /// The longest wait for the whole answer.
+    pub limit: Duration,
+}
+
+impl<'a> Exchange<'a> {
+    /// Makes the exchange of a call that may not be repeated.
+    pub fn of_call(call: &'a LedgerCall, limit: Duration) -> Result<Exchange<'a>> {
+        let method = Method::from_str(&call.method).map_err(|e| invalid(e.to_string()))?;
+        let (path, body) = (&*call.path, &call.body);
+        Ok(Exchange { method, path, body, key: Some(&call.key), limit })
+    }
+
+    /// Sends the request to `backend` and reads the whole answer. Only an error with
+    /// [`Execution::NotRun`] means that nothing was sent.
+    pub async fn run(&self, backend: &Backend) -> Result<Answer> {
+        let mut req = http::request(self.method, backend.addr, self.path, self.body.to_vec())?;
+        if let Some(key) = self.key {
+            req.insert_header("idempotency-key", key);
+        }
+        let whole = async { read(http::send(backend.addr, req, self.limit).await?).await };
+        timeout(self.limit, whole).await.unwrap_or_else(|_| {
+            Err(Error::new(ErrorCode::Timeout, "no whole answer in time")
+                .execution(Execution::Unknown))
+        })
+    }
+}
+
+async fn read(mut response: Response) -> Result<Answer> {
+    let content_type = response.content_type().map(|m| m.to_string()).unwrap_or_default();
+    let status = response.status().into();
+    let mut body = Vec::new();
+    let reader = response.take_body().take(MAX_ANSWER_BYTES + 1);
+    let read = { reader }.read_to_end(&mut body).await;
+    read.map_err(|e| {
+        Error::new(ErrorCode::Unavailable, e.to_string()).execution(Execution::Unknown)
+    })?;
+    if body.len() as u64 > MAX_ANSWER_BYTES {
+        let message = format!("the answer exceeds {MAX_ANSWER_BYTES} bytes");
+        return Err(Error::new(ErrorCode::TooLarge, message).execution(Execution::Run));
+    }
+    Ok(Answer { status, content_type, body })
+}
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -1,6 +1,11 @@
-//! The `ledger` crate runs calls that may not be repeated at most once, and gives
-//! engines their orders. Both rest on compare-and-swap in the platform's
-//! key-value service; see `docs/PROMISES.md`.
+//! The `ledger` crate decides, at most once for each idempotency key, about calls
+//! that may not be repeated. All of it is pure: events and time in, actions out;
+//! `docs/design/ledger.md` gives the design.
 
-pub mod entry;
-pub mod once;
+pub mod backoff;
+pub mod digest;
+pub mod head;
+pub mod options;
+pub mod record;
+pub mod refusals;
+pub mod shard;
--- /dev/null
+++ b/crates/ledger/src/shard/event.rs
@@ -0,0 +1,137 @@
+//! The `event` module defines what a shard is told and what it asks for.
+
+use std::time::{Duration, Instant};
+
+use aspenloft_core::prelude::{Arc, Error, Name, Result};
+use aspenloft_protocol::platform::{Swap, Version};
+
+use crate::digest::{KeyDigest, RequestDigest};
+use crate::head::{Epoch, Head, HeadMark, Loaded, PageRef};
+use crate::record::{Answer, Record};
+
+/// `CallId` names one call that waits at this host for its verdict.
+pub type CallId = u64;
+
+/// `Op` numbers the operations towards the key-value service, so that a late
+/// result of an earlier one is known and ignored.
+pub type Op = u64;
+
+/// `Attempt` numbers the calls that this host means to send.
+pub type Attempt = u64;
+
+/// `Call` is a caller's call as far as the ledger must know it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Call {
+    /// The call.
+    pub id: CallId,
+    /// Its idempotency key.
+    pub key: KeyDigest,
+    /// What it asks for.
+    pub request: RequestDigest,
+    /// How long the key is kept.
+    pub window: Duration,
+    /// The bytes of its body.
+    pub bytes: usize,
+}
+
+/// `Event` is what a shard is told.
+#[derive(Debug)]
+pub enum Event {
+    /// A call came in.
+    Call(Call),
+    /// [`Action::Acquire`] is done.
+    Acquired(Op, Result<Acquired>),
+    /// [`Action::Load`] is done.
+    Loaded(Op, Result<Loaded>),
+    /// [`Action::Swap`] is done.
+    Swapped(Op, Result<Swap>),
+    /// [`Action::ReadBack`] is done.
+    ReadBack(Op, Result<Option<HeadMark>>),
+    /// [`Action::WritePage`] is done.
+    PageWritten(Op, Result<Swap>),
+    /// [`Action::ReadPage`] is done.
+    PageRead(Call, Result<Option<Record>>),
+    /// [`Action::Send`] is done.
+    Sent(KeyDigest, Attempt, Outcome),
+    /// The host's lease has lapsed or may have.
+    LeaseLost,
+    /// Time has passed.
+    Tick,
+}
+
+/// `Acquired` is the outcome of an attempt to become the owner.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Acquired {
+    /// This host is the owner.
+    Mine(Epoch),
+    /// Another host is.
+    Other(Name),
+}
+
+/// `Outcome` is what the sender of a call knows of its fate.
+#[derive(Debug, Clone)]
+pub enum Outcome {
+    /// The backend server answered.
+    Answered(Arc<Answer>),
+    /// No byte of the call was sent.
+    NotSent(Error),
+    /// The call may have run.
+    Unknown(Error),
+}
+
+/// `Action` is what a shard asks for.
+#[derive(Debug, Clone)]
+pub enum Action {
+    /// Become the owner, if nobody else is.
+    Acquire(Op),
+    /// Read the head and the keys of its pages.
+    Load(Op),
+    /// Swap the head.
+    Swap {
+        /// The operation.
+        op: Op,
+        /// The version that the head must have.
+        expect: Version,
+        /// The new head.
+        head: Box<Head>,
+    },
+    /// Read the head's mark, after a swap that did not plainly succeed.
+    ReadBack(Op),
+    /// Write a page, which must not be there yet.
+    WritePage {
+        /// The operation.
+        op: Op,
+        /// The page.
+        page: PageRef,
+        /// Its records.
+        records: Vec<Record>,
+    },
+    /// Read the record of a repeated call from its page.
+    ReadPage(PageRef, Call),
+    /// Delete a page that no head refers to any more.
+    DeletePage(PageRef),
+    /// Send a call, unless `not_after` has passed.
+    Send {
+        /// Its key.
+        key: KeyDigest,
+        /// The attempt.
+        attempt: Attempt,
+        /// The call.
+        call: CallId,
+        /// The last moment at which it may be sent.
+        not_after: Instant,
+    },
+    /// Answer a call.
+    Answer(CallId, Verdict),
+}
+
+/// `Verdict` is the ledger's word on one call.
+#[derive(Debug, Clone)]
+pub enum Verdict {
+    /// The answer of the backend server, fresh or kept.
+    Answer(Arc<Answer>),
+    /// Another host owns the shard.
+    Redirect(Name),
+    /// An error, with its word on whether the call was run.
+    Failed(Error),
+}
--- a/crates/protocol/src/peer/ledger.rs
+++ b/crates/protocol/src/peer/ledger.rs
@@ -1,11 +1,13 @@
 //! The `ledger` module defines the messages to the owner of a ledger shard.
 
-use aspenloft_core::prelude::Name;
+use aspenloft_core::prelude::{Name, RequestId};
 use serde::{Deserialize, Serialize};
 
 /// `LedgerCall` asks the owner of a shard to run a call that may not be repeated.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct LedgerCall {
+    /// The request, for logs.
+    pub request: RequestId,
     /// The row.
     pub row: Name,
     /// The caller.
@@ -20,13 +22,21 @@
     pub body: Vec<u8>,
 }
 
-/// `LedgerReply` is the answer of the plain service, as the owner recorded it.
+/// `LedgerReply` is the word of the asked host.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct LedgerReply {
-    /// The HTTP status.
-    pub status: u16,
-    /// The media type of the body.
-    pub content_type: Name,
-    /// The body.
-    pub body: Vec<u8>,
+pub enum LedgerReply {
+    /// The answer of the plain service, fresh or kept.
+    Answer {
+        /// The HTTP status.
+        status: u16,
+        /// The media type of the body.
+        content_type: Name,
+        /// The body.
+        body: Vec<u8>,
+    },
+    /// Another host owns the shard; nothing was done.
+    Redirect {
+        /// The owner.
+        owner: Name,
+    },
 }
--- a/crates/protocol/src/peer/mod.rs
+++ b/crates/protocol/src/peer/mod.rs
@@ -28,7 +28,7 @@
     /// A sign of life, answered by one.
     Heartbeat(Heartbeat),
     /// To the owner of a ledger shard.
-    Ledger(LedgerCall),
+    Ledger(Box<LedgerCall>),
     /// About limits or suspects.
     Control(ControlRequest),
 }
--- a/crates/transport/src/server.rs
+++ b/crates/transport/src/server.rs
@@ -101,7 +101,7 @@
         ErrorCode::TooLarge => StatusCode::PayloadTooLarge,
         ErrorCode::Limited => StatusCode::TooManyRequests,
         ErrorCode::Conflict => StatusCode::Conflict,
-        ErrorCode::Poisonous => StatusCode::UnprocessableEntity,
+        ErrorCode::Poisonous | ErrorCode::KeyReused => StatusCode::UnprocessableEntity,
         ErrorCode::Timeout => StatusCode::GatewayTimeout,
         ErrorCode::Internal => StatusCode::InternalServerError,
         ErrorCode::Overloaded
