--- a/crates/ledger/src/shard/calls.rs
+++ b/crates/ledger/src/shard/calls.rs
@@ -4,7 +4,6 @@
 use aspenloft_core::prelude::{Error, Result};
 
 use super::event::{Action, Attempt, Call, Outcome, Verdict};
-use super::writes::Copy;
 use super::{Finished, Live, Moment, Queued, Shard, Stage, State};
 use crate::digest::KeyDigest;
 use crate::record::{Fate, Record};
@@ -53,14 +52,26 @@
         if let Some(page) = copy.sealed.get(&call.key) {
             return out.push(Action::ReadPage(*page, call));
         }
-        if let Some(e) = self.obstacle(&call, copy, at) {
+        self.make_room(at);
+        if let Some(e) = self.obstacle(&call, at) {
             return refuse(call, e, out);
         }
         self.begin(call, at);
     }
 
+    /// Drops expired records and asks for a write, which may seal a page, when the
+    /// head is full.
+    fn make_room(&mut self, at: Moment) {
+        let State::Owner(copy) = &mut self.state else { return };
+        if copy.bytes() >= self.options.head_bytes {
+            copy.expire(at);
+            copy.mark_dirty(at.now);
+        }
+    }
+
     /// Returns why a new key cannot be taken now, if so.
-    fn obstacle(&self, call: &Call, copy: &Copy, at: Moment) -> Option<Error> {
+    fn obstacle(&self, call: &Call, at: Moment) -> Option<Error> {
+        let State::Owner(copy) = &self.state else { return None };
         if let Some(pause) = self.backoff.pause(at.now) {
             return Some(refusals::service_down(pause));
         }
--- a/crates/ledger/src/shard/writes.rs
+++ b/crates/ledger/src/shard/writes.rs
@@ -132,7 +132,7 @@
     }
 
     /// Drops what may be forgotten.
-    fn expire(&mut self, at: Moment) {
+    pub(super) fn expire(&mut self, at: Moment) {
         let lapsed = self.records.values().filter(|record| record.expires_ms < at.wall_ms);
         let lapsed: Vec<_> = lapsed.map(|record| record.key).collect();
         lapsed.into_iter().for_each(|key| self.settle(key, None));
