--- a/crates/daemon/src/callers/front.rs
+++ b/crates/daemon/src/callers/front.rs
@@ -172,6 +172,7 @@
         let row = Arc::new(row.ok_or_else(|| not_found(format!("no row for {path}")))?.clone());
         let query = req.url().query().map(|query| format!("?{query}")).unwrap_or_default();
         let call = ServiceCall {
+            id: asked.id.clone(),
             row: row.clone(),
             caller: asked.caller.name.clone(),
             method: req.method(),
@@ -206,7 +207,7 @@
     row: &Row,
     call: &ServiceCall,
     connection: &Connection,
-) -> Result<aspenloft_ledger::entry::Answer> {
+) -> Result<aspenloft_ledger::record::Answer> {
     let run = service::run(node, call);
     if row.unrepeatable { run.await } else { unless_gone(connection, run).await }
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod cleanup;
 pub mod home;
 pub mod leave;
+pub mod ledger;
 pub mod levels;
 pub mod limits;
 pub mod logging;
