Stop gracefully: refuse late, hand homes over, finish what is in flight

Cause: SIGTERM killed the daemon with whatever it had in flight.

Change: three stages. Leaving: /readyz fails and the other hosts hear that the homes move, but all requests are still served for the grace, so that nobody is refused while the word spreads. Draining: new requests of callers and new reservations of hosts are refused as not run. The host exits with 0 when no request, no call for another host and no reservation is left and the last bytes are out. After the drain bound, or at a second signal, it logs what it cuts and exits with 3. POST /admin/drain does the same as the signal. A request counts as in flight until its answer is written and dropped.

Ruled out: refusing reservations as soon as the signal comes. Until the others hear of it they know no other home, and requests would fail in that second.

The page /metrics shows the instruments; /admin/backends each backend server.

--- a/crates/daemon/src/admin/mod.rs
+++ b/crates/daemon/src/admin/mod.rs
@@ -9,10 +9,13 @@
 use aspenloft_protocol::admin::paths;
 use aspenloft_transport::server::{self, Connection, HttpHandler};
 use async_trait::async_trait;
-use http_types::{Method, Request, Response};
+use http_types::{Method, Request, Response, StatusCode, headers};
 
 use crate::node::Node;
 
+/// The type of the page for Prometheus.
+const PAGE_TYPE: &str = "text/plain; version=0.0.4";
+
 /// `AdminFront` serves the administration API.
 pub struct AdminFront(pub Arc<Node>);
 
@@ -23,10 +26,29 @@
             return table::handle(&self.0, req).await;
         }
         match (req.method(), req.url().path()) {
-            (Method::Get, "/healthz") => server::json(&"ok"),
-            (Method::Get, "/readyz") => server::outcome(status::ready(&self.0)),
+            (Method::Get, paths::HEALTH) => server::json(&"ok"),
+            (Method::Get, paths::READY) => server::outcome(status::ready(&self.0)),
+            (Method::Get, paths::METRICS) => metrics(&self.0),
             (Method::Get, paths::STATUS) => server::json(&status::status(&self.0)),
+            (Method::Get, paths::BACKENDS) => server::json(&status::backends(&self.0)),
+            (Method::Post, paths::DRAIN) => {
+                self.0.shutdown.ask();
+                server::json(&status::status(&self.0))
+            }
             _ => server::outcome(Err::<(), _>(not_found("no such path"))),
         }
     }
 }
+
+/// Renders the page for Prometheus.
+fn metrics(node: &Node) -> Response {
+    match node.metrics.page(node.shutdown.requests(), node.home.reserved()) {
+        Ok(page) => {
+            let mut response = Response::new(StatusCode::Ok);
+            response.set_body(page);
+            response.insert_header(headers::CONTENT_TYPE, PAGE_TYPE);
+            response
+        }
+        Err(e) => server::outcome(Err::<(), _>(e)),
+    }
+}
--- a/crates/daemon/src/admin/status.rs
+++ b/crates/daemon/src/admin/status.rs
@@ -1,12 +1,15 @@
 //! The `status` module is a host's word on itself and on its readiness.
 
 use aspenloft_core::errors::{Error, ErrorCode, Result};
-use aspenloft_protocol::admin::{HostStatus, PeerStatus};
+use aspenloft_protocol::admin::{BackendLoad, BackendStatus, HostStatus, PeerStatus};
 
 use crate::node::Node;
 
 /// Tells whether the host can serve callers, or why not.
 pub fn ready(node: &Node) -> Result<&'static str> {
+    if node.shutdown.is_leaving() {
+        return Err(Error::new(ErrorCode::NotReady, "this host is leaving"));
+    }
     node.view.table()?;
     if node.view.listing().backends.is_empty() {
         return Err(Error::new(ErrorCode::NotReady, "no backend servers known yet"));
@@ -34,9 +37,22 @@
         data_centre: view.me().data_centre.clone(),
         table_version: view.table_version(),
         platform_reachable: view.platform_reachable(),
-        leaving: view.leaving(),
-        in_flight: 0,
+        leaving: node.shutdown.is_leaving(),
+        in_flight: node.shutdown.requests() as u64,
         peers: peers.collect(),
         homes: homes.map(|backend| backend.name.clone()).collect(),
     }
 }
+
+/// Describes each backend server as this host knows it.
+pub fn backends(node: &Node) -> Vec<BackendStatus> {
+    let now = node.clock.now();
+    let listing = node.view.listing();
+    let known = listing.backends.iter().map(|backend| {
+        let state = node.view.state_of(&backend.name, now);
+        let load = state.map(|(s, age)| BackendLoad { slots: s.slots, taken: s.taken, age });
+        let home = node.view.home(backend).ok().map(|home| home.name);
+        BackendStatus { backend: backend.clone(), home, load }
+    });
+    known.collect()
+}
--- a/crates/daemon/src/callers/account.rs
+++ b/crates/daemon/src/callers/account.rs
@@ -10,7 +10,6 @@
 
 use crate::metrics::Target;
 use crate::node::Node;
-use crate::shutdown::InFlight;
 
 /// `Account` is what is known of one request. Its end is its drop, so that a
 /// request whose caller has gone is counted like any other.
@@ -24,7 +23,6 @@
     last: Option<Instant>,
     tokens: u64,
     outcome: Outcome,
-    _in_flight: InFlight,
 }
 
 /// `Outcome` is how a request ended.
@@ -37,13 +35,7 @@
 
 impl Account {
     /// Opens the account of a request that has been taken.
-    pub fn open(
-        node: &Arc<Node>,
-        id: &RequestId,
-        row: &Arc<Row>,
-        caller: &Name,
-        in_flight: InFlight,
-    ) -> Account {
+    pub fn open(node: &Arc<Node>, id: &RequestId, row: &Arc<Row>, caller: &Name) -> Account {
         Account {
             node: node.clone(),
             id: id.clone(),
@@ -54,7 +46,6 @@
             last: None,
             tokens: 0,
             outcome: Outcome::Gone,
-            _in_flight: in_flight,
         }
     }
 
--- a/crates/daemon/src/callers/front.rs
+++ b/crates/daemon/src/callers/front.rs
@@ -22,7 +22,7 @@
 use crate::node::Node;
 use crate::path::model::ModelRequest;
 use crate::path::service::{self, ServiceCall};
-use crate::shutdown::{InFlight, Stage};
+use crate::shutdown::Stage;
 
 /// The largest body that a caller may send, in bytes.
 const MAX_BODY_BYTES: usize = 2 * 1024 * 1024;
@@ -47,18 +47,25 @@
     req: &'a Request,
     body: Vec<u8>,
     connection: &'a Connection,
-    in_flight: InFlight,
 }
 
 #[async_trait]
 impl HttpHandler for CallerFront {
     async fn handle(&self, mut req: Request, connection: &Connection) -> Response {
         let id = self.0.next_request();
-        let answered = self.answer(&mut req, &id, connection).await;
+        let admitted = self.0.shutdown.admit();
+        let answered = match &admitted {
+            Ok(_) => self.answer(&mut req, &id, connection).await,
+            Err(e) => Err(e.clone()),
+        };
         let mut response = match answered {
             Ok(response) => response,
             Err(e) => self.refused(&e, &id, req.url().path()),
         };
+        // The request counts as in flight until its answer is written and dropped.
+        if let Ok(in_flight) = admitted {
+            response.ext_mut().insert(in_flight);
+        }
         response.insert_header(ID_HEADER, id.as_str());
         if self.0.shutdown.stage() == Stage::Draining {
             response.insert_header(headers::CONNECTION, "close");
@@ -108,7 +115,6 @@
         id: &RequestId,
         connection: &Connection,
     ) -> Result<Response> {
-        let in_flight = self.0.shutdown.admit()?;
         let table = self.0.view.table()?;
         let caller = authenticate(&table, req)?;
         let route = Route::of(req)?;
@@ -116,7 +122,7 @@
             routes::expect_json(req)?;
         }
         let body = server::read_body(req, MAX_BODY_BYTES).await?;
-        let asked = Asked { id, table: &table, caller, req, body, connection, in_flight };
+        let asked = Asked { id, table: &table, caller, req, body, connection };
         match route {
             Route::Models => Ok(models(&table, caller)),
             Route::Model(name) => model(&table, caller, &name),
@@ -135,7 +141,7 @@
             max_tokens: body.max_tokens(shape, row.max_output_tokens)?,
             row: row.clone(),
         };
-        let account = Account::open(&self.0, asked.id, &row, &asked.caller.name, asked.in_flight);
+        let account = Account::open(&self.0, asked.id, &row, &asked.caller.name);
         let mut running = Running::start(&self.0, shape, req, account);
         let first = unless_gone(asked.connection, running.next()).await?;
         match body.streaming() {
@@ -157,8 +163,7 @@
             body: asked.body,
             key: idempotency_key(req)?,
         };
-        let mut account =
-            Account::open(&self.0, asked.id, &row, &asked.caller.name, asked.in_flight);
+        let mut account = Account::open(&self.0, asked.id, &row, &asked.caller.name);
         let answered = run_service(&self.0, &row, &call, asked.connection).await;
         match &answered {
             Ok(_) => account.answered(),
--- a/crates/daemon/src/home/service.rs
+++ b/crates/daemon/src/home/service.rs
@@ -104,6 +104,12 @@
         Err(Error::new(ErrorCode::Timeout, "the reservation has lapsed"))
     }
 
+    /// Returns the number of reservations that stand.
+    pub fn reserved(&self) -> usize {
+        let now = self.clock.now();
+        self.books.lock().values().map(|book| book.standing(now)).sum()
+    }
+
     /// Gives a reservation back.
     pub(super) fn release(&self, backend: &Name, id: ReservationId) {
         if let Some(book) = self.books.lock().get_mut(backend) {
--- a/crates/daemon/src/leave.rs
+++ b/crates/daemon/src/leave.rs
@@ -5,22 +5,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use aspenloft_core::prelude::Host;
-use aspenloft_protocol::peer::PeerRequest;
-use aspenloft_protocol::peer::membership::Heartbeat;
 use async_std::future::timeout;
 use async_std::task;
-use futures::StreamExt;
-use futures::stream;
 
 use crate::node::Node;
-use crate::shutdown::Stage;
+use crate::shutdown::{LOOK_INTERVAL, Stage};
 
-/// How long one host may take to hear that this one leaves.
-const TELL_TIMEOUT: Duration = Duration::from_millis(500);
-
-/// Hosts that are told at once.
-const TELL_AT_ONCE: usize = 32;
+/// How long the last bytes may take from this process to the network after the work
+/// that made them is done.
+const SETTLE: Duration = Duration::from_millis(200);
 
 /// `Left` is how a graceful shutdown ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -40,16 +33,18 @@
 pub async fn leave(node: &Arc<Node>) -> Left {
     let (grace, drain) = (node.settings.limits.leave_grace, node.settings.limits.drain);
     node.shutdown.advance(Stage::Leaving);
+    node.view.set_leaving();
     log::info!(
         event = "leaving",
         requests = node.shutdown.requests(),
         peer_calls = node.shutdown.peer_calls();
         ""
     );
-    // The balancer's time to notice runs while the other hosts are told.
-    futures::join!(tell_peers(node), task::sleep(grace));
+    // In this time the balancer notices, and the other hosts hear with the heartbeats
+    // that the homes have moved; nobody is refused yet.
+    task::sleep(grace).await;
     node.shutdown.advance(Stage::Draining);
-    let drained = timeout(drain, node.shutdown.drained()).await;
+    let drained = timeout(drain, drained(node)).await;
     let left = match drained {
         Ok(()) => Left::Whole,
         Err(_) => remaining(node),
@@ -58,6 +53,21 @@
     left
 }
 
+/// Waits until nothing is in flight here and no other host holds a reservation, which
+/// it might still use.
+async fn drained(node: &Node) {
+    loop {
+        node.shutdown.drained().await;
+        if node.home.reserved() == 0 {
+            task::sleep(SETTLE).await;
+            if remaining(node) == Left::Whole && node.home.reserved() == 0 {
+                return;
+            }
+        }
+        task::sleep(LOOK_INTERVAL).await;
+    }
+}
+
 /// Returns what an exit at this moment cuts.
 pub fn remaining(node: &Node) -> Left {
     let (requests, peer_calls) = (node.shutdown.requests(), node.shutdown.peer_calls());
@@ -73,23 +83,3 @@
         }
     }
 }
-
-/// Tells all other hosts, once, that this one leaves. One that does not hear it
-/// learns it from the platform's list or from a refused reservation.
-async fn tell_peers(node: &Arc<Node>) {
-    let listing = node.view.listing();
-    let others = listing.hosts.iter().filter(|host| host.name != node.settings.host);
-    stream::iter(others).map(|host| tell(node, host)).buffer_unordered(TELL_AT_ONCE).count().await;
-}
-
-async fn tell(node: &Node, host: &Host) {
-    let word = PeerRequest::Heartbeat(Heartbeat {
-        host: node.settings.host.clone(),
-        table_version: node.view.table_version(),
-        leaving: true,
-    });
-    let told = timeout(TELL_TIMEOUT, node.peers.ask(host, word)).await;
-    if !matches!(told, Ok(Ok(_))) {
-        log::debug!(event = "leaving_not_heard", peer = &*host.name; "");
-    }
-}
--- a/crates/daemon/src/shutdown.rs
+++ b/crates/daemon/src/shutdown.rs
@@ -17,7 +17,7 @@
 const COME_BACK: Duration = Duration::from_secs(1);
 
 /// How often the work in flight is looked at during a stop.
-const LOOK_INTERVAL: Duration = Duration::from_millis(20);
+pub const LOOK_INTERVAL: Duration = Duration::from_millis(20);
 
 /// How often the operators' word to stop is looked for.
 const ASKED_INTERVAL: Duration = Duration::from_millis(200);
@@ -140,7 +140,8 @@
 }
 
 /// `Guarded` counts the calls of other hosts, and refuses those that would bring
-/// new work to a leaving host.
+/// new work to a draining host. Until then it takes them, because the others hear
+/// only with the next heartbeats that the homes have moved.
 pub struct Guarded {
     /// Who serves the calls.
     pub inner: Arc<dyn PeerHandler>,
@@ -152,7 +153,7 @@
 impl PeerHandler for Guarded {
     async fn handle(&self, req: PeerRequest, tx: ReplySender) {
         let brings_work = matches!(req, PeerRequest::Home(HomeRequest::Reserve(_)));
-        if brings_work && self.shutdown.is_leaving() {
+        if brings_work && self.shutdown.stage() == Stage::Draining {
             let refusal = Error::new(ErrorCode::NotReady, "the home host is leaving");
             let _ = tx.send(PeerReply::Failed(refusal)).await;
             return;
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -223,6 +223,11 @@
         assert!(sent.expect("kill runs").success());
     }
 
+    /// Returns what host `i` has logged in its present life.
+    pub fn host_log(&self, i: u16) -> String {
+        std::fs::read_to_string(self.dir.join(format!("h{i}.log"))).expect("a log")
+    }
+
     /// Returns where the plain service listens.
     pub fn service_addr(&self) -> SocketAddr {
         let mut backends = self.listing.backends.iter();
--- a/crates/policy/src/slots.rs
+++ b/crates/policy/src/slots.rs
@@ -35,6 +35,11 @@
         self.held.len() as u32
     }
 
+    /// Returns how many holds have not lapsed.
+    pub fn standing(&self, now: Instant) -> usize {
+        self.held.values().filter(|held| held.ends > now).count()
+    }
+
     /// Takes a slot until `ends`; `false` when all are taken.
     pub fn take(
         &mut self,
--- a/crates/protocol/src/admin.rs
+++ b/crates/protocol/src/admin.rs
@@ -1,8 +1,11 @@
 //! The `admin` module defines the administration API that the command-line tool
 //! speaks; `docs/ADMIN-API.md` shows the shapes.
 
-use aspenloft_core::prelude::Name;
+use std::time::Duration;
+
+use aspenloft_core::prelude::{Backend, Name};
 use serde::{Deserialize, Serialize};
+use serde_with::{DurationMilliSeconds, serde_as};
 
 /// `HostStatus` is a host's word on itself.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -38,10 +41,45 @@
     pub table_version: u64,
 }
 
+/// `BackendStatus` is what a host knows of a backend server.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct BackendStatus {
+    /// The backend server.
+    pub backend: Backend,
+    /// Its home host, while one is live.
+    pub home: Option<Name>,
+    /// The home's last word on it, if any has come here.
+    pub load: Option<BackendLoad>,
+}
+
+/// `BackendLoad` is a home's word on a backend server, some time ago.
+#[serde_as]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct BackendLoad {
+    /// Slots in all.
+    pub slots: u32,
+    /// Slots in use or reserved.
+    pub taken: u32,
+    /// How old the word is.
+    #[serde_as(as = "DurationMilliSeconds")]
+    #[serde(rename = "age_ms")]
+    pub age: Duration,
+}
+
 /// The paths of the administration API.
 pub mod paths {
     /// `GET`: the host's [`super::HostStatus`].
     pub const STATUS: &str = "/admin/status";
+    /// `GET`: whether the process runs.
+    pub const HEALTH: &str = "/healthz";
+    /// `GET`: whether the host takes callers' requests.
+    pub const READY: &str = "/readyz";
+    /// `GET`: the page for Prometheus.
+    pub const METRICS: &str = "/metrics";
+    /// `GET`: the [`super::BackendStatus`] of each backend server.
+    pub const BACKENDS: &str = "/admin/backends";
+    /// `POST`: starts a graceful shutdown; the answer is the [`super::HostStatus`].
+    pub const DRAIN: &str = "/admin/drain";
     /// `GET`: the table. `POST`: an edit.
     pub const TABLE: &str = "/admin/table";
 }
