--- a/crates/daemon/src/admin/mod.rs
+++ b/crates/daemon/src/admin/mod.rs
@@ -1,5 +1,6 @@
 //! The `admin` module answers operators, the command-line tool and the balancer.
 
+pub mod burn;
 pub mod status;
 pub mod table;
 
@@ -35,6 +36,7 @@
                 self.0.shutdown.ask();
                 server::json(&status::status(&self.0))
             }
+            (Method::Get, paths::BURN) => burn::handle(&self.0, &req).await,
             _ => server::outcome(Err::<(), _>(not_found("no such path"))),
         }
     }
--- a/crates/daemon/src/callers/account.rs
+++ b/crates/daemon/src/callers/account.rs
@@ -1,13 +1,16 @@
 //! The `account` module follows one request of a caller to its end, then logs it
-//! in one line and counts it.
+//! in one line and counts it, for metrics and for service levels.
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use aspenloft_core::errors::{Error, ErrorCode};
+use aspenloft_core::execution::Execution;
 use aspenloft_core::prelude::{Name, RequestId};
 use aspenloft_table::row::Row;
 
+use crate::levels::record::Served;
+use crate::limits::service::Admitted;
 use crate::metrics::Target;
 use crate::node::Node;
 
@@ -23,6 +26,8 @@
     last: Option<Instant>,
     tokens: u64,
     outcome: Outcome,
+    /// Holds the request's place under its limits until its end.
+    admitted: Option<Admitted>,
 }
 
 /// `Outcome` is how a request ended.
@@ -30,7 +35,7 @@
 enum Outcome {
     Gone,
     Answered,
-    Failed(ErrorCode),
+    Failed(ErrorCode, Execution),
 }
 
 impl Account {
@@ -46,6 +51,7 @@
             last: None,
             tokens: 0,
             outcome: Outcome::Gone,
+            admitted: None,
         }
     }
 
@@ -69,7 +75,27 @@
 
     /// Notes that the request failed.
     pub fn failed(&mut self, e: &Error) {
-        self.outcome = Outcome::Failed(e.code);
+        self.outcome = Outcome::Failed(e.code, e.execution);
+    }
+
+    /// Keeps the request's place under its limits until its end.
+    pub fn admitted(&mut self, admitted: Admitted) {
+        self.admitted = Some(admitted);
+    }
+
+    /// Counts the request for the burn of its row. One whose caller has gone kept
+    /// nobody waiting, and one that its caller got wrong is no loss of service.
+    fn count_level(&self, ttft: Duration, tbt: Option<Duration>) {
+        let levels = &self.node.levels;
+        let now = self.node.clock.now();
+        match self.outcome {
+            Outcome::Answered => levels.served(&self.row, Served { ttft, tbt }, now),
+            Outcome::Gone => (),
+            Outcome::Failed(ErrorCode::Cancelled | ErrorCode::Invalid | ErrorCode::Conflict, _) => {
+            }
+            Outcome::Failed(_, Execution::NotRun) => levels.refused(&self.row.name, now),
+            Outcome::Failed(..) => levels.failed(&self.row.name, now),
+        }
     }
 
     /// Returns the mean time between tokens, once there were two.
@@ -89,10 +115,10 @@
         let outcome = match self.outcome {
             Outcome::Gone => "gone",
             Outcome::Answered => "answered",
-            Outcome::Failed(_) => "failed",
+            Outcome::Failed(..) => "failed",
         };
         metrics.request(&self.row.name, outcome);
-        if let Outcome::Failed(code) = self.outcome {
+        if let Outcome::Failed(code, _) = self.outcome {
             metrics.refusal(&self.row.name, code);
         }
         if let Some(ttft) = ttft {
@@ -101,8 +127,9 @@
         if let Some(tbt) = tbt {
             metrics.target(&self.row.name, Target::BetweenTokens, tbt, self.row.tbt);
         }
+        self.count_level(ttft.unwrap_or(took), tbt);
         let code = match self.outcome {
-            Outcome::Failed(code) => code.to_string(),
+            Outcome::Failed(code, _) => code.to_string(),
             _ => String::new(),
         };
         log::info!(
--- a/crates/daemon/src/callers/front.rs
+++ b/crates/daemon/src/callers/front.rs
@@ -6,6 +6,7 @@
 use aspenloft_core::errors::{Error, ErrorCode, Result, invalid, not_found};
 use aspenloft_core::execution::Execution;
 use aspenloft_core::prelude::RequestId;
+use aspenloft_core::standing::Fingerprint;
 use aspenloft_table::row::{Caller, Row, RowKind};
 use aspenloft_table::table::Table;
 use aspenloft_transport::server::{self, Connection, HttpHandler};
@@ -19,10 +20,12 @@
 use super::answer::{Running, failure};
 use super::request::{CompletionRequest, Shape, Streaming};
 use super::routes::{self, Route};
+use crate::limits::service as limits;
 use crate::node::Node;
 use crate::path::model::ModelRequest;
 use crate::path::service::{self, ServiceCall};
 use crate::shutdown::Stage;
+use crate::suspects;
 
 /// The largest body that a caller may send, in bytes.
 const MAX_BODY_BYTES: usize = 2 * 1024 * 1024;
@@ -141,7 +144,11 @@
             max_tokens: body.max_tokens(shape, row.max_output_tokens)?,
             row: row.clone(),
         };
-        let account = Account::open(&self.0, asked.id, &row, &asked.caller.name);
+        let mut account = Account::open(&self.0, asked.id, &row, &asked.caller.name);
+        let fingerprint = Fingerprint::of(&row.serves, &req.prompt);
+        let convicted = suspects::check(&self.0, fingerprint);
+        convicted.inspect_err(|e| account.failed(e))?;
+        self.keep_limits(&mut account, &row, asked.caller).await?;
         let mut running = Running::start(&self.0, shape, req, account);
         let first = unless_gone(asked.connection, running.next()).await?;
         match body.streaming() {
@@ -150,6 +157,20 @@
         }
     }
 
+    /// Admits the request under the limits of its row.
+    async fn keep_limits(&self, account: &mut Account, row: &Row, caller: &Caller) -> Result<()> {
+        match limits::admit(&self.0, row, caller).await {
+            Ok(admitted) => {
+                account.admitted(admitted);
+                Ok(())
+            }
+            Err(e) => {
+                account.failed(&e);
+                Err(e)
+            }
+        }
+    }
+
     async fn call_service(&self, asked: Asked<'_>) -> Result<Response> {
         let (req, path) = (asked.req, asked.req.url().path());
         let row = asked.table.service_row(req.method().as_ref(), path, asked.caller);
@@ -164,6 +185,7 @@
             key: idempotency_key(req)?,
         };
         let mut account = Account::open(&self.0, asked.id, &row, &asked.caller.name);
+        self.keep_limits(&mut account, &row, asked.caller).await?;
         let answered = run_service(&self.0, &row, &call, asked.connection).await;
         match &answered {
             Ok(_) => account.answered(),
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -15,6 +15,7 @@
 use aspenloft_daemon::refresh;
 use aspenloft_daemon::settings::Settings;
 use aspenloft_daemon::shutdown::Guarded;
+use aspenloft_daemon::tasks;
 use aspenloft_transport::{mesh, server};
 use async_std::net::TcpListener;
 use async_std::task;
@@ -69,6 +70,7 @@
     let peers = bind(node.settings.peers).await?;
     let admin = bind(node.settings.admin).await?;
     refresh::start(&node);
+    tasks::start(&node);
     let guarded =
         Guarded { inner: Arc::new(Dispatch(node.clone())), shutdown: node.shutdown.clone() };
     task::spawn(mesh::serve(peers, Arc::new(Unpacked(Arc::new(guarded)))));
--- a/crates/protocol/src/admin.rs
+++ b/crates/protocol/src/admin/mod.rs
@@ -1,6 +1,8 @@
 //! The `admin` module defines the administration API that the command-line tool
 //! speaks; `docs/ADMIN-API.md` shows the shapes.
 
+pub mod burn;
+
 use std::time::Duration;
 
 use aspenloft_core::prelude::{Backend, Name};
@@ -82,4 +84,6 @@
     pub const DRAIN: &str = "/admin/drain";
     /// `GET`: the table. `POST`: an edit.
     pub const TABLE: &str = "/admin/table";
+    /// `GET`: the [`super::burn::BurnReport`]; `?grain=day` for days of history.
+    pub const BURN: &str = "/admin/burn";
 }
--- a/crates/transport/src/server/mod.rs
+++ b/crates/transport/src/server/mod.rs
@@ -45,6 +45,11 @@
     pub async fn closed(&self) {
         self.socket.closed().await;
     }
+
+    /// Closes the connection at once, whatever is in flight on it.
+    pub fn abort(&self) {
+        self.socket.abort();
+    }
 }
 
 /// Makes a JSON answer with status 200.
--- a/crates/transport/src/server/socket.rs
+++ b/crates/transport/src/server/socket.rs
@@ -122,6 +122,12 @@
         .await;
     }
 
+    /// Closes the connection at once, whatever is in flight on it.
+    pub(super) fn abort(&self) {
+        // A connection that is closed already needs nothing more.
+        let _ = self.stream.shutdown(std::net::Shutdown::Both);
+    }
+
     /// Throws away what the client still sends until it closes.
     pub(super) async fn drain(&self) {
         let _ = self.stream.shutdown(std::net::Shutdown::Write);
