--- a/crates/daemon/src/callers/front.rs
+++ b/crates/daemon/src/callers/front.rs
@@ -24,7 +24,7 @@
 use crate::node::Node;
 use crate::path::model::ModelRequest;
 use crate::path::service::{self, ServiceCall};
-use crate::shutdown::{InFlight, Stage};
+use crate::shutdown::Stage;
 use crate::suspects;
 
 /// The largest body that a caller may send, in bytes.
@@ -50,18 +50,25 @@
     req: &'a Request,
     body: Vec<u8>,
     connection: &'a Connection,
-    in_flight: InFlight,
 }
 
 #[async_trait]
 impl HttpHandler for CallerFront {
     async fn handle(&self, mut req: Request, connection: &Connection) -> Response {
         let id = self.0.next_request();
-        let answered = self.answer(&mut req, &id, connection).await;
+        let admitted = self.0.shutdown.admit();
+        let answered = match &admitted {
+            Ok(_) => self.answer(&mut req, &id, connection).await,
+            Err(e) => Err(e.clone()),
+        };
         let mut response = match answered {
             Ok(response) => response,
             Err(e) => self.refused(&e, &id, req.url().path()),
         };
+        // The request counts as in flight until its answer is written and dropped.
+        if let Ok(in_flight) = admitted {
+            response.ext_mut().insert(in_flight);
+        }
         response.insert_header(ID_HEADER, id.as_str());
         if self.0.shutdown.stage() == Stage::Draining {
             response.insert_header(headers::CONNECTION, "close");
@@ -111,7 +118,6 @@
         id: &RequestId,
         connection: &Connection,
     ) -> Result<Response> {
-        let in_flight = self.0.shutdown.admit()?;
         let table = self.0.view.table()?;
         let caller = authenticate(&table, req)?;
         let route = Route::of(req)?;
@@ -119,7 +125,7 @@
             routes::expect_json(req)?;
         }
         let body = server::read_body(req, MAX_BODY_BYTES).await?;
-        let asked = Asked { id, table: &table, caller, req, body, connection, in_flight };
+        let asked = Asked { id, table: &table, caller, req, body, connection };
         match route {
             Route::Models => Ok(models(&table, caller)),
             Route::Model(name) => model(&table, caller, &name),
@@ -138,8 +144,7 @@
             max_tokens: body.max_tokens(shape, row.max_output_tokens)?,
             row: row.clone(),
         };
-        let mut account =
-            Account::open(&self.0, asked.id, &row, &asked.caller.name, asked.in_flight);
+        let mut account = Account::open(&self.0, asked.id, &row, &asked.caller.name);
         let fingerprint = Fingerprint::of(&row.serves, &req.prompt);
         let convicted = suspects::check(&self.0, fingerprint);
         convicted.inspect_err(|e| account.failed(e))?;
@@ -180,8 +185,7 @@
             body: asked.body,
             key: idempotency_key(req)?,
         };
-        let mut account =
-            Account::open(&self.0, asked.id, &row, &asked.caller.name, asked.in_flight);
+        let mut account = Account::open(&self.0, asked.id, &row, &asked.caller.name);
         self.keep_limits(&mut account, &row, asked.caller).await?;
         let answered = run_service(&self.0, &row, &call, asked.connection).await;
         match &answered {
--- a/crates/policy/src/reservations.rs
+++ b/crates/policy/src/reservations.rs
@@ -99,6 +99,11 @@
         self.slots = slots;
     }
 
+    /// Returns how many holdings have not lapsed.
+    pub fn standing(&self, now: Instant) -> usize {
+        self.held.values().filter(|held| held.lapses > now).count()
+    }
+
     /// Returns how many slots the server has.
     pub fn slots(&self) -> u32 {
         self.slots
