--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -9,6 +9,8 @@
 use http_types::Method;
 use std::time::Duration;
 
+mod order;
+
 mod flags {
     #![allow(missing_docs)]
     use std::net::SocketAddr;
@@ -21,6 +23,17 @@
             /// Shows a host, its peers, its homes and its table version.
             cmd status {
             }
+            /// Gives a model engine an order: one of load, unload, or a new role.
+            cmd order {
+                /// The backend server.
+                required backend: String
+                /// Loads this model, adapter or version.
+                optional --load name: String
+                /// Unloads it.
+                optional --unload name: String
+                /// Changes the role: prefill or decode.
+                optional --role role: String
+            }
         }
     }
 }
@@ -34,11 +47,20 @@
     http::read_json(&mut response, host).await
 }
 
+fn pretty(body: &impl serde::Serialize) -> String {
+    serde_json::to_string_pretty(body).unwrap_or_default()
+}
+
 fn main() {
     let flags = flags::Aspenloft::from_env_or_exit();
-    let flags::AspenloftCmd::Status(_) = flags.subcommand;
-    match task::block_on(status(flags.host)) {
-        Ok(status) => println!("{}", serde_json::to_string_pretty(&status).unwrap_or_default()),
+    let answered = match &flags.subcommand {
+        flags::AspenloftCmd::Status(_) => task::block_on(status(flags.host)).map(|s| pretty(&s)),
+        flags::AspenloftCmd::Order(f) => {
+            task::block_on(order::give(flags.host, f)).map(|r| pretty(&r))
+        }
+    };
+    match answered {
+        Ok(text) => println!("{text}"),
         Err(e) => {
             eprintln!("aspenloft: {e}");
             std::process::exit(1);
--- a/crates/daemon/src/admin/mod.rs
+++ b/crates/daemon/src/admin/mod.rs
@@ -1,6 +1,7 @@
 //! The `admin` module answers operators, the command-line tool and the balancer.
 
 pub mod burn;
+pub mod orders;
 pub mod status;
 pub mod table;
 
@@ -36,6 +37,7 @@
                 self.0.shutdown.ask();
                 server::json(&status::status(&self.0))
             }
+            (Method::Post, paths::ORDERS) => orders::handle(&self.0, req).await,
             (Method::Get, paths::BURN) => burn::handle(&self.0, &req).await,
             _ => server::outcome(Err::<(), _>(not_found("no such path"))),
         }
--- a/crates/daemon/src/ledger/mod.rs
+++ b/crates/daemon/src/ledger/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod entry;
 pub mod lease;
+pub mod orders;
 pub mod owner;
 pub mod store;
 
--- a/crates/daemon/src/ledger/store.rs
+++ b/crates/daemon/src/ledger/store.rs
@@ -150,11 +150,13 @@
     }
 }
 
-fn encode(value: &impl Serialize) -> Result<String> {
+/// Writes a value as JSON text.
+pub(super) fn encode(value: &impl Serialize) -> Result<String> {
     serde_json::to_string(value).map_err(|e| internal(e.to_string()))
 }
 
-fn decode<R: DeserializeOwned>(found: &Versioned) -> Result<R> {
+/// Reads a value from its JSON text.
+pub(super) fn decode<R: DeserializeOwned>(found: &Versioned) -> Result<R> {
     let misread = |e: serde_json::Error| -> Error { internal(format!("{}: {e}", found.key)) };
     serde_json::from_str(&found.value).map_err(misread)
 }
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -21,6 +21,7 @@
 
 use crate::home::service::HomeService;
 use crate::ledger::entry::OwnerHints;
+use crate::ledger::orders::OrderDesks;
 use crate::ledger::{LedgerService, Parts};
 use crate::levels::record::Levels;
 use crate::levels::report;
@@ -63,6 +64,8 @@
     pub services: Arc<Services>,
     /// Its work as an owner of ledger shards.
     pub ledger: LedgerService,
+    /// Its orders to backend servers.
+    pub orders: Arc<OrderDesks>,
     /// Where owners of ledger shards were last found.
     pub owners: OwnerHints,
     requests: AtomicU64,
@@ -88,6 +91,7 @@
         let view = Arc::new(View::new(settings.host()));
         let services = Arc::new(Services::new(view.clone(), clock.clone()));
         let mut random = StdRng::from_os_rng();
+        let orders = OrderDesks::new(kv.clone(), clock.clone(), view.clone(), random.random());
         let ledger = LedgerService::start(Parts {
             host: settings.host.clone(),
             kv: kv.clone(),
@@ -102,6 +106,7 @@
             host_list,
             services,
             ledger,
+            orders: Arc::new(orders),
             owners: OwnerHints::default(),
             peers: Peers::new(settings.host.clone()),
             home: HomeService::new(clock.clone(), view.clone()),
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod digest;
 pub mod head;
 pub mod options;
+pub mod orders;
 pub mod record;
 pub mod refusals;
 pub mod shard;
--- /dev/null
+++ b/crates/ledger/tests/orders.rs
@@ -0,0 +1,342 @@
+//! Orders obey one holder at a time, over random interleavings of holders that are
+//! paused at every point, lost answers, outages and slow orders.
+
+use std::collections::{HashMap, VecDeque};
+use std::time::{Duration, Instant};
+
+use aspenloft_core::errors::unavailable;
+use aspenloft_core::prelude::Execution;
+use aspenloft_ledger::orders::{
+    Action, Desk, Event, Found, ORDER_IN_FLIGHT, ORDER_VALID, OrderId, Outcome, SEND_WINDOW, Seat,
+    WAIT_OUT,
+};
+use aspenloft_protocol::engine::OrderKind;
+use aspenloft_protocol::platform::{Swap, Version};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+const SEEDS: u64 = 300;
+const STEPS: u32 = 2_000;
+const HOSTS: usize = 3;
+
+/// What the engines and the pauses are like.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Scene {
+    /// Engines refuse old fencing numbers; holders pause anywhere.
+    Checked,
+    /// Engines ignore them; holders pause anywhere but between their last look at
+    /// the clock and the write to the socket.
+    Unchecked,
+    /// Engines ignore them, and holders pause there too.
+    UncheckedPausedWhileSending,
+    /// Engines ignore them, and hosts believe that they check.
+    UncheckedWithoutWaiting,
+}
+
+#[derive(Debug)]
+enum Work {
+    Kv(Action),
+    Send {
+        fence: Version,
+        order: OrderId,
+        not_after: Instant,
+    },
+    /// On its way to the engine or waiting there, until the time given.
+    Arriving {
+        fence: Version,
+        order: OrderId,
+        until: Duration,
+        silent: bool,
+    },
+}
+
+struct World {
+    rng: Pcg64Mcg,
+    scene: Scene,
+    start: Instant,
+    now: Duration,
+    down: bool,
+    revision: Version,
+    seat: Option<(Version, Seat)>,
+    desks: Vec<Desk>,
+    frozen: [bool; HOSTS],
+    inbox: [VecDeque<Event>; HOSTS],
+    in_hand: [Option<OrderId>; HOSTS],
+    jobs: Vec<(usize, Work)>,
+    orders: OrderId,
+    highest: Version,
+    ran: Vec<(Version, OrderId)>,
+    words: HashMap<OrderId, Option<Execution>>,
+}
+
+impl World {
+    fn new(seed: u64, scene: Scene) -> World {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        let checked = matches!(scene, Scene::Checked | Scene::UncheckedWithoutWaiting);
+        let desks =
+            (0..HOSTS).map(|i| Desk::new(format!("h{i}").into(), checked, rng.random())).collect();
+        World {
+            rng,
+            scene,
+            start: Instant::now(),
+            now: Duration::ZERO,
+            down: false,
+            revision: 0,
+            seat: None,
+            desks,
+            frozen: [false; HOSTS],
+            inbox: Default::default(),
+            in_hand: [None; HOSTS],
+            jobs: Vec::new(),
+            orders: 0,
+            highest: 0,
+            ran: Vec::new(),
+            words: HashMap::new(),
+        }
+    }
+
+    fn run(&mut self) -> Result<(), String> {
+        for _ in 0..STEPS {
+            let host = self.rng.random_range(0..HOSTS);
+            match self.rng.random_range(0..100) {
+                0..12 if self.in_hand[host].is_none() => {
+                    self.orders += 1;
+                    self.in_hand[host] = Some(self.orders);
+                    self.deliver(host, Event::Order(self.orders, OrderKind::Load("m".into())))?;
+                }
+                12..65 => self.job()?,
+                65..92 => {
+                    let longest = if self.rng.random_bool(0.1) { 6_000 } else { 400 };
+                    let time = Duration::from_millis(self.rng.random_range(0..longest));
+                    self.pass(time)?;
+                }
+                92..97 => self.freeze_or_wake(host)?,
+                97 => self.down = !self.down && self.rng.random_bool(0.3),
+                _ => (),
+            }
+        }
+        Ok(())
+    }
+
+    /// Lets time pass; no order is on its way for longer than stated.
+    fn pass(&mut self, time: Duration) -> Result<(), String> {
+        let target = self.now + time;
+        loop {
+            let due = self.jobs.iter().enumerate().filter_map(|(i, (_, work))| match work {
+                Work::Arriving { until, .. } if *until <= target => Some((*until, i)),
+                _ => None,
+            });
+            let Some((until, i)) = due.min() else { break };
+            self.now = self.now.max(until);
+            let job = self.jobs.swap_remove(i);
+            self.work(job)?;
+        }
+        self.now = target;
+        Ok(())
+    }
+
+    fn freeze_or_wake(&mut self, host: usize) -> Result<(), String> {
+        self.frozen[host] = !self.frozen[host] && self.rng.random_bool(0.5);
+        while let Some(event) = self.inbox[host].pop_front().filter(|_| !self.frozen[host]) {
+            self.deliver(host, event)?;
+        }
+        Ok(())
+    }
+
+    fn deliver(&mut self, host: usize, event: Event) -> Result<(), String> {
+        if self.frozen[host] {
+            self.inbox[host].push_back(event);
+            return Ok(());
+        }
+        for action in self.desks[host].handle(event, self.start + self.now) {
+            match action {
+                Action::Answer(order, result) => {
+                    self.in_hand[host] = None;
+                    let word = result.as_ref().err().map(|e| e.execution);
+                    self.words.insert(order, word);
+                    let ran = self.ran.iter().any(|(_, ran)| *ran == order);
+                    let holds = match word {
+                        None => ran,
+                        Some(Execution::NotRun) => !ran,
+                        Some(_) => true,
+                    };
+                    if !holds {
+                        return Err(format!("order {order} was told {result:?}; ran: {ran}"));
+                    }
+                }
+                Action::Send { fence, not_after, .. } => {
+                    let order = self.in_hand[host].expect("an order in hand");
+                    self.jobs.push((host, Work::Send { fence, order, not_after }));
+                }
+                action => self.jobs.push((host, Work::Kv(action))),
+            }
+        }
+        Ok(())
+    }
+
+    fn job(&mut self) -> Result<(), String> {
+        if self.jobs.is_empty() {
+            return Ok(());
+        }
+        let i = self.rng.random_range(0..self.jobs.len());
+        // Most orders stay on their way for as long as they may.
+        if matches!(self.jobs[i].1, Work::Arriving { .. }) && self.rng.random_bool(0.95) {
+            return Ok(());
+        }
+        let job = self.jobs.swap_remove(i);
+        self.work(job)
+    }
+
+    fn work(&mut self, (host, work): (usize, Work)) -> Result<(), String> {
+        match work {
+            Work::Kv(action) => self.serve(host, action),
+            Work::Send { fence, order, not_after } => self.send(host, fence, order, not_after),
+            Work::Arriving { fence, order, silent, .. } => self.arrive(host, fence, order, silent),
+        }
+    }
+
+    fn serve(&mut self, host: usize, action: Action) -> Result<(), String> {
+        let fault = if self.down { 99 } else { self.rng.random_range(0..100) };
+        let takes_effect = fault < 90;
+        let result = match &action {
+            Action::Swap { expect, seat } | Action::Release { expect, seat } if takes_effect => {
+                Some(self.swap(*expect, seat))
+            }
+            _ => None,
+        };
+        let lost = unavailable("lost").execution(Execution::Unknown);
+        let event = match action {
+            Action::Release { .. } => return Ok(()),
+            Action::Read if takes_effect => {
+                let found = self.seat.clone();
+                let version = found.as_ref().map_or(0, |(version, _)| *version);
+                Event::Read(Ok(Found { version, seat: found.map(|(_, seat)| seat) }))
+            }
+            Action::Read => Event::Read(Err(lost)),
+            _ => Event::Swapped(match result {
+                Some(swap) if fault < 80 => Ok(swap),
+                _ if fault < 95 => Err(lost),
+                _ => Err(unavailable("down")),
+            }),
+        };
+        self.deliver(host, event)
+    }
+
+    fn swap(&mut self, expect: Version, seat: &Seat) -> Swap {
+        let current = self.seat.as_ref().map_or(0, |(version, _)| *version);
+        if current != expect {
+            return Swap::Conflict(current);
+        }
+        self.revision += 1;
+        self.seat = Some((self.revision, seat.clone()));
+        Swap::Done(self.revision)
+    }
+
+    fn send(
+        &mut self,
+        host: usize,
+        fence: Version,
+        order: OrderId,
+        not_after: Instant,
+    ) -> Result<(), String> {
+        if self.frozen[host] {
+            self.jobs.push((host, Work::Send { fence, order, not_after }));
+            return Ok(());
+        }
+        if self.start + self.now > not_after {
+            return self.deliver(host, Event::Sent(Outcome::NotRun(unavailable("paused"))));
+        }
+        let mut longest = ORDER_IN_FLIGHT + ORDER_VALID;
+        if self.scene == Scene::UncheckedPausedWhileSending && self.rng.random_bool(0.2) {
+            longest += 3 * WAIT_OUT;
+        }
+        let until = self.now + longest.mul_f64(self.rng.random_range(0.0..1.0));
+        let silent = self.rng.random_bool(0.3);
+        self.jobs.push((host, Work::Arriving { fence, order, until, silent }));
+        if silent {
+            let e = unavailable("silent").execution(Execution::Unknown);
+            return self.deliver(host, Event::Sent(Outcome::Unknown(e)));
+        }
+        Ok(())
+    }
+
+    fn arrive(
+        &mut self,
+        host: usize,
+        fence: Version,
+        order: OrderId,
+        silent: bool,
+    ) -> Result<(), String> {
+        let refused = self.scene == Scene::Checked && fence < self.highest;
+        if !refused {
+            self.obey(fence, order)?;
+        }
+        if silent {
+            return Ok(());
+        }
+        let outcome =
+            if refused { Outcome::NotRun(unavailable("old fence")) } else { Outcome::Taken };
+        self.deliver(host, Event::Sent(outcome))
+    }
+
+    fn obey(&mut self, fence: Version, order: OrderId) -> Result<(), String> {
+        if fence < self.highest {
+            return Err(format!("order {order} with fence {fence} ran after {}", self.highest));
+        }
+        if self.ran.iter().any(|(_, ran)| *ran == order) {
+            return Err(format!("order {order} ran twice"));
+        }
+        if self.words.get(&order) == Some(&Some(Execution::NotRun)) {
+            return Err(format!("order {order} ran after it was told not run"));
+        }
+        self.highest = fence;
+        self.ran.push((fence, order));
+        Ok(())
+    }
+}
+
+/// Returns the first seed that breaks a promise, and the orders that ran.
+fn try_seeds(scene: Scene) -> (Option<(u64, String)>, usize) {
+    let mut ran = 0;
+    for seed in 0..SEEDS {
+        let mut world = World::new(seed, scene);
+        if let Err(e) = world.run() {
+            return (Some((seed, e)), ran);
+        }
+        ran += world.ran.len();
+    }
+    (None, ran)
+}
+
+#[test]
+fn engines_that_check_obey_one_holder_wherever_it_pauses() {
+    let (broken, ran) = try_seeds(Scene::Checked);
+    assert_eq!(broken, None);
+    assert!(ran > 1_000, "only {ran} orders ran");
+}
+
+#[test]
+fn engines_that_do_not_check_obey_one_holder_while_sends_are_prompt() {
+    let (broken, ran) = try_seeds(Scene::Unchecked);
+    assert_eq!(broken, None);
+    assert!(ran > 1_000, "only {ran} orders ran");
+}
+
+#[test]
+fn without_waiting_the_holder_out_an_old_order_runs_late() {
+    let (broken, _) = try_seeds(Scene::UncheckedWithoutWaiting);
+    let (seed, e) = broken.expect("the wait is needed");
+    assert!(e.contains("ran after"), "seed {seed}: {e}");
+}
+
+#[test]
+fn a_pause_between_clock_and_socket_remains_possible_without_fencing() {
+    let (broken, _) = try_seeds(Scene::UncheckedPausedWhileSending);
+    let (seed, e) = broken.expect("docs/ORDERS.md says that this remains possible");
+    assert!(e.contains("ran after"), "seed {seed}: {e}");
+}
+
+#[test]
+fn the_wait_covers_all_that_a_holder_may_have_sent() {
+    assert!(WAIT_OUT > SEND_WINDOW + ORDER_IN_FLIGHT + ORDER_VALID);
+}
--- a/crates/protocol/src/admin/mod.rs
+++ b/crates/protocol/src/admin/mod.rs
@@ -6,6 +6,8 @@
 use std::time::Duration;
 
 use aspenloft_core::prelude::{Backend, Name};
+
+use crate::engine::OrderKind;
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
 
@@ -68,8 +70,27 @@
     pub age: Duration,
 }
 
+/// `OrderAsk` is an operator's order to a backend server.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct OrderAsk {
+    /// The backend server.
+    pub backend: Name,
+    /// What it must do.
+    pub kind: OrderKind,
+}
+
+/// `OrderReport` says that a backend server has taken an order.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OrderReport {
+    /// The order's fencing number.
+    pub fence: u64,
+}
+
 /// The paths of the administration API.
 pub mod paths {
+    /// `POST`: an [`super::OrderAsk`], answered by an [`super::OrderReport`].
+    pub const ORDERS: &str = "/admin/orders";
     /// `GET`: the host's [`super::HostStatus`].
     pub const STATUS: &str = "/admin/status";
     /// `GET`: whether the process runs.
--- a/crates/transport/src/http.rs
+++ b/crates/transport/src/http.rs
@@ -34,6 +34,16 @@
 /// answer. The body of the answer is read by the caller.
 pub async fn send(addr: SocketAddr, req: Request, limit: Duration) -> Result<Response> {
     let stream = connect(addr).await?;
+    send_on(stream, addr, req, limit).await
+}
+
+/// Sends `req` on `stream`, which must be fresh, as [`send`] does.
+pub async fn send_on(
+    stream: TcpStream,
+    addr: SocketAddr,
+    req: Request,
+    limit: Duration,
+) -> Result<Response> {
     match timeout(limit, async_h1::connect(stream, req)).await {
         Ok(Ok(response)) => Ok(response),
         Ok(Err(e)) => Err(unavailable(addr, &e.to_string(), Execution::Unknown)),
