--- a/crates/daemon/src/callers/front.rs
+++ b/crates/daemon/src/callers/front.rs
@@ -131,6 +131,8 @@
         let row = Arc::new(row.ok_or_else(|| no_model(&body.model))?.clone());
         let req = ModelRequest {
             id: asked.id.clone(),
+            caller: asked.caller.name.clone(),
+            caller_weight: asked.caller.weight,
             prompt: body.prompt(shape)?.into(),
             max_tokens: body.max_tokens(shape, row.max_output_tokens)?,
             row: row.clone(),
--- /dev/null
+++ b/crates/daemon/src/home/account.rs
@@ -0,0 +1,179 @@
+//! The `account` module is what a home knows of one backend server: its room, its
+//! speed, and whether it takes work.
+
+use std::time::{Duration, Instant};
+
+use aspenloft_core::errors::{Error, ErrorCode};
+use aspenloft_core::prelude::{BackendRole, BackendState, ReservationId, Tokens};
+use aspenloft_policy::estimate::{Mean, StepModel};
+use aspenloft_policy::queue::{PrefillQueue, PrefillRequest, scale};
+use aspenloft_policy::reservations::{Begin, Reservations, SlotRequest};
+use aspenloft_protocol::engine::PrefillResult;
+use aspenloft_protocol::peer::home::ReserveRequest;
+
+/// The time for a token of prefill before any was measured.
+const START_PREFILL: Duration = Duration::from_micros(100);
+
+/// The time of a decode step before any was measured.
+const START_STEP: Duration = Duration::from_millis(30);
+
+/// How long a server that refused new work is left alone.
+const CLOSED_FOR: Duration = Duration::from_secs(2);
+
+/// `Account` is what a home knows of one backend server.
+#[derive(Debug)]
+pub struct Account {
+    slots: Reservations,
+    queue: PrefillQueue,
+    prefill: Mean,
+    step: StepModel,
+    /// Whether the server's own counts have been read.
+    pub known: bool,
+    closed_until: Option<Instant>,
+    unreachable: bool,
+}
+
+impl Default for Account {
+    fn default() -> Self {
+        Account {
+            slots: Reservations::default(),
+            queue: PrefillQueue::new(START_PREFILL),
+            prefill: Mean::default(),
+            step: StepModel::default(),
+            known: false,
+            closed_until: None,
+            unreachable: false,
+        }
+    }
+}
+
+impl Account {
+    /// Takes the server's own word on its slots and on those that others use.
+    pub fn learn(&mut self, slots: u32, foreign: u32) {
+        self.slots.set_slots(slots);
+        self.slots.set_foreign(foreign);
+        self.known = true;
+        self.unreachable = false;
+    }
+
+    /// Takes the server's word on the slots that others use.
+    pub fn learn_foreign(&mut self, foreign: u32) {
+        self.slots.set_foreign(foreign);
+        self.unreachable = false;
+    }
+
+    /// Notes a failure of the server, so that it gets no new work for a while.
+    pub fn note_failure(&mut self, e: &Error, now: Instant) {
+        match e.code {
+            ErrorCode::NotReady => self.closed_until = Some(now + CLOSED_FOR),
+            ErrorCode::Unavailable | ErrorCode::Timeout => self.unreachable = true,
+            _ => (),
+        }
+    }
+
+    /// Tells whether the server takes no new work.
+    pub fn closed(&self, now: Instant) -> bool {
+        self.unreachable || self.closed_until.is_some_and(|until| now < until)
+    }
+
+    /// Reserves room for a request, or returns the fresh state.
+    pub fn reserve(
+        &mut self,
+        role: BackendRole,
+        id: ReservationId,
+        req: &ReserveRequest,
+        now: Instant,
+    ) -> Result<(), BackendState> {
+        if self.closed(now) {
+            return Err(self.state(role, now));
+        }
+        let request = req.request.clone();
+        let reserved = match role {
+            BackendRole::Prefill => {
+                let (tokens, patience) = (req.prompt_tokens, req.starts_in);
+                self.queue.reserve(PrefillRequest { id, request, tokens, patience }, now)
+            }
+            _ => {
+                let expected = scale(self.step_time(), req.expected_tokens);
+                let (starts, priority) = (now + req.starts_in, req.priority);
+                self.slots.reserve(SlotRequest { id, request, starts, expected, priority }, now)
+            }
+        };
+        reserved.map_err(|_| self.state(role, now))
+    }
+
+    /// Starts a reserved prefill; `false` when the reservation has lapsed.
+    pub fn begin_prefill(&mut self, id: ReservationId, longest: Duration, now: Instant) -> bool {
+        self.queue.begin(id, longest, now)
+    }
+
+    /// Starts a reserved decode.
+    pub fn begin_decode(&mut self, id: ReservationId, longest: Duration, now: Instant) -> Begin {
+        self.slots.begin(id, longest, now)
+    }
+
+    /// Keeps a decode reservation whose prefill takes longer than planned.
+    pub fn postpone(&mut self, id: ReservationId, starts: Instant, now: Instant) -> bool {
+        self.slots.postpone(id, starts, now)
+    }
+
+    /// Gives room back, of whichever kind.
+    pub fn release(&mut self, id: ReservationId, now: Instant) {
+        if self.slots.release(id).is_none() {
+            self.queue.release(id, now);
+        }
+    }
+
+    /// Learns from a prefill.
+    pub fn note_prefill(&mut self, result: &PrefillResult) {
+        let worked = result.prompt_tokens.saturating_sub(result.cached_tokens);
+        // A short prefill is mostly overhead and says nothing of the rate.
+        if worked >= Tokens(16) {
+            self.prefill.add(result.took.as_secs_f64() / worked.0 as f64);
+            self.queue.set_per_token(Duration::from_secs_f64(self.prefill.or(0.0).max(0.0)));
+        }
+    }
+
+    /// Learns from `tokens` steps that took `span`, and predicts the stream's end.
+    pub fn note_steps(
+        &mut self,
+        id: ReservationId,
+        tokens: u64,
+        span: Duration,
+        left: Tokens,
+        now: Instant,
+    ) {
+        let step = span / u32::try_from(tokens.max(1)).unwrap_or(u32::MAX);
+        self.step.add(self.slots.running(), step);
+        let step = self.step_time();
+        self.slots.predict(id, now + scale(step, left));
+    }
+
+    /// Describes the account as of `now`.
+    pub fn state(&self, role: BackendRole, now: Instant) -> BackendState {
+        let mut state = match role {
+            BackendRole::Prefill => self.queue.state(now),
+            _ => self.slots.state(now),
+        };
+        state.slots = self.slots.slots();
+        state.step = self.step.predict(self.slots.running() + 1).unwrap_or_default();
+        state.prefill_per_token = Duration::from_secs_f64(self.prefill.or(0.0).max(0.0));
+        state.closed = self.closed(now);
+        state
+    }
+
+    /// Returns how many reservations stand.
+    pub fn standing(&self) -> usize {
+        self.slots.standing() + self.queue.len()
+    }
+
+    /// Drops what has lapsed.
+    pub fn expire(&mut self, now: Instant) {
+        self.slots.expire(now);
+        self.queue.expire(now);
+    }
+
+    fn step_time(&self) -> Duration {
+        self.step.predict(self.slots.running() + 1).unwrap_or(START_STEP)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/home/claims.rs
@@ -0,0 +1,152 @@
+//! The `claims` module knows which requests this host works on, and on which
+//! engine, so that an engine's list of holds can be checked against it.
+//!
+//! A claim is made before the first command goes to the engine and ends with a
+//! cancellation. A new claim for the same request waits for that, because a late
+//! cancellation would otherwise end the new work.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use aspenloft_core::errors::{Result, unavailable};
+use aspenloft_core::prelude::{Backend, Name, RequestId};
+use aspenloft_protocol::engine::{CancelCommand, EngineClient, ModelEngine};
+use async_std::task;
+use parking_lot::Mutex;
+
+/// How often a cancellation is tried before the sweep must find the rest.
+const CANCEL_TRIES: u32 = 2;
+
+/// How long a new claim waits for the end of an old one.
+const CLAIM_WAIT: Duration = Duration::from_secs(1);
+
+/// How often it looks.
+const CLAIM_LOOK: Duration = Duration::from_millis(5);
+
+/// `Stage` is how far a claim is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Stage {
+    Live,
+    Cancelling,
+}
+
+/// `Claims` is all claims of this host.
+#[derive(Debug, Default)]
+pub struct Claims {
+    stages: Mutex<HashMap<Name, HashMap<RequestId, Stage>>>,
+}
+
+impl Claims {
+    /// Claims `request` on `backend`.
+    pub async fn claim(self: &Arc<Self>, backend: &Backend, request: &RequestId) -> Result<Claim> {
+        let looks = CLAIM_WAIT.as_millis() / CLAIM_LOOK.as_millis();
+        for _ in 0..looks {
+            if self.enter(&backend.name, request, Stage::Live) {
+                return Ok(Claim {
+                    claims: self.clone(),
+                    backend: backend.clone(),
+                    request: request.clone(),
+                    done: false,
+                });
+            }
+            task::sleep(CLAIM_LOOK).await;
+        }
+        Err(unavailable("an earlier attempt of the request is still being cancelled"))
+    }
+
+    /// Cancels `request` on `backend` unless this host works on it.
+    pub fn cancel_unclaimed(self: &Arc<Self>, backend: &Backend, request: &RequestId) {
+        if self.enter(&backend.name, request, Stage::Cancelling) {
+            task::spawn(cancel(self.clone(), backend.clone(), request.clone()));
+        }
+    }
+
+    /// Returns the requests that this host works on, or cancels, on `backend`.
+    pub fn of(&self, backend: &str) -> Vec<RequestId> {
+        let stages = self.stages.lock();
+        stages.get(backend).map(|claims| claims.keys().cloned().collect()).unwrap_or_default()
+    }
+
+    /// Returns the live claims of each backend server.
+    pub fn live(&self) -> Vec<(Name, Vec<RequestId>)> {
+        let stages = self.stages.lock();
+        let live = stages.iter().map(|(backend, claims)| {
+            let live = claims.iter().filter(|(_, stage)| **stage == Stage::Live);
+            (backend.clone(), live.map(|(request, _)| request.clone()).collect())
+        });
+        live.filter(|(_, claims): &(Name, Vec<RequestId>)| !claims.is_empty()).collect()
+    }
+
+    fn enter(&self, backend: &Name, request: &RequestId, stage: Stage) -> bool {
+        let mut stages = self.stages.lock();
+        let claims = stages.entry(backend.clone()).or_default();
+        if claims.contains_key(request) {
+            return false;
+        }
+        claims.insert(request.clone(), stage);
+        true
+    }
+
+    fn set_cancelling(&self, backend: &str, request: &RequestId) {
+        let mut stages = self.stages.lock();
+        if let Some(stage) = stages.get_mut(backend).and_then(|claims| claims.get_mut(request)) {
+            *stage = Stage::Cancelling;
+        }
+    }
+
+    fn leave(&self, backend: &str, request: &RequestId) {
+        let mut stages = self.stages.lock();
+        if let Some(claims) = stages.get_mut(backend) {
+            claims.remove(request);
+            if claims.is_empty() {
+                stages.remove(backend);
+            }
+        }
+    }
+}
+
+/// `Claim` is this host's work on a request at an engine. Its drop cancels the
+/// request there.
+#[derive(Debug)]
+pub struct Claim {
+    claims: Arc<Claims>,
+    backend: Backend,
+    request: RequestId,
+    done: bool,
+}
+
+impl Claim {
+    /// Ends the claim without a cancellation, for the engine has forgotten the
+    /// request by itself.
+    pub fn done(mut self) {
+        self.done = true;
+    }
+}
+
+impl Drop for Claim {
+    fn drop(&mut self) {
+        if self.done {
+            self.claims.leave(&self.backend.name, &self.request);
+            return;
+        }
+        self.claims.set_cancelling(&self.backend.name, &self.request);
+        task::spawn(cancel(self.claims.clone(), self.backend.clone(), self.request.clone()));
+    }
+}
+
+async fn cancel(claims: Arc<Claims>, backend: Backend, request: RequestId) {
+    let engine = EngineClient::new(backend.addr);
+    let command = CancelCommand { request: request.clone() };
+    let mut cancelled = false;
+    for _ in 0..CANCEL_TRIES {
+        cancelled = engine.cancel(&command).await.is_ok();
+        if cancelled {
+            break;
+        }
+    }
+    claims.leave(&backend.name, &request);
+    if !cancelled {
+        log::warn!(event = "cancel_failed", request = request.as_str(), backend = &*backend.name; "");
+    }
+}
--- a/crates/daemon/src/home/decode.rs
+++ b/crates/daemon/src/home/decode.rs
@@ -1,43 +1,89 @@
 //! The `decode` module runs decodes for entry hosts and relays their tokens.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use aspenloft_core::errors::{Error, ErrorCode, Result};
 use aspenloft_core::execution::Execution;
-use aspenloft_core::prelude::RequestId;
-use aspenloft_protocol::engine::{
-    DecodeCommand, DecodeEvent, DecodeStream, EngineClient, ExtendCommand, ModelEngine, Token,
-};
+use aspenloft_core::prelude::{Backend, Tokens};
+use aspenloft_policy::reservations::Begin;
+use aspenloft_protocol::engine::{DecodeCommand, DecodeEvent, DecodeStream, ModelEngine, Token};
 use aspenloft_protocol::peer::PeerReply;
 use aspenloft_protocol::peer::home::{HomeDecode, HomeReply};
 use async_std::future::timeout;
 use async_std::task;
-use futures::future::{Either, FutureExt, select};
-use futures::{StreamExt, pin_mut};
+use futures::StreamExt;
+use futures::future::FutureExt;
 
-use super::service::{ENGINE_HOLD, HomeService, cancel_on_drop, engine};
+use super::service::{ENGINE_HOLD, HomeService, Room, engine};
 use crate::peers::ReplySender;
 
 /// The longest decode that a reservation covers.
 const LONGEST_DECODE: Duration = Duration::from_secs(600);
 
 /// The longest silence of a decode stream before it is given up.
-const STREAM_SILENCE: Duration = Duration::from_secs(2);
+pub const STREAM_SILENCE: Duration = Duration::from_secs(1);
 
-/// How often the home extends an engine's hold on a stream.
-const EXTEND_INTERVAL: Duration = Duration::from_millis(500);
+/// How often a slot that should be free is looked at.
+const SLOT_LOOK: Duration = Duration::from_millis(5);
+
+/// How long an engine whose slot should be free may still refuse: it learns of a
+/// stream's end a little later than its home.
+const ENGINE_LAG: Duration = Duration::from_millis(100);
 
 /// The most tokens in one reply.
 const MAX_BATCH: usize = 64;
 
+/// Tokens after which the stream's speed is noted.
+const NOTE_TOKENS: u64 = 8;
+
 impl HomeService {
     /// Runs a decode; the slot is given back when the call ends.
     pub(super) async fn decode(&self, req: HomeDecode, tx: &ReplySender) -> Result<()> {
-        let backend = self.view.backend(&req.backend)?;
+        let _room = Room { home: self, backend: &req.backend, id: req.reservation };
+        let backend = self.staying(&req.backend)?;
+        self.await_slot(&req).await?;
+        let claim = self.claims.claim(&backend, &req.request).await?;
+        let opened = self.open(&backend, &req).await;
+        let stream = opened.inspect_err(|e| {
+            // A transfer that stalls says nothing against the decode server.
+            if e.code != ErrorCode::Timeout {
+                self.note_failure(&backend, e);
+            }
+        })?;
+        self.publish(&backend);
+        let mut relay = Relay { home: self, req: &req, tx, batch: Vec::new(), mark: None };
+        let relayed = relay.run(stream).await;
+        if relayed.is_ok() {
+            claim.done();
+        }
+        relayed
+    }
+
+    /// Waits until the reserved slot is free, against prediction.
+    async fn await_slot(&self, req: &HomeDecode) -> Result<()> {
+        let ends = self.clock.now() + req.limit;
+        loop {
+            let now = self.clock.now();
+            let longest = LONGEST_DECODE;
+            match self.with(&req.backend, |a| a.begin_decode(req.reservation, longest, now)) {
+                Begin::Started => return Ok(()),
+                Begin::Lapsed => {
+                    return Err(Error::new(ErrorCode::Timeout, "the reservation has lapsed"));
+                }
+                Begin::Wait(_) if now >= ends => {
+                    return Err(Error::new(ErrorCode::Overloaded, "no slot came free in time"));
+                }
+                Begin::Wait(_) => {
+                    // The reservation stands for as long as its owner waits here.
+                    self.with(&req.backend, |a| a.postpone(req.reservation, now, now));
+                    task::sleep(SLOT_LOOK).await;
+                }
+            }
+        }
+    }
+
+    async fn open(&self, backend: &Backend, req: &HomeDecode) -> Result<DecodeStream> {
         let source = self.view.backend(&req.source)?;
-        self.begin(&req.backend, req.reservation, LONGEST_DECODE)?;
-        let _slot = ReleaseGuard { home: self, req: &req };
-        let _guard = cancel_on_drop(&backend, &req.request);
         let command = DecodeCommand {
             request: req.request.clone(),
             owner: self.view.me().name.clone(),
@@ -49,39 +95,79 @@
             priority: req.priority,
             hold: ENGINE_HOLD,
         };
-        let engine = engine(&backend);
-        let stream = engine.decode(&command, req.limit).await?;
-        let relay = relay(stream, tx);
-        let extend = extend_for_ever(&engine, &req.request);
-        pin_mut!(relay, extend);
-        match select(relay, extend).await {
-            Either::Left((relayed, _)) => relayed,
-            Either::Right((never, _)) => match never {},
+        let tries_end = self.clock.now() + ENGINE_LAG;
+        loop {
+            let opened = engine(backend).decode(&command, req.limit).await;
+            match opened {
+                Err(e) if e.code == ErrorCode::Overloaded && self.clock.now() < tries_end => {
+                    task::sleep(SLOT_LOOK).await;
+                }
+                other => return other,
+            }
         }
     }
 }
 
-/// Relays a stream, joining the tokens that are ready together.
-async fn relay(mut stream: DecodeStream, tx: &ReplySender) -> Result<()> {
-    let mut batch: Vec<Token> = Vec::new();
-    loop {
-        let event = match next_event(&mut stream, batch.is_empty()).await {
-            Some(event) => event?,
-            None => {
-                flush(&mut batch, tx).await?;
-                continue;
+/// `Relay` carries one stream's tokens to the entry host.
+struct Relay<'a> {
+    home: &'a HomeService,
+    req: &'a HomeDecode,
+    tx: &'a ReplySender,
+    batch: Vec<Token>,
+    /// When the speed was last noted, and the index of the token then.
+    mark: Option<(Instant, u64)>,
+}
+
+impl Relay<'_> {
+    /// Relays a stream, joining the tokens that are ready together.
+    async fn run(&mut self, mut stream: DecodeStream) -> Result<()> {
+        loop {
+            let event = match next_event(&mut stream, self.batch.is_empty()).await {
+                Some(event) => event?,
+                None => {
+                    self.flush().await?;
+                    continue;
+                }
+            };
+            match event {
+                DecodeEvent::Token(token) => {
+                    self.note(token.index);
+                    self.batch.push(token);
+                }
+                DecodeEvent::Finished(reason) => {
+                    self.flush().await?;
+                    return self.tx.send(PeerReply::Home(HomeReply::Finished(reason))).await;
+                }
             }
-        };
-        match event {
-            DecodeEvent::Token(token) => batch.push(token),
-            DecodeEvent::Finished(reason) => {
-                flush(&mut batch, tx).await?;
-                return tx.send(PeerReply::Home(HomeReply::Finished(reason))).await;
+            if self.batch.len() >= MAX_BATCH {
+                self.flush().await?;
             }
         }
-        if batch.len() >= MAX_BATCH {
-            flush(&mut batch, tx).await?;
+    }
+
+    /// Notes the stream's speed now and then.
+    fn note(&mut self, index: u64) {
+        let now = self.home.clock.now();
+        let Some((at, from)) = self.mark else {
+            self.mark = Some((now, index));
+            return;
+        };
+        let tokens = index.saturating_sub(from);
+        if tokens < NOTE_TOKENS {
+            return;
         }
+        self.mark = Some((now, index));
+        let left = self.req.expected_tokens.saturating_sub(Tokens(index));
+        let (id, span) = (self.req.reservation, now - at);
+        self.home.with(&self.req.backend, |a| a.note_steps(id, tokens, span, left, now));
+    }
+
+    async fn flush(&mut self) -> Result<()> {
+        if self.batch.is_empty() {
+            return Ok(());
+        }
+        let tokens = std::mem::take(&mut self.batch);
+        self.tx.send(PeerReply::Home(HomeReply::Tokens(tokens))).await
     }
 }
 
@@ -104,32 +190,3 @@
             .execution(Execution::Unknown))
     })
 }
-
-async fn flush(batch: &mut Vec<Token>, tx: &ReplySender) -> Result<()> {
-    if batch.is_empty() {
-        return Ok(());
-    }
-    tx.send(PeerReply::Home(HomeReply::Tokens(std::mem::take(batch)))).await
-}
-
-/// Gives the engine signs of life for the stream until dropped.
-async fn extend_for_ever(engine: &EngineClient, request: &RequestId) -> std::convert::Infallible {
-    let command = ExtendCommand { requests: vec![request.clone()], hold: ENGINE_HOLD };
-    loop {
-        task::sleep(EXTEND_INTERVAL).await;
-        // A lost sign is made good by the next one.
-        let _ = engine.extend(&command).await;
-    }
-}
-
-/// Gives the decode's slot back when the call ends, however it ends.
-struct ReleaseGuard<'a> {
-    home: &'a HomeService,
-    req: &'a HomeDecode,
-}
-
-impl Drop for ReleaseGuard<'_> {
-    fn drop(&mut self) {
-        self.home.release(&self.req.backend, self.req.reservation);
-    }
-}
--- a/crates/daemon/src/home/mod.rs
+++ b/crates/daemon/src/home/mod.rs
@@ -1,6 +1,12 @@
 //! The `home` module is the work of a host as the home of backend servers: it
-//! counts their slots exactly and carries all work to them.
+//! counts their room exactly, carries all work to them, and sees to it that they
+//! hold no memory for requests that are gone; see `docs/design/reservations.md`.
 
+mod account;
+mod claims;
 mod decode;
 mod prefill;
 pub mod service;
+pub mod sweep;
+
+pub use decode::STREAM_SILENCE;
--- a/crates/daemon/src/home/prefill.rs
+++ b/crates/daemon/src/home/prefill.rs
@@ -1,24 +1,32 @@
 //! The `prefill` module runs prefills for entry hosts.
 
-use aspenloft_core::errors::Result;
+use std::time::Duration;
+
+use aspenloft_core::errors::{Error, ErrorCode, Result};
 use aspenloft_protocol::engine::{ModelEngine, PrefillCommand};
 use aspenloft_protocol::peer::PeerReply;
 use aspenloft_protocol::peer::home::{HomePrefill, HomeReply};
 use async_std::task;
 
-use super::service::{ENGINE_HOLD, HomeService, cancel_on_drop, engine};
+use super::service::{ENGINE_HOLD, HomeService, Room, engine};
 use crate::peers::ReplySender;
 
+/// The longest that a result is kept for an entry host, transfers included.
+const LONGEST_RESULT: Duration = Duration::from_secs(10);
+
 impl HomeService {
     /// Runs a prefill, then keeps its result until the entry host ends the call.
     ///
     /// The entry host ends the call when the result has been imported elsewhere or
     /// its caller has gone; either way nothing may remain on the engine.
     pub(super) async fn prefill(&self, req: HomePrefill, tx: &ReplySender) -> Result<()> {
-        let backend = self.view.backend(&req.backend)?;
-        self.begin(&req.backend, req.reservation, req.limit + ENGINE_HOLD)?;
-        let _slot = ReleaseGuard { home: self, req: &req };
-        let _guard = cancel_on_drop(&backend, &req.request);
+        let backend = self.staying(&req.backend)?;
+        let room = Room { home: self, backend: &req.backend, id: req.reservation };
+        let (now, longest) = (self.clock.now(), req.limit + ENGINE_HOLD);
+        if !self.with(&req.backend, |a| a.begin_prefill(req.reservation, longest, now)) {
+            return Err(Error::new(ErrorCode::Timeout, "the turn has lapsed"));
+        }
+        let _claim = self.claims.claim(&backend, &req.request).await?;
         let command = PrefillCommand {
             request: req.request.clone(),
             owner: self.view.me().name.clone(),
@@ -26,21 +34,13 @@
             priority: req.priority,
             hold: ENGINE_HOLD,
         };
-        let result = engine(&backend).prefill(&command, req.limit).await?;
+        let ran = engine(&backend).prefill(&command, req.limit).await;
+        let result = ran.inspect_err(|e| self.note_failure(&backend, e))?;
+        self.with(&req.backend, |account| account.note_prefill(&result));
+        drop(room);
+        self.publish(&backend);
         tx.send(PeerReply::Home(HomeReply::Prefilled(result))).await?;
-        task::sleep(ENGINE_HOLD).await;
+        task::sleep(LONGEST_RESULT).await;
         Ok(())
     }
 }
-
-/// Gives the prefill's slot back when the call ends, however it ends.
-struct ReleaseGuard<'a> {
-    home: &'a HomeService,
-    req: &'a HomePrefill,
-}
-
-impl Drop for ReleaseGuard<'_> {
-    fn drop(&mut self) {
-        self.home.release(&self.req.backend, self.req.reservation);
-    }
-}
--- a/crates/daemon/src/home/service.rs
+++ b/crates/daemon/src/home/service.rs
@@ -1,5 +1,4 @@
-//! The `service` module holds the accounts of the backend servers whose home this
-//! host is.
+//! The `service` module serves the calls to the home of backend servers.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -7,38 +6,40 @@
 use std::time::Duration;
 
 use aspenloft_core::errors::{Error, ErrorCode, Result};
-use aspenloft_core::prelude::{Backend, Name, RequestId, ReservationId, SharedClock};
-use aspenloft_policy::reservations::{Begin, Reservations, SlotRequest};
-use aspenloft_protocol::engine::{CancelCommand, EngineClient, ModelEngine};
+use aspenloft_core::prelude::{Backend, BackendRole, Name, ReservationId, SharedClock};
+use aspenloft_protocol::engine::{EngineClient, HoldState, ModelEngine};
 use aspenloft_protocol::peer::PeerReply;
 use aspenloft_protocol::peer::home::{HomeReply, HomeRequest, ReserveRequest};
 use parking_lot::Mutex;
 
-use crate::cleanup::OnDrop;
+use super::account::Account;
+use super::claims::Claims;
 use crate::peers::ReplySender;
 use crate::view::View;
 
-/// How long a slot is taken to be in use where nothing better is known.
-const START_EXPECTED: Duration = Duration::from_secs(5);
-
-/// How long an engine keeps work without sign of life from its home.
-pub const ENGINE_HOLD: Duration = Duration::from_secs(2);
-
-/// How often a cancellation is tried before the sweep must find the rest.
-const CANCEL_TRIES: u32 = 3;
+/// How long an engine keeps work without sign of life from its home. It bounds how
+/// long a lost cancellation can hold memory, see `docs/PROMISES.md`.
+pub const ENGINE_HOLD: Duration = Duration::from_millis(1_500);
 
 /// `HomeService` serves the calls to the home of backend servers.
 pub struct HomeService {
     pub(super) clock: SharedClock,
     pub(super) view: Arc<View>,
-    books: Mutex<HashMap<Name, Reservations>>,
+    pub(super) claims: Arc<Claims>,
+    accounts: Mutex<HashMap<Name, Account>>,
     next: AtomicU64,
 }
 
 impl HomeService {
     /// Creates the service with no accounts yet.
     pub fn new(clock: SharedClock, view: Arc<View>) -> HomeService {
-        HomeService { clock, view, books: Mutex::default(), next: AtomicU64::new(1) }
+        HomeService {
+            clock,
+            view,
+            claims: Arc::default(),
+            accounts: Mutex::default(),
+            next: AtomicU64::new(1),
+        }
     }
 
     /// Serves one call.
@@ -58,79 +59,118 @@
         }
     }
 
+    /// Returns the number of reservations that stand.
+    pub fn reserved(&self) -> usize {
+        let now = self.clock.now();
+        let mut accounts = self.accounts.lock();
+        let standing = accounts.values_mut().map(|account| {
+            account.expire(now);
+            account.standing()
+        });
+        standing.sum()
+    }
+
     async fn reserve(&self, req: ReserveRequest, tx: &ReplySender) -> Result<()> {
-        let backend = self.view.backend(&req.backend)?;
+        let backend = self.staying(&req.backend)?;
+        if !self.with(&backend.name, |account| account.known) {
+            self.learn(&backend).await?;
+        }
+        let id = ReservationId(self.next.fetch_add(1, Ordering::Relaxed));
+        let now = self.clock.now();
+        let reserved = self.with(&backend.name, |a| a.reserve(backend.role, id, &req, now));
+        let reply = match reserved {
+            Ok(()) => HomeReply::Reserved(id),
+            Err(state) => HomeReply::Refused(state),
+        };
+        self.publish(&backend);
+        let sent = tx.send(PeerReply::Home(reply)).await;
+        if sent.is_err() {
+            self.release(&backend.name, id);
+        }
+        sent
+    }
+
+    /// Finds a backend server that takes new work.
+    pub(super) fn staying(&self, name: &str) -> Result<Backend> {
+        let backend = self.view.backend(name)?;
         if backend.leaving {
             return Err(Error::new(ErrorCode::NoBackend, "the backend server is leaving"));
         }
-        self.learn_slots(&backend).await?;
-        let reply = self.take(&req);
-        tx.send(PeerReply::Home(reply)).await
+        Ok(backend)
     }
 
-    /// Asks the engine for its slots at the first reservation.
-    async fn learn_slots(&self, backend: &Backend) -> Result<()> {
-        let known = self.books.lock().get(&backend.name).is_some_and(|book| book.slots() > 0);
-        if known {
-            return Ok(());
-        }
-        let load = engine(backend).load().await?;
-        self.books.lock().entry(backend.name.clone()).or_default().set_slots(load.slots);
+    /// Reads an engine's own counts. A new home does so before it admits anything,
+    /// because the streams of the former home go on.
+    pub(super) async fn learn(&self, backend: &Backend) -> Result<()> {
+        let engine = engine(backend);
+        let read = async { Ok((engine.load().await?, engine.holds().await?)) };
+        let (load, holds) = read.await.inspect_err(|e| self.note_failure(backend, e))?;
+        let claims = self.claims.of(&backend.name);
+        let foreign =
+            holds.iter().filter(|hold| takes_slot(hold.state) && !claims.contains(&hold.request));
+        let foreign = foreign.count() as u32;
+        self.with(&backend.name, |account| account.learn(load.slots, foreign));
         Ok(())
     }
 
-    fn take(&self, req: &ReserveRequest) -> HomeReply {
-        let id = ReservationId(self.next.fetch_add(1, Ordering::Relaxed));
+    /// Notes a failure of an engine and publishes what follows from it.
+    pub(super) fn note_failure(&self, backend: &Backend, e: &Error) {
         let now = self.clock.now();
-        let ask = SlotRequest {
-            id,
-            request: req.request.clone(),
-            starts: now + req.starts_in,
-            expected: START_EXPECTED,
-            priority: req.priority,
-        };
-        let mut books = self.books.lock();
-        let book = books.entry(req.backend.clone()).or_default();
-        match book.reserve(ask, now) {
-            Ok(()) => HomeReply::Reserved(id),
-            Err(state) => HomeReply::Refused(state),
-        }
+        self.with(&backend.name, |account| account.note_failure(e, now));
+        self.publish(backend);
     }
 
-    /// Extends a reservation for as long as its work may run.
-    pub(super) fn begin(&self, backend: &Name, id: ReservationId, limit: Duration) -> Result<()> {
+    /// Publishes the state of a backend server to the entry hosts.
+    pub(super) fn publish(&self, backend: &Backend) {
         let now = self.clock.now();
-        let mut books = self.books.lock();
-        let begun = books.get_mut(backend).map(|book| book.begin(id, limit, now));
-        if begun == Some(Begin::Started) {
-            return Ok(());
-        }
-        Err(Error::new(ErrorCode::Timeout, "the reservation has lapsed"))
+        let state = self.with(&backend.name, |account| {
+            account.expire(now);
+            account.state(backend.role, now)
+        });
+        self.view.publish(&backend.name, state, now);
     }
 
     /// Gives a reservation back.
     pub(super) fn release(&self, backend: &Name, id: ReservationId) {
-        if let Some(book) = self.books.lock().get_mut(backend) {
-            book.release(id);
-        }
+        let now = self.clock.now();
+        self.with(backend, |account| account.release(id, now));
+    }
+
+    /// Works on the account of a backend server.
+    pub(super) fn with<R>(&self, backend: &Name, f: impl FnOnce(&mut Account) -> R) -> R {
+        f(self.accounts.lock().entry(backend.clone()).or_default())
+    }
+
+    /// Forgets the accounts of servers that `keep` does not want.
+    pub(super) fn retain(&self, keep: impl Fn(&str) -> bool) {
+        self.accounts.lock().retain(|name, account| keep(name) || account.standing() > 0);
     }
 }
 
+/// Tells whether a hold takes a decode slot.
+pub(super) fn takes_slot(state: HoldState) -> bool {
+    matches!(state, HoldState::Importing | HoldState::Decoding)
+}
+
+/// Tells whether a backend server is a model engine.
+pub(super) fn is_engine(backend: &Backend) -> bool {
+    backend.role != BackendRole::Service
+}
+
 /// Reaches the engine of a backend server.
 pub(super) fn engine(backend: &Backend) -> EngineClient {
     EngineClient::new(backend.addr)
 }
 
-/// Makes a guard that cancels `request` on `backend` when it is dropped.
-pub(super) fn cancel_on_drop(backend: &Backend, request: &RequestId) -> OnDrop {
-    let engine = engine(backend);
-    let command = CancelCommand { request: request.clone() };
-    OnDrop::new(async move {
-        for _ in 0..CANCEL_TRIES {
-            if engine.cancel(&command).await.is_ok() {
-                return;
-            }
-        }
-        log::warn!(event = "cancel_failed", request = command.request.as_str(); "");
-    })
+/// `Room` gives a reservation back when dropped.
+pub(super) struct Room<'a> {
+    pub home: &'a HomeService,
+    pub backend: &'a Name,
+    pub id: ReservationId,
+}
+
+impl Drop for Room<'_> {
+    fn drop(&mut self) {
+        self.home.release(self.backend, self.id);
+    }
 }
--- /dev/null
+++ b/crates/daemon/src/home/sweep.rs
@@ -0,0 +1,164 @@
+//! The `sweep` module keeps the engines of this home honest: it extends what this
+//! host works on, cancels what nobody works on, and reads load and cache events.
+//!
+//! See "No engine memory for a caller who has gone" in `docs/PROMISES.md`.
+
+use std::collections::{HashMap, HashSet};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use aspenloft_core::errors::Result;
+use aspenloft_core::prelude::{Backend, BackendRole, Name, RequestId};
+use aspenloft_policy::cache_index::Applied;
+use aspenloft_protocol::engine::{EventsQuery, ExtendCommand, Hold, ModelEngine};
+use async_std::task;
+use parking_lot::Mutex;
+
+use super::service::{ENGINE_HOLD, engine, is_engine, takes_slot};
+use crate::node::Node;
+
+/// How often the engines are swept and live work is extended.
+const SWEEP_INTERVAL: Duration = Duration::from_millis(400);
+
+/// Sweeps between two readings of load and cache events.
+const LOAD_EVERY: u64 = 2;
+
+/// How long work of a host that is no longer listed is left alone, because the list
+/// may be wrong for a moment.
+const ORPHAN_GRACE: Duration = Duration::from_millis(500);
+
+/// The most orphans remembered; those beyond are cancelled without grace.
+const MAX_ORPHANS: usize = 10_000;
+
+/// `Sweep` is the state of the loop.
+#[derive(Debug, Default)]
+struct Sweep {
+    /// Engines whose last sweep has not come back.
+    busy: HashSet<Name>,
+    orphans: HashMap<(Name, RequestId), Instant>,
+}
+
+/// Sweeps for ever.
+pub async fn run(node: Arc<Node>) {
+    let sweep: Arc<Mutex<Sweep>> = Arc::default();
+    let mut round = 0;
+    loop {
+        extend_claims(&node);
+        let homes = homes_here(&node);
+        let names: HashSet<Name> = homes.iter().map(|backend| backend.name.clone()).collect();
+        node.home.retain(|name| names.contains(name));
+        for backend in homes {
+            start_one(&node, &sweep, backend, round % LOAD_EVERY == 0);
+        }
+        round += 1;
+        task::sleep(SWEEP_INTERVAL).await;
+    }
+}
+
+/// Returns the engines whose home this host is.
+fn homes_here(node: &Node) -> Vec<Backend> {
+    let listing = node.view.listing();
+    let me = &node.view.me().name;
+    let here = listing.backends.iter().filter(|backend| {
+        is_engine(backend) && node.view.home(backend).is_ok_and(|home| home.name == *me)
+    });
+    here.cloned().collect()
+}
+
+/// Gives the engines signs of life for all live work of this host, also where it is
+/// no longer the home.
+fn extend_claims(node: &Arc<Node>) {
+    for (name, requests) in node.home.claims.live() {
+        let Ok(backend) = node.view.backend(&name) else { continue };
+        task::spawn(async move {
+            let command = ExtendCommand { requests, hold: ENGINE_HOLD };
+            // A lost sign is made good by the next one.
+            let _ = engine(&backend).extend(&command).await;
+        });
+    }
+}
+
+fn start_one(node: &Arc<Node>, sweep: &Arc<Mutex<Sweep>>, backend: Backend, load: bool) {
+    if !sweep.lock().busy.insert(backend.name.clone()) {
+        return;
+    }
+    let (node, sweep) = (node.clone(), sweep.clone());
+    task::spawn(async move {
+        if let Err(e) = sweep_one(&node, &sweep, &backend, load).await {
+            node.home.note_failure(&backend, &e);
+        }
+        sweep.lock().busy.remove(&backend.name);
+    });
+}
+
+async fn sweep_one(
+    node: &Arc<Node>,
+    sweep: &Mutex<Sweep>,
+    backend: &Backend,
+    load: bool,
+) -> Result<()> {
+    let known = node.home.with(&backend.name, |account| account.known);
+    if load || !known {
+        node.home.learn(backend).await?;
+    }
+    let holds = engine(backend).holds().await?;
+    // The claims are read after the holds, thus a hold without a claim is not new.
+    let claimed: HashSet<RequestId> = node.home.claims.of(&backend.name).into_iter().collect();
+    let unclaimed = holds.iter().filter(|hold| !claimed.contains(&hold.request));
+    let mut foreign = 0;
+    for hold in unclaimed {
+        if is_orphan(node, sweep, backend, hold) {
+            node.home.claims.cancel_unclaimed(backend, &hold.request);
+        } else if takes_slot(hold.state) {
+            foreign += 1;
+        }
+    }
+    node.home.with(&backend.name, |account| account.learn_foreign(foreign));
+    node.home.publish(backend);
+    if load && backend.role == BackendRole::Prefill {
+        read_cache(node, backend).await?;
+    }
+    Ok(())
+}
+
+/// Tells whether a hold that this host does not claim is to be cancelled. The work
+/// of another live host is its own to cancel; its engine's hold lapses if it does
+/// not extend it.
+fn is_orphan(node: &Node, sweep: &Mutex<Sweep>, backend: &Backend, hold: &Hold) -> bool {
+    if hold.owner == node.view.me().name {
+        return true;
+    }
+    let key = (backend.name.clone(), hold.request.clone());
+    let listed = node.view.listing().hosts.iter().any(|host| host.name == hold.owner);
+    let mut sweep = sweep.lock();
+    if listed {
+        sweep.orphans.remove(&key);
+        return false;
+    }
+    let now = node.clock.now();
+    sweep.orphans.retain(|_, since| now.duration_since(*since) < ENGINE_HOLD * 4);
+    if sweep.orphans.len() >= MAX_ORPHANS {
+        return true;
+    }
+    let since = *sweep.orphans.entry(key).or_insert(now);
+    now.duration_since(since) >= ORPHAN_GRACE
+}
+
+/// Feeds the cache index with the engine's events, or its snapshot after a gap.
+async fn read_cache(node: &Node, backend: &Backend) -> Result<()> {
+    let (after, doubtful) = node.router.cache.lock().progress(&backend.name);
+    if doubtful {
+        let snapshot = engine(backend).snapshot().await?;
+        node.router.cache.lock().snapshot(&backend.name, snapshot.seq, snapshot.pieces);
+        return Ok(());
+    }
+    let events = engine(backend).events(EventsQuery { after }).await?;
+    let mut cache = node.router.cache.lock();
+    for event in &events.events {
+        if cache.apply(&backend.name, event.seq, event.piece, event.stored) == Applied::Gap {
+            break;
+        }
+    }
+    cache.newest(&backend.name, events.newest);
+    Ok(())
+}
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -8,6 +8,7 @@
 use aspenloft_core::errors::{Result, unavailable};
 use aspenloft_daemon::admin::AdminFront;
 use aspenloft_daemon::callers::front::CallerFront;
+use aspenloft_daemon::home::sweep;
 use aspenloft_daemon::leave::{self, Left};
 use aspenloft_daemon::logging;
 use aspenloft_daemon::node::{Dispatch, Node};
@@ -69,6 +70,7 @@
     let peers = bind(node.settings.peers).await?;
     let admin = bind(node.settings.admin).await?;
     refresh::start(&node);
+    task::spawn(sweep::run(node.clone()));
     let guarded =
         Guarded { inner: Arc::new(Dispatch(node.clone())), shutdown: node.shutdown.clone() };
     task::spawn(mesh::serve(peers, Arc::new(Unpacked(Arc::new(guarded)))));
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -9,21 +9,28 @@
 use aspenloft_core::clock::unix_millis;
 use aspenloft_core::errors::{Result, internal};
 use aspenloft_core::prelude::{RequestId, SharedClock};
+use aspenloft_policy::explain::Explanations;
 use aspenloft_protocol::peer::table::{TableReply, TableRequest};
 use aspenloft_protocol::peer::{PeerReply, PeerRequest};
 use aspenloft_protocol::platform::{HostList, HostListClient, KeyValue, KvClient};
 use async_trait::async_trait;
 use parking_lot::Mutex;
+use rand::Rng;
 use rand::seq::SliceRandom;
 use rand::{SeedableRng, rngs::StdRng};
 
 use crate::home::service::HomeService;
 use crate::metrics::Metrics;
+use crate::path::model::gate::Gate;
+use crate::path::model::router::Router;
 use crate::peers::{PeerHandler, Peers, ReplySender};
 use crate::settings::Settings;
 use crate::shutdown::Shutdown;
 use crate::view::View;
 
+/// Requests whose decisions are remembered; the oldest is forgotten first.
+const EXPLAINED_REQUESTS: usize = 256;
+
 /// `Node` is one host of the router.
 pub struct Node {
     /// Its settings.
@@ -44,6 +51,12 @@
     pub metrics: Metrics,
     /// Its way out, and the work in flight.
     pub shutdown: Arc<Shutdown>,
+    /// What it has learned for its choices.
+    pub router: Router,
+    /// The requests that wait for room.
+    pub gate: Gate,
+    /// The last decisions, for operators.
+    pub explain: Mutex<Explanations>,
     requests: AtomicU64,
     born_ms: u64,
     random: Mutex<StdRng>,
@@ -60,6 +73,9 @@
             home: HomeService::new(clock.clone(), view.clone()),
             metrics: Metrics::new(&settings.host)?,
             shutdown: Arc::default(),
+            router: Router::default(),
+            gate: Gate::default(),
+            explain: Mutex::new(Explanations::new(EXPLAINED_REQUESTS)),
             requests: AtomicU64::new(0),
             born_ms: unix_millis(clock.wall()),
             random: Mutex::new(StdRng::from_os_rng()),
@@ -78,6 +94,11 @@
         RequestId(format!("{}-{:x}-{count:x}", self.settings.host, self.born_ms).into())
     }
 
+    /// Returns a random number.
+    pub fn random(&self) -> u64 {
+        self.random.lock().random()
+    }
+
     /// Puts `items` into a random order.
     pub fn shuffle<T>(&self, items: &mut [T]) {
         items.shuffle(&mut *self.random.lock());
--- a/crates/policy/src/cache_index.rs
+++ b/crates/policy/src/cache_index.rs
@@ -110,6 +110,15 @@
         if gap { Applied::Gap } else { Applied::InOrder }
     }
 
+    /// Notes that `replica` has just worked on a prompt with `pieces`. This comes
+    /// outside the sequence and is as good a guess as any event.
+    pub fn observe(&mut self, replica: &Name, pieces: &[PieceHash]) {
+        let id = self.replica(replica);
+        for piece in pieces {
+            self.store(id, *piece);
+        }
+    }
+
     /// Notes the newest number of a replica's events: when it lies beyond what was
     /// applied, events are missing.
     pub fn newest(&mut self, replica: &Name, newest: u64) {
--- a/crates/policy/src/estimate.rs
+++ b/crates/policy/src/estimate.rs
@@ -167,6 +167,11 @@
         }
     }
 
+    /// Returns the tokens of KV cache that are on the link now.
+    pub fn in_flight(&self) -> Tokens {
+        self.in_flight
+    }
+
     /// Returns the time of a token's KV cache.
     pub fn per_token(&self) -> Duration {
         Duration::from_secs_f64(self.per_token.or(START_TRANSFER.as_secs_f64()).max(0.0))
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod estimate;
 pub mod explain;
 pub mod fair_queue;
+pub mod progress;
 pub mod queue;
 pub mod reservations;
 pub mod route;
--- a/crates/policy/src/reservations.rs
+++ b/crates/policy/src/reservations.rs
@@ -85,6 +85,7 @@
 pub struct Reservations {
     options: ReservationOptions,
     slots: u32,
+    foreign: u32,
     held: HashMap<ReservationId, Holding>,
 }
 
@@ -106,12 +107,18 @@
 
     /// Returns how many slots are reserved or in use.
     pub fn taken(&self) -> u32 {
-        self.held.len() as u32
+        self.held.len() as u32 + self.foreign
+    }
+
+    /// Returns how many reservations stand, begun or not.
+    pub fn standing(&self) -> usize {
+        self.held.len()
     }
 
     /// Returns how many slots are in use.
     pub fn running(&self) -> u32 {
-        self.held.values().filter(|holding| holding.running).count() as u32
+        let own = self.held.values().filter(|holding| holding.running).count();
+        own as u32 + self.foreign
     }
 
     /// Reserves a slot from `ask.starts` on, or returns the fresh state.
@@ -176,10 +183,10 @@
         }
     }
 
-    /// Counts a stream that the engine already runs, found after a change of home.
-    pub fn adopt(&mut self, id: ReservationId, request: RequestId, lapses: Instant, now: Instant) {
-        let holding = Holding { request, running: true, starts: now, ends: lapses, lapses };
-        self.held.insert(id, holding);
+    /// Sets how many slots of the engine others use, as its own list says. After a
+    /// change of home these are the streams of the former home.
+    pub fn set_foreign(&mut self, streams: u32) {
+        self.foreign = streams;
     }
 
     /// Gives a slot back, whether reserved or in use.
@@ -226,7 +233,8 @@
     }
 
     fn used_at(&self, t: Instant, now: Instant) -> u32 {
-        self.held.values().filter(|holding| holding.covers(t, now)).count() as u32
+        let own = self.held.values().filter(|holding| holding.covers(t, now)).count();
+        own as u32 + self.foreign
     }
 
     /// Returns the first time at which a short stream would fit.
--- a/crates/protocol/src/peer/home.rs
+++ b/crates/protocol/src/peer/home.rs
@@ -37,11 +37,12 @@
     pub row: Name,
     /// Tokens of the prompt that need work.
     pub prompt_tokens: Tokens,
-    /// The most tokens to generate.
-    pub max_tokens: Tokens,
+    /// The tokens that the answer likely has yet to get.
+    pub expected_tokens: Tokens,
     /// Higher goes first.
     pub priority: u8,
-    /// When the room is needed, counted from now.
+    /// For a decode, when the slot is needed, counted from now; for a prefill, the
+    /// longest wait for the turn that still makes sense.
     pub starts_in: Duration,
 }
 
@@ -81,9 +82,11 @@
     pub sent: Name,
     /// The most tokens to generate, counted from index zero.
     pub max_tokens: Tokens,
+    /// The tokens that the answer likely has in all.
+    pub expected_tokens: Tokens,
     /// Higher goes first.
     pub priority: u8,
-    /// The longest wait for the first token.
+    /// The longest wait for the slot, and then for the transfer.
     pub limit: Duration,
 }
 
