--- a/crates/daemon/src/path/model/router.rs
+++ b/crates/daemon/src/path/model/router.rs
@@ -172,7 +172,7 @@
             tbt: req.row.tbt,
             goodput_weight: req.row.goodput_weight,
             waste_weight: req.row.waste_weight,
-            seed: node.random(),
+            seed: node.random_below(u64::MAX),
         }
     }
 
