--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod explain;
 pub mod fair_queue;
 pub mod limits;
+pub mod progress;
 pub mod queue;
 pub mod reservations;
 pub mod retry;
