--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -10,6 +10,7 @@
 use aspenloft_core::errors::{Result, internal};
 use aspenloft_core::prelude::{RequestId, SharedClock};
 use aspenloft_ledger::options::Options;
+use aspenloft_policy::explain::Explanations;
 use aspenloft_protocol::peer::control::{ControlReply, ControlRequest};
 use aspenloft_protocol::peer::table::{TableReply, TableRequest};
 use aspenloft_protocol::peer::{PeerReply, PeerRequest};
@@ -27,6 +28,8 @@
 use crate::levels::report;
 use crate::limits::service::{self as limits, Limits};
 use crate::metrics::Metrics;
+use crate::path::model::gate::Gate;
+use crate::path::model::router::Router;
 use crate::path::service::Services;
 use crate::peers::{PeerHandler, Peers, ReplySender};
 use crate::settings::Settings;
@@ -34,6 +37,9 @@
 use crate::suspects::{self, Suspects};
 use crate::view::View;
 
+/// Requests whose decisions are remembered; the oldest is forgotten first.
+const EXPLAINED_REQUESTS: usize = 256;
+
 /// `Node` is one host of the router.
 pub struct Node {
     /// Its settings.
@@ -68,6 +74,12 @@
     pub orders: Arc<OrderDesks>,
     /// Where owners of ledger shards were last found.
     pub owners: OwnerHints,
+    /// What it has learned for its choices.
+    pub router: Router,
+    /// The requests that wait for room.
+    pub gate: Gate,
+    /// The last decisions, for operators.
+    pub explain: Mutex<Explanations>,
     requests: AtomicU64,
     born_ms: u64,
     random: Mutex<StdRng>,
@@ -115,6 +127,9 @@
             levels: Levels::default(),
             metrics: Metrics::new(&settings.host)?,
             shutdown: Arc::default(),
+            router: Router::default(),
+            gate: Gate::default(),
+            explain: Mutex::new(Explanations::new(EXPLAINED_REQUESTS)),
             requests: AtomicU64::new(0),
             born_ms: unix_millis(clock.wall()),
             random: Mutex::new(random),
