Give orders to engines with a fencing number

Cause: nothing kept two hosts, one of them paused, from giving an engine crossing orders.

Ruled out: a lease of the key-value service for each holder (its end is the service's clock, and its lapse says nothing of orders on their way); wall clocks in the seat; waiting within the host instead of refusing at once.

Change: the seat of each backend server is a key whose swap gives the fencing number; the state machine is pure, the daemon drives it, and `aspenloft order` and POST /admin/orders use it.

--- /dev/null
+++ b/crates/daemon/tests/orders.rs
@@ -0,0 +1,92 @@
+//! Orders to engines over the administration API, through real processes.
+
+mod common;
+
+use std::time::Duration;
+
+use aspenloft_core::errors::{Error, Result};
+use aspenloft_core::execution::Execution;
+use aspenloft_ledger::orders::{WAIT_OUT, seat_key};
+use aspenloft_protocol::admin::{OrderAsk, OrderReport, paths};
+use aspenloft_protocol::engine::OrderKind;
+use aspenloft_protocol::platform::KeyValue;
+use aspenloft_standin::engine::EngineOptions;
+use aspenloft_transport::http;
+use common::{Deployment, default_table, eventually};
+
+const LIMIT: Duration = Duration::from_secs(10);
+const BACKEND: &str = "decode-0";
+
+async fn order(deployment: &Deployment, host: u16, model: &str) -> Result<OrderReport> {
+    let ask = OrderAsk { backend: BACKEND.into(), kind: OrderKind::Load(model.into()) };
+    http::post_json(deployment.admin(host), paths::ORDERS, &ask, LIMIT).await
+}
+
+/// Gives an order that its engine carries out but answers too late.
+async fn silent_order(deployment: &Deployment) -> Error {
+    let engine = &deployment.decode[0].standin;
+    engine.faults.lock().order_delay = Duration::from_millis(1_500);
+    let e = order(deployment, 0, "silent").await.expect_err("no answer in time");
+    engine.faults.lock().order_delay = Duration::ZERO;
+    let ran = || async { engine.records().orders.len() == 1 };
+    eventually("the silent order runs", LIMIT, ran).await;
+    e
+}
+
+#[async_std::test]
+async fn orders_of_two_hosts_run_in_the_order_of_their_fencing_numbers() {
+    let deployment = Deployment::start(2, 1, EngineOptions::default()).await;
+    let mut fences = Vec::new();
+    for (host, model) in [(0, "a"), (1, "b"), (0, "c")] {
+        fences.push(order(&deployment, host, model).await.expect("an order").fence);
+    }
+    assert!(fences.is_sorted_by(|a, b| a < b), "{fences:?}");
+    let records = deployment.decode[0].standin.records().orders;
+    let ran: Vec<_> = records.iter().filter(|r| r.obeyed).map(|r| r.order.fence).collect();
+    assert_eq!(ran, fences);
+    // Each order gave its seat up.
+    let seat = deployment.kv.get(&seat_key(BACKEND)).await.expect("up").expect("a seat");
+    assert!(seat.value.contains("null"), "{}", seat.value);
+}
+
+#[async_std::test]
+async fn an_engine_that_checks_needs_no_wait_after_a_silent_order() {
+    let deployment = Deployment::start(2, 1, EngineOptions::default()).await;
+    assert_eq!(silent_order(&deployment).await.execution, Execution::Unknown);
+    order(&deployment, 1, "next").await.expect("an order");
+}
+
+#[async_std::test]
+async fn an_engine_that_does_not_check_makes_the_next_holder_wait() {
+    let options = EngineOptions { check_fencing: false, ..EngineOptions::default() };
+    let deployment = Deployment::start(2, 1, options).await;
+    let mut table = default_table();
+    table.version = 2;
+    table.rows.iter_mut().for_each(|row| row.fencing_checked = false);
+    deployment.put_table(&table).await;
+    let in_force = || async {
+        deployment.status(0).await.table_version == 2
+            && deployment.status(1).await.table_version == 2
+    };
+    eventually("the table is in force", LIMIT, in_force).await;
+    assert_eq!(silent_order(&deployment).await.execution, Execution::Unknown);
+
+    let e = order(&deployment, 1, "next").await.expect_err("the holder is waited out");
+    assert_eq!(e.execution, Execution::NotRun);
+    let wait = e.retry_after.expect("when to come back");
+    assert!(wait > WAIT_OUT / 2 && wait <= WAIT_OUT, "{wait:?}");
+    let taken = || async { order(&deployment, 1, "next").await.is_ok() };
+    eventually("the next holder has waited", WAIT_OUT + Duration::from_secs(5), taken).await;
+    let records = deployment.decode[0].standin.records().orders;
+    assert!(records.is_sorted_by(|a, b| a.order.fence < b.order.fence), "{records:?}");
+}
+
+#[async_std::test]
+async fn with_the_service_down_an_order_is_refused_at_once() {
+    let deployment = Deployment::start(1, 1, EngineOptions::default()).await;
+    deployment.kv.faults.lock().down = true;
+    let e = order(&deployment, 0, "a").await.expect_err("no order without the service");
+    assert_eq!(e.execution, Execution::NotRun);
+    assert!(e.retry_after.is_some());
+    assert!(deployment.decode[0].standin.records().orders.is_empty());
+}
--- a/crates/transport/src/http.rs
+++ b/crates/transport/src/http.rs
@@ -44,7 +44,10 @@
     req: Request,
     limit: Duration,
 ) -> Result<Response> {
-    match timeout(limit, async_h1::connect(stream, req)).await {
+    // The exchange holds large buffers; on the heap they are not copied into the
+    // futures of all its callers.
+    let exchange = Box::pin(async_h1::connect(stream, req));
+    match timeout(limit, exchange).await {
         Ok(Ok(response)) => Ok(response),
         Ok(Err(e)) => Err(unavailable(addr, &e.to_string(), Execution::Unknown)),
         Err(_) => Err(Error::new(ErrorCode::Timeout, format!("no answer from {addr} in time"))
