--- a/crates/daemon/src/callers/account.rs
+++ b/crates/daemon/src/callers/account.rs
@@ -13,7 +13,6 @@
 use crate::limits::service::Admitted;
 use crate::metrics::Target;
 use crate::node::Node;
-use crate::shutdown::InFlight;
 
 /// `Account` is what is known of one request. Its end is its drop, so that a
 /// request whose caller has gone is counted like any other.
@@ -29,7 +28,6 @@
     outcome: Outcome,
     /// Holds the request's place under its limits until its end.
     admitted: Option<Admitted>,
-    _in_flight: InFlight,
 }
 
 /// `Outcome` is how a request ended.
@@ -42,13 +40,7 @@
 
 impl Account {
     /// Opens the account of a request that has been taken.
-    pub fn open(
-        node: &Arc<Node>,
-        id: &RequestId,
-        row: &Arc<Row>,
-        caller: &Name,
-        in_flight: InFlight,
-    ) -> Account {
+    pub fn open(node: &Arc<Node>, id: &RequestId, row: &Arc<Row>, caller: &Name) -> Account {
         Account {
             node: node.clone(),
             id: id.clone(),
@@ -60,7 +52,6 @@
             tokens: 0,
             outcome: Outcome::Gone,
             admitted: None,
-            _in_flight: in_flight,
         }
     }
 
