End a call's stream with its last byte

Cause: a call sent its end as an empty message of its own. A peer that answered between the two had closed the stream by then, and the call failed with "inactive stream" and the word "unknown", although its answer had come.

Ruled out: ignoring that failure, which would hide streams reset for a reason.

Change: the last bytes carry the end.

--- a/crates/transport/src/mesh.rs
+++ b/crates/transport/src/mesh.rs
@@ -113,7 +113,7 @@
 async fn pump_replies(rx: Receiver<Bytes>, send: &mut SendStream<Bytes>) -> Result<()> {
     while let Some(first) = next_reply(&rx, send).await? {
         let data = coalesce(first, &rx);
-        send_all(send, data).await?;
+        send_all(send, data, false).await?;
     }
     send.send_data(Bytes::new(), true).map_err(broken)
 }
@@ -142,8 +142,10 @@
     joined.freeze()
 }
 
-/// Sends `data` as the peer's window allows.
-async fn send_all(send: &mut SendStream<Bytes>, mut data: Bytes) -> Result<()> {
+/// Sends `data` as the peer's window allows. `end` closes the sending side with the
+/// last byte: as a message of its own the end could come after a quick peer's whole
+/// answer, by when the stream is closed.
+async fn send_all(send: &mut SendStream<Bytes>, mut data: Bytes, end: bool) -> Result<()> {
     while !data.is_empty() {
         send.reserve_capacity(data.len());
         let capacity = poll_fn(|cx| send.poll_capacity(cx)).await;
@@ -153,7 +155,8 @@
             None => return Err(unavailable("the call's stream is closed")),
         };
         let part = data.split_to(capacity.min(data.len()));
-        send.send_data(part, false).map_err(broken)?;
+        let last = end && data.is_empty();
+        send.send_data(part, last).map_err(broken)?;
     }
     Ok(())
 }
@@ -217,8 +220,7 @@
         *head.method_mut() = ::http::Method::POST;
         *head.uri_mut() = ::http::Uri::from_static("http://peer/call");
         let (response, mut send) = requests.send_request(head, false).map_err(broken)?;
-        send_all(&mut send, data).await?;
-        send.send_data(Bytes::new(), true).map_err(broken)?;
+        send_all(&mut send, data, true).await?;
         Ok(RemoteCall { response: Some(response), recv: None, buf: BytesMut::new() })
     }
 }
