Bound what a silent connection between hosts can cost

Cause: a connection could fall silent and be noticed by the calling end only, and only a call after its end opened a new one. The far side kept the handlers of a silent host, and the engines' memory with them. A new connection counted as good before the other end had said anything, two callers opened two at once, and each waited a second of its own for a host that was down.

Change: mesh becomes a folder. Both ends ping while calls depend on the connection. After 300 ms without an answer a new connection is opened beside the old; after 1.5 s the old one is given up at both ends. A new connection must answer a ping first, one attempt at a time serves all, its failure stands for 200 ms. Idle and old connections go. What fails before a frame's last byte is "not run" and is sent once more; the rest is "unknown".

Ruled out: pings on idle connections, for their bytes over 340 hosts; a ping before a call, for its round trip; TCP keep-alive, which the system answers for a frozen process.

--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -9,7 +9,7 @@
 use aspenloft_core::prelude::{Host, Name};
 use aspenloft_protocol::peer::{PeerReply, PeerRequest};
 use aspenloft_transport::frames;
-use aspenloft_transport::mesh::{FrameHandler, PeerConnection, RemoteCall};
+use aspenloft_transport::mesh::{FrameHandler, MeshOptions, PeerLink, RemoteCall};
 use async_std::channel::{Receiver, Sender, bounded};
 use async_std::task;
 use async_trait::async_trait;
@@ -20,6 +20,9 @@
 /// Replies that a local handler may have ready before it must wait.
 const LOCAL_BUFFER: usize = 64;
 
+/// The most hosts whose links are remembered; beyond it those not in use go.
+const MAX_LINKS: usize = 1_024;
+
 /// `ReplySender` is where a handler puts its replies.
 #[derive(Debug, Clone)]
 pub struct ReplySender {
@@ -58,13 +61,14 @@
 pub struct Peers {
     me: Name,
     local: OnceLock<Arc<dyn PeerHandler>>,
-    connections: Mutex<HashMap<Name, PeerConnection>>,
+    options: Arc<MeshOptions>,
+    links: Mutex<HashMap<Name, Arc<PeerLink>>>,
 }
 
 impl Peers {
     /// Creates the peers of the host named `me`.
     pub fn new(me: Name) -> Peers {
-        Peers { me, local: OnceLock::new(), connections: Mutex::default() }
+        Peers { me, local: OnceLock::new(), options: Arc::default(), links: Mutex::default() }
     }
 
     /// Sets who serves this host's calls to itself. Only the first call counts.
@@ -79,11 +83,14 @@
         }
         let mut buf = BytesMut::new();
         frames::encode(&req, &mut buf)?;
-        let connection = self.connection(host).await?;
-        let call = connection.call(buf.freeze()).await;
-        if call.is_err() {
-            self.connections.lock().remove(&host.name);
-        }
+        let data = buf.freeze();
+        let link = self.link(host);
+        let call = match link.connection().await?.call(data.clone()).await {
+            // The connection ended before the call was sent, so that it can be sent
+            // again; this is no second try of a call that may have run.
+            Err(e) if e.execution == Execution::NotRun => link.connection().await?.call(data).await,
+            called => called,
+        };
         Ok(Call::Remote(Box::new(call?)))
     }
 
@@ -102,16 +109,20 @@
         Ok(Call::Local(LocalCall { rx, abort }))
     }
 
-    async fn connection(&self, host: &Host) -> Result<PeerConnection> {
-        let known = self.connections.lock().get(&host.name).cloned();
-        if let Some(connection) = known
-            && !connection.is_closed()
+    fn link(&self, host: &Host) -> Arc<PeerLink> {
+        let mut links = self.links.lock();
+        if let Some(link) = links.get(&host.name)
+            && link.addr() == host.addr
         {
-            return Ok(connection);
+            return link.clone();
+        }
+        if links.len() >= MAX_LINKS {
+            // Links hold no connection for long without calls; any may go.
+            links.retain(|_, link| Arc::strong_count(link) > 1);
         }
-        let connection = PeerConnection::open(host.addr).await?;
-        self.connections.lock().insert(host.name.clone(), connection.clone());
-        Ok(connection)
+        let link = PeerLink::new(host.addr, self.options.clone());
+        links.insert(host.name.clone(), link.clone());
+        link
     }
 }
 
--- /dev/null
+++ b/crates/transport/src/mesh/connection.rs
@@ -0,0 +1,143 @@
+//! The `connection` module is the calling end of one connection to another host.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Instant;
+
+use aspenloft_core::errors::{Error, Result, unavailable};
+use aspenloft_core::execution::Execution;
+use async_std::channel::bounded;
+use async_std::future::timeout;
+use async_std::task;
+use bytes::{Bytes, BytesMut};
+use futures::future::select;
+use futures::pin_mut;
+use h2::RecvStream;
+use tokio_util::compat::FuturesAsyncReadCompatExt;
+
+use super::liveness::{CallCount, Liveness};
+use super::options::MeshOptions;
+use super::streams::{broken, next_frame, send_all};
+use super::{CONNECTION_WINDOW_BYTES, STREAM_WINDOW_BYTES};
+use crate::http;
+
+/// `PeerConnection` is one `h2` connection to another host. Clones share it.
+#[derive(Debug, Clone)]
+pub struct PeerConnection {
+    requests: h2::client::SendRequest<Bytes>,
+    liveness: Arc<Liveness>,
+    opened: Instant,
+}
+
+impl PeerConnection {
+    /// Connects to the host at `addr` and waits for the proof that it answers; a
+    /// frozen host's system accepts connections too.
+    pub async fn open(addr: SocketAddr, options: &Arc<MeshOptions>) -> Result<PeerConnection> {
+        let opening = PeerConnection::open_unbounded(addr, options.clone());
+        let opened = timeout(options.connect, opening).await;
+        // Nothing of a call has been sent yet, whatever went wrong.
+        opened
+            .unwrap_or_else(|_| Err(unavailable(format!("{addr} did not answer in time"))))
+            .map_err(|e| e.execution(Execution::NotRun))
+    }
+
+    async fn open_unbounded(addr: SocketAddr, options: Arc<MeshOptions>) -> Result<PeerConnection> {
+        let stream = http::connect(addr).await?;
+        let mut builder = h2::client::Builder::new();
+        builder
+            .initial_window_size(STREAM_WINDOW_BYTES)
+            .initial_connection_window_size(CONNECTION_WINDOW_BYTES);
+        let handshake = builder.handshake::<_, Bytes>(stream.compat()).await;
+        let (requests, mut connection) = handshake.map_err(broken)?;
+        let pings = connection.ping_pong().ok_or_else(|| unavailable("no pings"))?;
+        let liveness = Liveness::new();
+        let (proven_tx, proven) = bounded::<()>(1);
+        let watched = liveness.clone();
+        task::spawn(async move {
+            let watch = watched.watch(pings, &options, proven_tx);
+            pin_mut!(connection, watch);
+            // Dropping the connection fails the calls that are still on it.
+            let _ = select(connection, watch).await;
+            watched.end();
+        });
+        let _ = proven.recv().await;
+        if liveness.has_ended() {
+            return Err(unavailable(format!("{addr} closed the connection")));
+        }
+        Ok(PeerConnection { requests, liveness, opened: Instant::now() })
+    }
+
+    /// Tells whether new calls may use the connection: it is neither ended, nor
+    /// suspected to be silent, nor too old.
+    pub fn is_usable(&self, options: &MeshOptions) -> bool {
+        !self.liveness.has_ended()
+            && !self.liveness.is_suspect()
+            && self.opened.elapsed() < options.max_age
+    }
+
+    /// Tells whether a ping is unanswered for longer than it should.
+    pub fn is_suspect(&self) -> bool {
+        self.liveness.is_suspect()
+    }
+
+    /// Waits until the connection is suspected to be silent or has ended.
+    pub async fn doubted(&self) {
+        self.liveness.doubted().await;
+    }
+
+    /// Starts a call with the frame in `data`.
+    ///
+    /// The far side runs nothing before it has the whole frame. A failure up to the
+    /// frame's end therefore means that the call was not run.
+    pub async fn call(&self, data: Bytes) -> Result<RemoteCall> {
+        let not_sent = |e: Error| e.execution(Execution::NotRun);
+        let count = self.liveness.begin().ok_or_else(|| unavailable("the connection has ended"))?;
+        let ready = self.requests.clone().ready().await;
+        let mut requests = ready.map_err(|e| {
+            // The next call must not meet the same broken connection.
+            self.liveness.end();
+            not_sent(broken(e))
+        })?;
+        let mut head = ::http::Request::new(());
+        *head.method_mut() = ::http::Method::POST;
+        *head.uri_mut() = ::http::Uri::from_static("http://peer/call");
+        let sent = requests.send_request(head, false).map_err(broken);
+        let (response, mut send) = sent.map_err(not_sent)?;
+        // The last bytes go with the end of the stream.
+        let (most, last) = split_last(data);
+        send_all(&mut send, most).await.map_err(not_sent)?;
+        send_all(&mut send, last).await?;
+        send.send_data(Bytes::new(), true).map_err(broken)?;
+        Ok(RemoteCall { response: Some(response), recv: None, buf: BytesMut::new(), _count: count })
+    }
+}
+
+/// Cuts off the last byte, without which a frame is not whole.
+fn split_last(mut data: Bytes) -> (Bytes, Bytes) {
+    let last = data.split_off(data.len().saturating_sub(1));
+    (data, last)
+}
+
+/// `RemoteCall` reads the replies of one call. Dropping it gives the call up.
+#[derive(Debug)]
+pub struct RemoteCall {
+    response: Option<h2::client::ResponseFuture>,
+    recv: Option<RecvStream>,
+    buf: BytesMut,
+    _count: CallCount,
+}
+
+impl RemoteCall {
+    /// Returns the body of the next reply, or `None` when the peer has finished.
+    pub async fn next(&mut self) -> Result<Option<Bytes>> {
+        if let Some(response) = self.response.as_mut() {
+            let head = response.await.map_err(broken)?;
+            self.response = None;
+            self.recv = Some(head.into_body());
+        }
+        match self.recv.as_mut() {
+            Some(recv) => next_frame(recv, &mut self.buf).await,
+            None => Ok(None),
+        }
+    }
+}
