--- a/crates/daemon/benches/control.rs
+++ b/crates/daemon/benches/control.rs
@@ -15,7 +15,7 @@
 use aspenloft_protocol::peer::PeerRequest;
 use aspenloft_protocol::peer::control::{ControlRequest, DrawRequest, LimitKey};
 use aspenloft_transport::frames;
-use aspenloft_transport::mesh::{FrameHandler, PeerConnection, serve};
+use aspenloft_transport::mesh::{FrameHandler, MeshOptions, PeerConnection, serve};
 use async_std::channel::Sender;
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
@@ -71,10 +71,11 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let server = listener.local_addr().expect("an address");
     task::spawn(serve(listener, Arc::new(Echo)));
+    let options = Arc::new(MeshOptions::default());
     let carried = Arc::new(AtomicU64::new(0));
     let relay = counting_relay(server, carried.clone()).await;
-    let connection = PeerConnection::open(server).await?;
-    let counted = PeerConnection::open(relay).await?;
+    let connection = PeerConnection::open(server, &options).await?;
+    let counted = PeerConnection::open(relay, &options).await?;
     for payload in [64_usize, 512, 4_096, 32_768] {
         let mut buf = BytesMut::new();
         frames::encode(&vec![7_u8; payload], &mut buf)?;
--- a/crates/transport/tests/mesh.rs
+++ b/crates/transport/tests/mesh.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use aspenloft_transport::frames;
-use aspenloft_transport::mesh::{FrameHandler, PeerConnection, serve};
+use aspenloft_transport::mesh::{FrameHandler, MeshOptions, PeerConnection, serve};
 use async_std::channel::Sender;
 use async_std::net::TcpListener;
 use async_std::task;
@@ -27,7 +27,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let addr = listener.local_addr().expect("an address");
     task::spawn(serve(listener, Arc::new(Echo)));
-    PeerConnection::open(addr).await.expect("a connection")
+    PeerConnection::open(addr, &Arc::new(MeshOptions::default())).await.expect("a connection")
 }
 
 async fn echo(connection: &PeerConnection, payload: usize) -> aspenloft_core::errors::Result<()> {
