--- a/crates/daemon/src/path/model/attempt.rs
+++ b/crates/daemon/src/path/model/attempt.rs
@@ -23,7 +23,7 @@
 use crate::peers::{Call, unexpected};
 
 /// Decode servers that one prefill's result is offered to.
-const MAX_LIVES: u32 = 3;
+const MAX_LIVES: usize = 3;
 
 /// The least time that a transfer gets, in which a link shared by many still moves.
 const LEAST_TRANSFER: Duration = Duration::from_millis(400);
@@ -94,37 +94,44 @@
     /// imported the result and the result is still there.
     async fn decode_somewhere(&mut self, first: Room, prefilled: &mut Prefilled) -> Result<()> {
         let mut room = first;
+        let mut tried = Vec::new();
         let mut stalls = 0;
-        for life in 1.. {
-            let name = room.backend.name.clone();
+        loop {
+            tried.push(room.backend.name.clone());
             let Err(e) = self.decode(room, prefilled).await else { return Ok(()) };
-            if e.code != ErrorCode::Overloaded {
-                self.avoid.push(name.clone());
-            }
-            if e.code == ErrorCode::Timeout {
-                stalls += 1;
-            }
-            let gone = self.node.clock.now() >= prefilled.until && stalls == 0;
-            if prefilled.call.is_none() || gone || life >= MAX_LIVES || self.tx.is_closed() {
-                if stalls > 1 {
-                    // Two decode servers could not import it, thus the source is at fault.
-                    self.avoid.push(prefilled.source.name.clone());
-                }
+            stalls += u32::from(e.code == ErrorCode::Timeout && prefilled.call.is_some());
+            // An export in progress keeps the result beyond its life.
+            let there = self.node.clock.now() < prefilled.until || stalls > 0;
+            let movable = there && prefilled.call.is_some() && tried.len() < MAX_LIVES;
+            let next = if movable { self.second_life(&tried).await } else { None };
+            let Some(next) = next else {
+                self.blame(e.code, stalls, &prefilled.source, tried);
                 return Err(e);
-            }
-            self.note(format!("{name} lost before the import ({e}); the result moves on"));
-            let next = self.second_life().await;
-            let Some(next) = next else { return Err(e) };
+            };
+            self.note(format!("{e}; the result moves on to {}", next.backend.name));
             room = next;
         }
-        Err(unavailable("no decode server took the result"))
+    }
+
+    /// Keeps this request, and for a while others, off the servers at fault.
+    fn blame(&mut self, code: ErrorCode, stalls: u32, source: &Backend, tried: Vec<Name>) {
+        // When a second server could not import the result either, its source is at
+        // fault rather than they.
+        let at_fault = if stalls > 1 { vec![source.name.clone()] } else { tried };
+        if code == ErrorCode::Overloaded {
+            return;
+        }
+        let now = self.node.clock.now();
+        at_fault.iter().for_each(|name| self.node.router.note_fault(name, now));
+        self.avoid.extend(at_fault);
     }
 
     /// Reserves another decode server at once.
-    async fn second_life(&mut self) -> Option<Room> {
+    async fn second_life(&mut self, tried: &[Name]) -> Option<Room> {
         let left = self.left().max(HOME_SLACK);
         let router = &self.node.router;
-        let ranked = router.choose_decode(self.node, self.req, self.prompt, left, &self.avoid);
+        let avoid: Vec<Name> = self.avoid.iter().chain(tried).cloned().collect();
+        let ranked = router.choose_decode(self.node, self.req, self.prompt, left, &avoid);
         for backend in ranked {
             if let Ok(Some(room)) = self.take(&backend, Tokens(0), Duration::ZERO).await {
                 return Some(room);
--- a/crates/daemon/src/path/model/router.rs
+++ b/crates/daemon/src/path/model/router.rs
@@ -23,6 +23,12 @@
 /// The one-way delay between data centres that is assumed.
 const FAR_DELAY: Duration = Duration::from_micros(4_500);
 
+/// How long a server's fault counts against it.
+const FAULT_MEMORY: Duration = Duration::from_secs(5);
+
+/// What a fault counts, as a longer wait for the server.
+const FAULT_COST: Duration = Duration::from_millis(300);
+
 /// Fresh states from refusals that are kept; the oldest is forgotten first.
 const MAX_FRESH: usize = 1_024;
 
@@ -35,6 +41,8 @@
     pub estimates: Mutex<Estimates>,
     /// States that came with refusals, often newer than the digests.
     fresh: Mutex<HashMap<Name, (BackendState, Instant)>>,
+    /// When servers last failed a request of this host.
+    faults: Mutex<HashMap<Name, Instant>>,
     options: RouteOptions,
 }
 
@@ -44,6 +52,7 @@
             cache: Mutex::new(CacheIndex::new(CACHE_PAIRS)),
             estimates: Mutex::default(),
             fresh: Mutex::default(),
+            faults: Mutex::default(),
             options: RouteOptions::default(),
         }
     }
@@ -120,6 +129,16 @@
         ranked.into_iter().map(|at| backends[at].clone()).collect()
     }
 
+    /// Notes that a server failed a request, so that others rather go elsewhere for a
+    /// while. It stays a candidate, because the fault may have been elsewhere.
+    pub fn note_fault(&self, backend: &Name, now: Instant) {
+        let mut faults = self.faults.lock();
+        faults.retain(|_, at| now.saturating_duration_since(*at) < FAULT_MEMORY);
+        if faults.len() < MAX_FRESH {
+            faults.insert(backend.clone(), now);
+        }
+    }
+
     /// Takes the state that came with a refusal.
     pub fn note_state(&self, backend: &Name, state: BackendState, now: Instant) {
         let mut fresh = self.fresh.lock();
@@ -198,13 +217,21 @@
             let cached = matches.get(&backend.name).map_or(Tokens(0), |found| believed(*found));
             let avoided = avoid.contains(&backend.name);
             let state = self.state(node, &backend.name, now);
-            candidate(backend, centre, cached, avoided, state)
+            let mut candidate = candidate(backend, centre, cached, avoided, state);
+            candidate.state.free_in += self.fault_cost(&backend.name, now);
+            candidate
         });
         let candidates: Vec<Candidate> = candidates.collect();
         let links = self.links(&centres);
         (backends, candidates, links)
     }
 
+    fn fault_cost(&self, backend: &str, now: Instant) -> Duration {
+        let at = self.faults.lock().get(backend).copied();
+        let fresh = at.is_some_and(|at| now.saturating_duration_since(at) < FAULT_MEMORY);
+        if fresh { FAULT_COST } else { Duration::ZERO }
+    }
+
     /// Returns the newer of the digest and of a refusal's state.
     fn state(&self, node: &Node, backend: &str, now: Instant) -> Option<(BackendState, Duration)> {
         let digest = node.view.state_of(backend, now);
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -12,6 +12,9 @@
 /// The longest time after which a refused caller should come back.
 const LATEST_RETURN: Duration = Duration::from_secs(30);
 
+/// The least span over which the rate of work let through is measured.
+const RATE_SPAN: Duration = Duration::from_millis(200);
+
 /// `Arrival` is a request at its entry host.
 #[derive(Debug, Clone)]
 pub struct Arrival {
@@ -92,7 +95,8 @@
     queue: FairQueue,
     /// Work let through in a second, measured while some wait.
     rate: Mean,
-    last_go: Option<Instant>,
+    /// Since when some wait without a pause, and the work let through since.
+    busy: Option<(Instant, f64)>,
 }
 
 impl Admission {
@@ -110,7 +114,6 @@
         // Nobody passes those who wait already.
         if room && self.queue.is_empty() {
             self.queue.charge(&arrival.flow, arrival.cost, weight);
-            self.note_go(arrival.cost, now, false);
             return Admitted::Go;
         }
         let patience = (arrival.deadline - arrival.service).min(arrival.queue);
@@ -140,7 +143,7 @@
     /// Takes the next one that goes ahead, when there is room.
     pub fn next(&mut self, now: Instant) -> Option<Ticket> {
         let next = self.queue.pop(now)?;
-        self.note_go(next.cost, now, true);
+        self.note_go(next.cost, now);
         Some(next.ticket)
     }
 
@@ -176,16 +179,20 @@
         Duration::from_secs_f64((work / rate).clamp(0.0, LATEST_RETURN.as_secs_f64()))
     }
 
-    /// Measures the rate over the span in which work really went ahead, as the
-    /// paper "Placing players" advises: a nominal window makes a burst look slow.
-    fn note_go(&mut self, cost: f64, now: Instant, waited: bool) {
-        if let Some(last) = self.last_go
-            && waited
-        {
-            let span = now.saturating_duration_since(last).as_secs_f64().max(0.001);
-            self.rate.add(cost / span);
+    /// Measures the rate over the spans in which some waited, because only then is the
+    /// work let through what the servers can do. The span is the real one, as the
+    /// paper "Placing players" advises: a nominal one makes a burst look slow.
+    fn note_go(&mut self, cost: f64, now: Instant) {
+        let (since, work) = self.busy.get_or_insert((now, 0.0));
+        *work += cost;
+        let span = now.saturating_duration_since(*since);
+        if span >= RATE_SPAN {
+            self.rate.add(*work / span.as_secs_f64());
+            self.busy = Some((now, 0.0));
+        }
+        if self.queue.is_empty() {
+            self.busy = None;
         }
-        self.last_go = Some(now);
     }
 
     fn refuse(&self, arrival: &Arrival, reason: Reason, after: Duration) -> Admitted {
--- a/crates/protocol/src/engine.rs
+++ b/crates/protocol/src/engine.rs
@@ -336,9 +336,9 @@
         let req = http::post(self.addr, paths::DECODE, command)?;
         let mut response = http::send(self.addr, req, limit).await?;
         if !response.status().is_success() {
-            return http::read_json::<Ack>(&mut response, self.addr)
-                .await
-                .and_then(|_| Err(internal("an engine failed with success")));
+            return http::read_json::<Ack>(&mut response, self.addr).await.and_then(|_| {
+                Err(internal("an engine failed with success").execution(Execution::Unknown))
+            });
         }
         let addr = self.addr;
         let events = async_sse::decode(response.take_body());
@@ -381,7 +381,7 @@
     match event {
         Ok(Event::Message(message)) => Some(
             serde_json::from_slice(message.data())
-                .map_err(|e| internal(format!("stream of {addr}: {e}"))),
+                .map_err(|e| internal(format!("stream of {addr}: {e}")).execution(Execution::Run)),
         ),
         Ok(Event::Retry(_)) => None,
         Err(e) => Some(Err(Error::new(ErrorCode::Unavailable, format!("stream of {addr}: {e}"))
