--- /dev/null
+++ b/crates/membership/src/roster.rs
@@ -0,0 +1,46 @@
+//! The `roster` module holds the platform's list of hosts, which lags: it tells
+//! whom to try, and heartbeats decide who is live.
+
+use std::collections::BTreeMap;
+use std::time::Instant;
+
+use aspenloft_core::prelude::{Host, Name};
+
+/// `Listed` is one host on the platform's list.
+#[derive(Debug, Clone)]
+pub struct Listed {
+    /// The host as listed.
+    pub host: Host,
+    /// Since when it has been listed without a break, as far as this host saw.
+    pub since: Instant,
+}
+
+/// `Roster` is the platform's list of hosts as last read.
+#[derive(Debug, Default)]
+pub struct Roster {
+    by_name: BTreeMap<Name, Listed>,
+}
+
+impl Roster {
+    /// Takes a newer list.
+    pub fn update(&mut self, hosts: Vec<Host>, now: Instant) {
+        let mut fresh = BTreeMap::new();
+        for host in hosts {
+            // A host that comes back at another address is a replacement.
+            let known = self.by_name.get(&host.name).filter(|known| known.host.addr == host.addr);
+            let since = known.map_or(now, |known| known.since);
+            fresh.insert(host.name.clone(), Listed { host, since });
+        }
+        self.by_name = fresh;
+    }
+
+    /// Returns the entry of `name`.
+    pub fn get(&self, name: &str) -> Option<&Listed> {
+        self.by_name.get(name)
+    }
+
+    /// Returns all entries.
+    pub fn iter(&self) -> impl Iterator<Item = &Listed> {
+        self.by_name.values()
+    }
+}
--- /dev/null
+++ b/crates/table/src/check.rs
@@ -0,0 +1,198 @@
+//! The `check` module finds all that is wrong with a table at once, each finding
+//! with its row and column.
+
+use std::collections::HashMap;
+
+use aspenloft_core::finding::Findings;
+use serde_json::{Map, Value};
+
+use crate::cell::Sheet;
+use crate::columns::{columns, find};
+use crate::row::{Row, RowKind};
+use crate::shadow::shadowed_by;
+use crate::table::Table;
+
+/// The largest table, in bytes of JSON text. It leaves room for the history of
+/// edits within the megabyte that the key-value service takes.
+pub const MAX_TABLE_BYTES: usize = 768 * 1024;
+
+/// The most rows.
+pub const MAX_ROWS: usize = 1_000;
+
+/// The most callers.
+pub const MAX_CALLERS: usize = 4_000;
+
+/// Checks the JSON text of a table.
+pub fn check_text(text: &str) -> Result<Table, Findings> {
+    let mut findings = Findings::default();
+    if text.len() > MAX_TABLE_BYTES {
+        findings.add("table", format!("{} bytes exceed {MAX_TABLE_BYTES}", text.len()));
+        return Err(findings);
+    }
+    let value = match serde_json::from_str::<Value>(text) {
+        Ok(value) => value,
+        Err(e) => {
+            findings.add(format!("line {}, column {}", e.line(), e.column()), e.to_string());
+            return Err(findings);
+        }
+    };
+    check_shape(&value, &mut findings);
+    // Rules between cells need whole rows, so they wait until each cell is sound.
+    if findings.is_empty() {
+        match Table::from_json(text) {
+            Ok(table) => {
+                check_rules(&table, &mut findings);
+                return findings.into_result().map(|()| table);
+            }
+            Err(e) => findings.add("table", e.message),
+        }
+    }
+    Err(findings)
+}
+
+/// Checks a table that has been read already.
+pub fn check_table(table: &Table) -> Findings {
+    match table.to_json() {
+        Ok(text) => check_text(&text).err().unwrap_or_default(),
+        Err(e) => {
+            let mut findings = Findings::default();
+            findings.add("table", e.message);
+            findings
+        }
+    }
+}
+
+/// Checks each cell by itself.
+fn check_shape(value: &Value, findings: &mut Findings) {
+    let Some(object) = value.as_object() else {
+        findings.add("table", "must be an object with version, rows and callers");
+        return;
+    };
+    for key in object.keys() {
+        if !["version", "rows", "callers"].contains(&key.as_str()) {
+            findings.add(key.as_str(), "unknown part; a table has version, rows and callers");
+        }
+    }
+    if !object.get("version").is_some_and(Value::is_u64) {
+        findings.add("version", "must be a whole number");
+    }
+    check_sheet(object, Sheet::Rows, MAX_ROWS, findings);
+    check_sheet(object, Sheet::Callers, MAX_CALLERS, findings);
+}
+
+fn check_sheet(object: &Map<String, Value>, sheet: Sheet, most: usize, findings: &mut Findings) {
+    let Some(entries) = object.get(&sheet.to_string()).and_then(Value::as_array) else {
+        findings.add(sheet.to_string(), "must be a list");
+        return;
+    };
+    if entries.len() > most {
+        findings.add(sheet.to_string(), format!("{} entries exceed {most}", entries.len()));
+    }
+    for (at, entry) in entries.iter().enumerate() {
+        let name = entry.get("name").and_then(Value::as_str);
+        // A nameless entry is found by its position.
+        let place = match name {
+            Some(name) if !name.is_empty() => format!("{sheet}[{name}]"),
+            _ => format!("{sheet}[#{}]", at + 1),
+        };
+        match entry.as_object() {
+            Some(entry) => check_entry(entry, sheet, &place, findings),
+            None => findings.add(place, "must be an object"),
+        }
+    }
+}
+
+fn check_entry(entry: &Map<String, Value>, sheet: Sheet, place: &str, findings: &mut Findings) {
+    for (name, value) in entry {
+        let cell = format!("{place}.{name}");
+        match find(sheet, name) {
+            Some(column) => column.check(value, &cell, findings),
+            None => findings.add(cell, unknown_column(sheet, name)),
+        }
+    }
+    for column in columns(sheet).filter(|column| column.required) {
+        if !entry.contains_key(column.name) {
+            findings.add(
+                format!("{place}.{}", column.name),
+                format!("is missing; it must be {}", column.range()),
+            );
+        }
+    }
+}
+
+fn unknown_column(sheet: Sheet, name: &str) -> String {
+    let near = columns(sheet).find(|column| {
+        column.name.starts_with(name) || name.starts_with(column.name) || column.name.contains(name)
+    });
+    match near {
+        Some(column) => format!("unknown column; did you mean {}?", column.name),
+        None => "unknown column; docs/TABLE.md names all".into(),
+    }
+}
+
+/// Checks the rules between cells, rows and callers.
+fn check_rules(table: &Table, findings: &mut Findings) {
+    if table.rows.is_empty() {
+        findings.add("rows", "must not be empty: without a row nothing is served");
+    }
+    check_names(Sheet::Rows, table.rows.iter().map(|row| &*row.name), findings);
+    check_names(Sheet::Callers, table.callers.iter().map(|caller| &*caller.name), findings);
+    check_keys(table, findings);
+    for (at, row) in table.rows.iter().enumerate() {
+        check_row(row, findings);
+        if let Some(earlier) = shadowed_by(&table.rows, at) {
+            findings.add(
+                format!("rows[{}]", row.name),
+                format!("no request reaches it: row {} before it takes them all", earlier.name),
+            );
+        }
+    }
+}
+
+fn check_names<'a>(sheet: Sheet, names: impl Iterator<Item = &'a str>, findings: &mut Findings) {
+    let mut counts: HashMap<&str, usize> = HashMap::new();
+    for name in names {
+        let count = counts.entry(name).or_default();
+        *count += 1;
+        if *count == 2 {
+            findings.add(format!("{sheet}[{name}].name"), "stands twice; names must be unique");
+        }
+    }
+}
+
+/// Two callers with one key could not be told apart.
+fn check_keys(table: &Table, findings: &mut Findings) {
+    let mut holders: HashMap<&str, &str> = HashMap::new();
+    for caller in &table.callers {
+        if let Some(first) = holders.insert(&caller.key_sha256, &caller.name) {
+            findings.add(
+                format!("callers[{}].key_sha256", caller.name),
+                format!("is also the key of caller {first}"),
+            );
+        }
+    }
+}
+
+fn check_row(row: &Row, findings: &mut Findings) {
+    let place = |column: &str| format!("rows[{}].{column}", row.name);
+    match row.kind {
+        RowKind::Service => {
+            if !row.path.starts_with('/') {
+                findings.add(place("path"), "must start with /");
+            }
+        }
+        RowKind::Model => {
+            if row.unrepeatable {
+                findings.add(place("unrepeatable"), "is for rows of kind service only");
+            }
+            if !row.methods.is_empty() {
+                findings.add(place("methods"), "is for rows of kind service only");
+            }
+        }
+    }
+    for method in &row.methods {
+        if !method.bytes().all(|b| b.is_ascii_uppercase()) {
+            findings.add(place("methods"), format!("{method} is not a method in capitals"));
+        }
+    }
+}
--- a/crates/table/src/table.rs
+++ b/crates/table/src/table.rs
@@ -2,7 +2,10 @@
 
 use aspenloft_core::errors::{Result, invalid};
 use serde::{Deserialize, Serialize};
+use serde_json::Value;
 
+use crate::cell::Sheet;
+use crate::columns::drop_defaults;
 use crate::row::{Caller, Row};
 
 /// The key under which the platform's key-value service holds the table.
@@ -28,8 +31,22 @@
             .map_err(|e| invalid(format!("table: {}: {}", e.path(), e.inner())))
     }
 
-    /// Writes the table as JSON text.
+    /// Writes the table as JSON text, without the cells that hold their default.
     pub fn to_json(&self) -> Result<String> {
-        serde_json::to_string(self).map_err(|e| invalid(e.to_string()))
+        let mut value = serde_json::to_value(self).map_err(|e| invalid(e.to_string()))?;
+        drop_table_defaults(&mut value);
+        serde_json::to_string(&value).map_err(|e| invalid(e.to_string()))
+    }
+}
+
+/// Drops the cells that hold their default from a table as JSON.
+pub fn drop_table_defaults(table: &mut Value) {
+    for sheet in [Sheet::Rows, Sheet::Callers] {
+        let entries = table.get_mut(sheet.to_string()).and_then(Value::as_array_mut);
+        for entry in entries.into_iter().flatten() {
+            if let Some(object) = entry.as_object_mut() {
+                drop_defaults(sheet, object);
+            }
+        }
     }
 }
--- /dev/null
+++ b/crates/table/tests/columns.rs
@@ -0,0 +1,96 @@
+//! The registry of columns, the types and docs/TABLE.md name the same columns.
+
+use std::collections::BTreeSet;
+
+use aspenloft_table::cell::{Cell, Sheet};
+use aspenloft_table::columns::{COLUMNS, Kind, columns, find};
+use aspenloft_table::row::{Caller, Row, RowKind};
+use aspenloft_table::table::Table;
+use serde_json::Value;
+
+const DOCS: &str = include_str!("../../../docs/TABLE.md");
+
+fn caller() -> Caller {
+    let text = format!(r#"{{"name": "trails", "key_sha256": "{}"}}"#, "ab".repeat(32));
+    serde_json::from_str(&text).expect("a caller")
+}
+
+fn names_of(value: Value) -> BTreeSet<String> {
+    value.as_object().expect("an object").keys().cloned().collect()
+}
+
+#[test]
+fn each_field_has_one_column() {
+    let row = serde_json::to_value(Row::new("scribe", RowKind::Model, "scribe"));
+    let rows: BTreeSet<String> = columns(Sheet::Rows).map(|c| c.name.to_string()).collect();
+    assert_eq!(names_of(row.expect("a row")), rows);
+    let value = serde_json::to_value(caller()).expect("a caller");
+    let callers: BTreeSet<String> = columns(Sheet::Callers).map(|c| c.name.to_string()).collect();
+    assert_eq!(names_of(value), callers);
+    assert_eq!(rows.len() + callers.len(), COLUMNS.len());
+}
+
+#[test]
+fn the_page_names_each_column_with_unit_range_and_default() {
+    for column in COLUMNS {
+        let section = format!("## Sheet `{}`", column.sheet);
+        let from = DOCS.find(&section).unwrap_or_else(|| panic!("{section} is missing"));
+        let rest = &DOCS[from + section.len()..];
+        let part = rest.split("\n## ").next().unwrap_or_default();
+        let line = part.lines().find(|line| line.starts_with(&format!("| `{}` |", column.name)));
+        let line = line.unwrap_or_else(|| panic!("{}.{} is missing", column.sheet, column.name));
+        assert!(line.contains(&column.range()), "{line}: not {}", column.range());
+        assert!(line.contains(column.unit), "{line}: not {}", column.unit);
+        let default = match column.default() {
+            None => "required".into(),
+            Some(cell) if cell.to_string().is_empty() => "none".into(),
+            Some(cell) => format!("`{cell}`"),
+        };
+        assert!(line.contains(&default), "{line}: not {default}");
+    }
+}
+
+#[test]
+fn the_page_names_no_column_that_is_not_there() {
+    let mut sheet = None;
+    for line in DOCS.lines() {
+        if line.starts_with("## ") {
+            let sheets = [Sheet::Rows, Sheet::Callers];
+            sheet = sheets.into_iter().find(|sheet| line == format!("## Sheet `{sheet}`"));
+        }
+        let name = line.strip_prefix("| `").and_then(|rest| rest.split('`').next());
+        if let (Some(sheet), Some(name)) = (sheet, name) {
+            assert!(find(sheet, name).is_some(), "{sheet}.{name} is no column");
+        }
+    }
+}
+
+#[test]
+fn cells_are_read_and_set_by_name() {
+    for column in columns(Sheet::Rows).filter(|column| column.name != "kind") {
+        let mut row = Row::new("scribe", RowKind::Service, "scribe");
+        let typed = match column.kind {
+            Kind::Flag => "true",
+            Kind::Whole(..) => "7",
+            Kind::Decimal(..) => "0.5",
+            _ => "GET",
+        };
+        let cell = column.parse(typed).expect("a cell");
+        assert!(column.set(&mut row, &cell), "{}", column.name);
+        assert_eq!(column.get(&row), Some(cell), "{}", column.name);
+    }
+    let class = find(Sheet::Callers, "class").expect("a column");
+    let mut caller = caller();
+    assert!(class.set(&mut caller, &Cell::Text("staff".into())));
+    assert_eq!(&*caller.class, "staff");
+    assert!(!class.set(&mut caller, &Cell::Whole(3)));
+}
+
+#[test]
+fn a_table_is_written_without_defaults_and_read_back_whole() {
+    let rows = vec![Row::new("scribe", RowKind::Model, "scribe")];
+    let table = Table { version: 3, rows, callers: vec![caller()] };
+    let text = table.to_json().expect("text");
+    assert!(!text.contains("ttft_ms"), "{text}");
+    assert_eq!(Table::from_json(&text).expect("a table"), table);
+}
