--- a/crates/core/src/errors.rs
+++ b/crates/core/src/errors.rs
@@ -64,6 +64,9 @@
     /// A compare-and-swap lost to another writer.
     #[display("conflict")]
     Conflict,
+    /// An idempotency key came again with a different request.
+    #[display("idempotency_key_reused")]
+    KeyReused,
     /// The request has crashed the backend servers that ran it.
     #[display("poisonous_request")]
     Poisonous,
@@ -76,6 +79,15 @@
     /// Something that should not happen did.
     #[display("internal")]
     Internal,
+    /// The path does not take this method.
+    #[display("method_not_allowed")]
+    MethodNotAllowed,
+    /// The body is of a type that the path does not take.
+    #[display("unsupported_type")]
+    UnsupportedType,
+    /// The caller took too long to send its request.
+    #[display("request_timeout")]
+    SlowRequest,
 }
 
 impl Error {
