--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -9,6 +9,8 @@
 use aspenloft_core::clock::unix_millis;
 use aspenloft_core::errors::{Result, internal};
 use aspenloft_core::prelude::{RequestId, SharedClock};
+use aspenloft_ledger::options::Options;
+use aspenloft_policy::explain::Explanations;
 use aspenloft_protocol::peer::control::{ControlReply, ControlRequest};
 use aspenloft_protocol::peer::table::{TableReply, TableRequest};
 use aspenloft_protocol::peer::{PeerReply, PeerRequest};
@@ -19,16 +21,25 @@
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
 use crate::home::service::HomeService;
+use crate::ledger::entry::OwnerHints;
+use crate::ledger::orders::OrderDesks;
+use crate::ledger::{LedgerService, Parts};
 use crate::levels::record::Levels;
 use crate::levels::report;
 use crate::limits::service::{self as limits, Limits};
 use crate::metrics::Metrics;
+use crate::path::model::gate::Gate;
+use crate::path::model::router::Router;
+use crate::path::service::Services;
 use crate::peers::{PeerHandler, Peers, ReplySender};
 use crate::settings::Settings;
 use crate::shutdown::Shutdown;
 use crate::suspects::{self, Suspects};
 use crate::view::View;
 
+/// Requests whose decisions are remembered; the oldest is forgotten first.
+const EXPLAINED_REQUESTS: usize = 256;
+
 /// `Node` is one host of the router.
 pub struct Node {
     /// Its settings.
@@ -55,6 +66,20 @@
     pub metrics: Metrics,
     /// Its way out, and the work in flight.
     pub shutdown: Arc<Shutdown>,
+    /// The servers of plain services.
+    pub services: Arc<Services>,
+    /// Its work as an owner of ledger shards.
+    pub ledger: LedgerService,
+    /// Its orders to backend servers.
+    pub orders: Arc<OrderDesks>,
+    /// Where owners of ledger shards were last found.
+    pub owners: OwnerHints,
+    /// What it has learned for its choices.
+    pub router: Router,
+    /// The requests that wait for room.
+    pub gate: Gate,
+    /// The last decisions, for operators.
+    pub explain: Mutex<Explanations>,
     requests: AtomicU64,
     born_ms: u64,
     random: Mutex<StdRng>,
@@ -76,9 +101,25 @@
         host_list: Arc<dyn HostList>,
     ) -> Result<Arc<Node>> {
         let view = Arc::new(View::new(settings.host()));
+        let services = Arc::new(Services::new(view.clone(), clock.clone()));
+        let mut random = StdRng::from_os_rng();
+        let orders = OrderDesks::new(kv.clone(), clock.clone(), view.clone(), random.random());
+        let ledger = LedgerService::start(Parts {
+            host: settings.host.clone(),
+            kv: kv.clone(),
+            clock: clock.clone(),
+            view: view.clone(),
+            sender: services.clone(),
+            options: Options::default(),
+            seed: random.random(),
+        });
         let node = Arc::new(Node {
             kv,
             host_list,
+            services,
+            ledger,
+            orders: Arc::new(orders),
+            owners: OwnerHints::default(),
             peers: Peers::new(settings.host.clone()),
             home: HomeService::new(clock.clone(), view.clone()),
             limits: Limits::default(),
@@ -86,9 +127,12 @@
             levels: Levels::default(),
             metrics: Metrics::new(&settings.host)?,
             shutdown: Arc::default(),
+            router: Router::default(),
+            gate: Gate::default(),
+            explain: Mutex::new(Explanations::new(EXPLAINED_REQUESTS)),
             requests: AtomicU64::new(0),
             born_ms: unix_millis(clock.wall()),
-            random: Mutex::new(StdRng::from_os_rng()),
+            random: Mutex::new(random),
             view,
             clock,
             settings,
@@ -131,7 +175,10 @@
                 let reply = control(&self.0, &req).await;
                 let _ = tx.send(reply.map_or_else(PeerReply::Failed, PeerReply::Control)).await;
             }
-            PeerRequest::Heartbeat(_) | PeerRequest::Ledger(_) => {
+            PeerRequest::Ledger(call) => {
+                let _ = tx.send(self.0.ledger.serve(*call).await).await;
+            }
+            PeerRequest::Heartbeat(_) => {
                 let refusal = internal("this host does not serve such calls yet");
                 let _ = tx.send(PeerReply::Failed(refusal)).await;
             }
--- a/crates/transport/src/http.rs
+++ b/crates/transport/src/http.rs
@@ -34,7 +34,20 @@
 /// answer. The body of the answer is read by the caller.
 pub async fn send(addr: SocketAddr, req: Request, limit: Duration) -> Result<Response> {
     let stream = connect(addr).await?;
-    match timeout(limit, async_h1::connect(stream, req)).await {
+    send_on(stream, addr, req, limit).await
+}
+
+/// Sends `req` on `stream`, which must be fresh, as [`send`] does.
+pub async fn send_on(
+    stream: TcpStream,
+    addr: SocketAddr,
+    req: Request,
+    limit: Duration,
+) -> Result<Response> {
+    // The exchange holds large buffers; on the heap they are not copied into the
+    // futures of all its callers.
+    let exchange = Box::pin(async_h1::connect(stream, req));
+    match timeout(limit, exchange).await {
         Ok(Ok(response)) => Ok(response),
         Ok(Err(e)) => Err(unavailable(addr, &e.to_string(), Execution::Unknown)),
         Err(_) => Err(Error::new(ErrorCode::Timeout, format!("no answer from {addr} in time"))
