--- a/crates/daemon/src/callers/openai.rs
+++ b/crates/daemon/src/callers/openai.rs
@@ -189,6 +189,7 @@
             | ErrorCode::UnsupportedType
             | ErrorCode::SlowRequest
             | ErrorCode::Poisonous
+            | ErrorCode::KeyReused
             | ErrorCode::Conflict => "invalid_request_error",
             _ => "server_error",
         };
