Keep suspects apart at the homes

Cause: the decision on requests that crash servers was there, but nothing told it of a death, and nothing kept a suspect off servers with other suspects.

Change: when a call to an engine breaks off, the home finds out whether the engine died, and tells all hosts of what it ran before it answers the entry hosts. Suspects get room only where no other suspect has some; a suspect runs only on a server that has just answered.

A server that had died unnoticed convicted the next request that tried it (not_run_is_what_the_engines_say_too, 422 for 503), hence the proof of life.

The test on "not run" got an answer cut off by the fall of all decode engines, because no failed answer had run before.

--- a/crates/daemon/src/home/prefill.rs
+++ b/crates/daemon/src/home/prefill.rs
@@ -1,5 +1,6 @@
 //! The `prefill` module runs prefills for entry hosts.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use aspenloft_core::errors::{Error, ErrorCode, Result};
@@ -8,7 +9,9 @@
 use aspenloft_protocol::peer::home::{HomePrefill, HomeReply};
 use async_std::task;
 
+use super::deaths;
 use super::service::{ENGINE_HOLD, HomeService, Room, engine};
+use crate::node::Node;
 use crate::peers::ReplySender;
 
 /// The longest that a result is kept for an entry host, transfers included.
@@ -19,14 +22,20 @@
     ///
     /// The entry host ends the call when the result has been imported elsewhere or
     /// its caller has gone; either way nothing may remain on the engine.
-    pub(super) async fn prefill(&self, req: HomePrefill, tx: &ReplySender) -> Result<()> {
+    pub(super) async fn prefill(
+        &self,
+        node: &Arc<Node>,
+        req: HomePrefill,
+        tx: &ReplySender,
+    ) -> Result<()> {
         let backend = self.staying(&req.backend)?;
         let room = Room { home: self, backend: &req.backend, id: req.reservation };
         let (now, longest) = (self.clock.now(), req.limit + ENGINE_HOLD);
         if !self.with(&req.backend, |a| a.begin_prefill(req.reservation, longest, now)) {
             return Err(Error::new(ErrorCode::Timeout, "the turn has lapsed"));
         }
-        let _claim = self.claims.claim(&backend, &req.request).await?;
+        let _claim = self.claims.claim(&backend, &req.request, req.fingerprint).await?;
+        deaths::prove_alive(node, &backend, req.fingerprint).await?;
         let command = PrefillCommand {
             request: req.request.clone(),
             owner: self.view.me().name.clone(),
@@ -35,7 +44,11 @@
             hold: ENGINE_HOLD,
         };
         let ran = engine(&backend).prefill(&command, req.limit).await;
-        let result = ran.inspect_err(|e| self.note_failure(&backend, e))?;
+        if let Err(e) = &ran {
+            self.note_failure(&backend, e);
+            deaths::inquire(node, &backend, e).await;
+        }
+        let result = ran?;
         self.with(&req.backend, |account| account.note_prefill(&result));
         drop(room);
         self.publish(&backend);
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -22,6 +22,7 @@
 
 use crate::home::service::HomeService;
 use crate::ledger::entry::OwnerHints;
+use crate::ledger::orders::OrderDesks;
 use crate::ledger::{LedgerService, Parts};
 use crate::levels::record::Levels;
 use crate::levels::report;
@@ -65,18 +66,20 @@
     pub metrics: Metrics,
     /// Its way out, and the work in flight.
     pub shutdown: Arc<Shutdown>,
-    /// What it has learned for its choices.
-    pub router: Router,
-    /// The requests that wait for room.
-    pub gate: Gate,
-    /// The last decisions, for operators.
-    pub explain: Mutex<Explanations>,
     /// The servers of plain services.
     pub services: Arc<Services>,
     /// Its work as an owner of ledger shards.
     pub ledger: LedgerService,
+    /// Its orders to backend servers.
+    pub orders: Arc<OrderDesks>,
     /// Where owners of ledger shards were last found.
     pub owners: OwnerHints,
+    /// What it has learned for its choices.
+    pub router: Router,
+    /// The requests that wait for room.
+    pub gate: Gate,
+    /// The last decisions, for operators.
+    pub explain: Mutex<Explanations>,
     requests: AtomicU64,
     born_ms: u64,
     random: Mutex<StdRng>,
@@ -100,6 +103,7 @@
         let view = Arc::new(View::new(settings.host()));
         let services = Arc::new(Services::new(view.clone(), clock.clone()));
         let mut random = StdRng::from_os_rng();
+        let orders = OrderDesks::new(kv.clone(), clock.clone(), view.clone(), random.random());
         let ledger = LedgerService::start(Parts {
             host: settings.host.clone(),
             kv: kv.clone(),
@@ -114,6 +118,7 @@
             host_list,
             services,
             ledger,
+            orders: Arc::new(orders),
             owners: OwnerHints::default(),
             peers: Peers::new(settings.host.clone()),
             home: HomeService::new(clock.clone(), view.clone()),
@@ -161,7 +166,7 @@
 impl PeerHandler for Dispatch {
     async fn handle(&self, req: PeerRequest, tx: ReplySender) {
         match req {
-            PeerRequest::Home(req) => self.0.home.handle(req, tx).await,
+            PeerRequest::Home(req) => self.0.home.handle(&self.0, req, tx).await,
             PeerRequest::Table(TableRequest::Fetch { have }) => {
                 let reply = newer_table(&self.0, have);
                 let _ = tx.send(PeerReply::Table(reply)).await;
--- a/crates/daemon/src/path/model/work.rs
+++ b/crates/daemon/src/path/model/work.rs
@@ -7,6 +7,7 @@
 use aspenloft_core::errors::{Error, ErrorCode, Result};
 use aspenloft_core::execution::Execution;
 use aspenloft_core::prelude::{Backend, Name, Tokens};
+use aspenloft_core::standing::{Fingerprint, Standing};
 use aspenloft_core::units::estimate_tokens;
 use aspenloft_policy::admission::Arrival;
 use aspenloft_policy::fair_queue::Flow;
@@ -19,6 +20,7 @@
 use super::room::{Reserved, Room, reserve};
 use super::{ModelEvent, ModelRequest};
 use crate::node::Node;
+use crate::suspects;
 
 /// The most attempts of one request, the first one and resumes included.
 const MAX_ATTEMPTS: u32 = 4;
@@ -32,6 +34,9 @@
 /// The least time that a retry or resume gets, however late it is.
 const LEAST_DEADLINE: Duration = Duration::from_millis(500);
 
+/// How long a suspect whose server died may wait for a server of its own.
+const SUSPECT_PATIENCE: Duration = Duration::from_secs(10);
+
 /// When a refused caller should come back where nothing better is known.
 const COME_BACK: Duration = Duration::from_secs(1);
 
@@ -49,6 +54,7 @@
     pub(super) req: &'a ModelRequest,
     pub(super) tx: &'a Sender<ModelEvent>,
     pub(super) prompt: Tokens,
+    pub(super) fingerprint: Fingerprint,
     pub(super) progress: Progress,
     /// What is known of the request's fate so far.
     pub(super) ran: Execution,
@@ -68,6 +74,7 @@
             req,
             tx,
             prompt: estimate_tokens(req.prompt.len()),
+            fingerprint: Fingerprint::of(&req.row.serves, &req.prompt),
             progress: Progress::default(),
             ran: Execution::NotRun,
             avoid: Vec::new(),
@@ -100,8 +107,10 @@
             // A late answer serves a caller better than none: what was begun in time
             // gets as long again.
             if attempts == 1 || self.progress.next() > sent {
-                self.deadline = self.node.clock.now() + self.req.row.ttft.max(LEAST_DEADLINE);
+                self.deadline = self.node.clock.now() + self.patience();
             }
+            // It may have been convicted by now.
+            suspects::check(self.node, self.fingerprint).map_err(|e| e.execution(self.ran))?;
             let spent = attempts >= MAX_ATTEMPTS || self.node.clock.now() >= self.deadline;
             if spent || !is_passing(e.code) {
                 return Err(self.last_word(e));
@@ -133,6 +142,15 @@
         }
     }
 
+    /// Returns how long another attempt may take to give the next token. A suspect
+    /// may have to wait for a server without other suspects.
+    fn patience(&self) -> Duration {
+        match suspects::standing(self.node, self.fingerprint) {
+            Standing::Clear => self.req.row.ttft.max(LEAST_DEADLINE),
+            _ => self.req.row.ttft.max(SUSPECT_PATIENCE),
+        }
+    }
+
     fn arrival(&self, left: Duration, service: Duration) -> Arrival {
         let row = &self.req.row;
         let waited = self.node.clock.now().duration_since(self.started);
@@ -201,6 +219,7 @@
             request: self.req.id.clone(),
             backend: backend.name.clone(),
             row: self.req.row.name.clone(),
+            fingerprint: self.fingerprint,
             prompt_tokens: work,
             expected_tokens: self.expected_tokens(),
             priority: self.req.row.priority,
@@ -242,6 +261,10 @@
     pub(super) async fn finish(&mut self, reason: FinishReason) -> Result<()> {
         let generated = Tokens(self.progress.next());
         self.node.router.note_answer(&self.req.row.name, generated, self.node.clock.now());
+        if suspects::standing(self.node, self.fingerprint) == Standing::Suspect {
+            let (node, fingerprint) = (self.node.clone(), self.fingerprint);
+            task::spawn(async move { suspects::finished(&node, fingerprint).await });
+        }
         let _ = self.tx.send(ModelEvent::Finished(reason)).await;
         Ok(())
     }
