Make the tool, the settings and the logs fit for operators

Cause: the tool had one command and printed JSON only; a settings file with five faults took five tries; the demo needed curl and used python where it was there.

Settings are read field by field, so that all findings come together; bounds are optional there. The demo talks through the tool alone, checks that the second booking got the first one's answer, and drains a host at its end.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,13 +1,23 @@
 //! `aspenloft` is the operators' command-line tool; see `docs/CLI.md`.
 
+mod call;
+mod client;
+mod columns;
+mod report;
+mod status;
+
+use std::fmt::Write as _;
+use std::io::Write as _;
 use std::net::SocketAddr;
+use std::process::exit;
 
-use aspenloft_core::errors::Result;
-use aspenloft_protocol::admin::{HostStatus, paths};
-use aspenloft_transport::http;
+use aspenloft_core::errors::{Error, ErrorCode, Result, invalid};
+use aspenloft_protocol::admin::burn::BurnReport;
+use aspenloft_protocol::admin::{BackendStatus, HostStatus, paths};
 use async_std::task;
-use http_types::Method;
-use std::time::Duration;
+use serde::Serialize;
+
+use client::Client;
 
 mod flags {
     #![allow(missing_docs)]
@@ -15,33 +25,169 @@
 
     xflags::xflags! {
         /// Operates a deployment of aspenloft over its administration API.
+        ///
+        /// Every host answers for the whole deployment as it knows it. Name one with
+        /// --host, or once for all in the environment:
+        ///
+        ///     export ASPENLOFT_HOST=10.0.0.7:8400
+        ///     aspenloft status
+        ///
+        /// Exit codes: 0 done, 1 failed, 2 wrong use, 3 the host cannot be reached,
+        /// 4 refused (the message says why and what to do).
         cmd aspenloft {
-            /// The administration address of any host.
-            required --host addr: SocketAddr
+            /// The administration address of any host (default: $ASPENLOFT_HOST).
+            optional --host addr: SocketAddr
+            /// Prints JSON instead of text.
+            optional --json
             /// Shows a host, its peers, its homes and its table version.
             cmd status {
             }
+            /// Shows each backend server, its home host and its load.
+            cmd backends {
+            }
+            /// Takes the host out of service: it finishes what is in flight, then exits.
+            cmd drain {
+            }
+            /// Prints a report.
+            cmd report {
+                /// Shows how fast each row uses up what its objectives allow.
+                cmd burn {
+                    /// Shows the history in days instead of hours.
+                    optional --days
+                }
+            }
+            /// Sends one request as a caller does, and prints the answer's body.
+            ///
+            /// For instance, a streamed completion:
+            ///
+            ///     aspenloft call --to 10.0.0.7:8200 --key KEY /v1/completions \
+            ///       '{"model": "scribe", "prompt": "Good day", "stream": true}'
+            cmd call {
+                /// Where a host takes callers' requests.
+                required --to addr: SocketAddr
+                /// The caller's key (default: $ASPENLOFT_KEY).
+                optional --key key: String
+                /// The idempotency key of a call that may not be repeated.
+                optional --idempotency-key key: String
+                /// The path, for instance /v1/models.
+                required path: String
+                /// The body, in JSON; without one the request is a GET.
+                optional body: String
+            }
         }
     }
 }
 
-/// The longest wait for an answer of the host.
-const ANSWER_TIMEOUT: Duration = Duration::from_secs(10);
+/// The exit code for a failure.
+const EXIT_FAILED: i32 = 1;
+
+/// The exit code for wrong use.
+const EXIT_USE: i32 = 2;
+
+/// The exit code for a host that cannot be reached.
+const EXIT_UNREACHABLE: i32 = 3;
 
-async fn status(host: SocketAddr) -> Result<HostStatus> {
-    let req = http::request(Method::Get, host, paths::STATUS, Vec::new())?;
-    let mut response = http::send(host, req, ANSWER_TIMEOUT).await?;
-    http::read_json(&mut response, host).await
+/// The exit code for a refusal by the host.
+const EXIT_REFUSED: i32 = 4;
+
+/// The variable that names the host.
+const HOST_VARIABLE: &str = "ASPENLOFT_HOST";
+
+/// The variable that holds a caller's key.
+const KEY_VARIABLE: &str = "ASPENLOFT_KEY";
+
+async fn run(f: flags::Aspenloft) -> Result<()> {
+    use flags::{AspenloftCmd as Cmd, ReportCmd};
+    // A caller's request needs no administration address.
+    if let Cmd::Call(call) = f.subcommand {
+        return call::run(call_options(call)?).await;
+    }
+    let client = Client::new(host(f.host)?);
+    let json = f.json;
+    match f.subcommand {
+        Cmd::Status(_) => {
+            let host: HostStatus = client.get(paths::STATUS).await?;
+            print(json, &host, status::host_text)
+        }
+        Cmd::Backends(_) => {
+            let backends: Vec<BackendStatus> = client.get(paths::BACKENDS).await?;
+            print(json, &backends, |backends| status::backends_text(backends))
+        }
+        Cmd::Drain(_) => {
+            let host: HostStatus = client.post(paths::DRAIN, &()).await?;
+            print(json, &host, status::drain_text)
+        }
+        Cmd::Report(report) => match report.subcommand {
+            ReportCmd::Burn(burn) => {
+                let query = if burn.days { "?grain=day" } else { "" };
+                let path = format!("{}{query}", paths::BURN);
+                let report: BurnReport = client.get(&path).await?;
+                print(json, &report, report::burn_text)
+            }
+        },
+        Cmd::Call(_) => Ok(()),
+    }
+}
+
+/// Finds the host that the command is for.
+fn host(flag: Option<SocketAddr>) -> Result<SocketAddr> {
+    if let Some(addr) = flag {
+        return Ok(addr);
+    }
+    let Ok(text) = std::env::var(HOST_VARIABLE) else {
+        return Err(invalid(format!("which host? Give --host ADDR:PORT or set {HOST_VARIABLE}")));
+    };
+    text.parse().map_err(|_| invalid(format!("{HOST_VARIABLE}={text} is no ADDR:PORT")))
+}
+
+fn call_options(f: flags::Call) -> Result<call::CallOptions> {
+    let key = f.key.or_else(|| std::env::var(KEY_VARIABLE).ok());
+    let key = key.ok_or_else(|| invalid(format!("which key? Give --key or set {KEY_VARIABLE}")))?;
+    if !f.path.starts_with('/') {
+        return Err(invalid(format!("the path {} must start with /", f.path)));
+    }
+    let idempotency_key = f.idempotency_key;
+    Ok(call::CallOptions { to: f.to, key, idempotency_key, path: f.path, body: f.body })
+}
+
+/// Prints an answer as JSON or as text.
+fn print<T: Serialize>(json: bool, answer: &T, text: impl Fn(&T) -> String) -> Result<()> {
+    let mut out = if json {
+        serde_json::to_string_pretty(answer).map_err(|e| invalid(e.to_string()))?
+    } else {
+        text(answer)
+    };
+    if !out.ends_with('\n') {
+        out.push('\n');
+    }
+    // A reader that has seen enough, such as head, is no failure.
+    let _ = std::io::stdout().write_all(out.as_bytes());
+    Ok(())
+}
+
+/// Says what went wrong and, where it is known, what to do.
+fn explain_error(e: &Error) -> (String, i32) {
+    let mut text = format!("aspenloft: {}", e.message);
+    let code = match e.code {
+        ErrorCode::Unavailable | ErrorCode::Timeout => {
+            text.push_str("\nDoes a host run there, and is this the right one of its addresses?");
+            EXIT_UNREACHABLE
+        }
+        ErrorCode::Invalid => EXIT_USE,
+        ErrorCode::Internal => EXIT_FAILED,
+        _ => EXIT_REFUSED,
+    };
+    if let Some(after) = e.retry_after {
+        let _ = write!(text, "\nTry again in {:.0} s.", after.as_secs_f64().ceil());
+    }
+    (text, code)
 }
 
 fn main() {
     let flags = flags::Aspenloft::from_env_or_exit();
-    let flags::AspenloftCmd::Status(_) = flags.subcommand;
-    match task::block_on(status(flags.host)) {
-        Ok(status) => println!("{}", serde_json::to_string_pretty(&status).unwrap_or_default()),
-        Err(e) => {
-            eprintln!("aspenloft: {e}");
-            std::process::exit(1);
-        }
+    if let Err(e) = task::block_on(run(flags)) {
+        let (text, code) = explain_error(&e);
+        eprintln!("{text}");
+        exit(code);
     }
 }
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -1,18 +1,19 @@
 //! The `settings` module reads and checks the daemon's settings file; see
 //! `docs/SETTINGS.md` for each field.
 
+mod read;
+
 use std::net::SocketAddr;
 use std::path::Path;
 use std::time::Duration;
 
 use aspenloft_core::prelude::{Findings, Host, Name};
 use aspenloft_transport::server::ServerOptions;
-use serde::{Deserialize, Serialize};
+use serde::Serialize;
 use serde_with::{DurationMilliSeconds, serde_as};
 
 /// `Settings` is what a host learns from its settings file.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[derive(Debug, Clone, PartialEq, Serialize)]
 pub struct Settings {
     /// The host's name, unique in the deployment.
     pub host: Name,
@@ -27,13 +28,11 @@
     /// Where the platform is.
     pub platform: Platform,
     /// The bounds that the host keeps; each has a default.
-    #[serde(default)]
     pub limits: Limits,
 }
 
 /// `Platform` is where the platform's services listen.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[derive(Debug, Clone, PartialEq, Serialize)]
 pub struct Platform {
     /// The key-value service.
     pub key_value: SocketAddr,
@@ -44,8 +43,7 @@
 /// `Limits` is the bounds that a host keeps. `docs/SETTINGS.md` says when to change
 /// one.
 #[serde_as]
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields, default)]
+#[derive(Debug, Clone, PartialEq, Serialize)]
 pub struct Limits {
     /// The most connections of callers at once.
     pub max_connections: usize,
@@ -125,22 +123,21 @@
 impl Settings {
     /// Reads the settings file at `path`, or returns all that is wrong with it.
     pub fn load(path: &Path) -> Result<Settings, Findings> {
-        let mut findings = Findings::default();
         let text = match std::fs::read_to_string(path) {
             Ok(text) => text,
             Err(e) => {
+                let mut findings = Findings::default();
                 findings.add(path.display().to_string(), e.to_string());
                 return Err(findings);
             }
         };
-        let mut de = serde_json::Deserializer::from_str(&text);
-        match serde_path_to_error::deserialize::<_, Settings>(&mut de) {
-            Ok(settings) => settings.check().into_result().map(|()| settings),
-            Err(e) => {
-                findings.add(e.path().to_string(), e.inner().to_string());
-                Err(findings)
-            }
-        }
+        Settings::from_json(&text)
+    }
+
+    /// Reads settings from JSON text, or returns all that is wrong with them.
+    pub fn from_json(text: &str) -> Result<Settings, Findings> {
+        let settings = read::settings(text)?;
+        settings.check().into_result().map(|()| settings)
     }
 
     /// Checks what the types alone do not.
--- a/crates/daemon/tests/levels.rs
+++ b/crates/daemon/tests/levels.rs
@@ -33,12 +33,12 @@
 }
 
 fn node(name: &str, kv: &Arc<KvStandin>, clock: &Arc<ManualClock>) -> Arc<Node> {
-    let settings: Settings = serde_json::from_value(json!({
+    let settings = json!({
         "host": name, "data_centre": "dc-a", "callers": "127.0.0.1:1", "peers": "127.0.0.1:2",
         "admin": "127.0.0.1:3",
         "platform": {"key_value": "127.0.0.1:4", "host_list": "127.0.0.1:5"}
-    }))
-    .expect("settings");
+    });
+    let settings = Settings::from_json(&settings.to_string()).expect("settings");
     Node::with_platform(settings, clock.clone(), kv.clone(), Arc::new(NoHosts)).expect("a node")
 }
 
--- a/crates/policy/src/reservations.rs
+++ b/crates/policy/src/reservations.rs
@@ -109,6 +109,11 @@
         self.held.len() as u32
     }
 
+    /// Returns how many reservations have not lapsed by `now`.
+    pub fn standing(&self, now: Instant) -> usize {
+        self.held.values().filter(|holding| holding.lapses > now).count()
+    }
+
     /// Returns how many slots are in use.
     pub fn running(&self) -> u32 {
         self.held.values().filter(|holding| holding.running).count() as u32
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Builds everything, starts stand-ins and three hosts in two data centres on
-# loopback, sends real requests, and stops all that it started.
+# loopback, sends real requests, and stops all that it started. It needs bash and
+# the Rust toolchain. --keep leaves the deployment running; DEMO_PORT moves its ports.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 keep=0
@@ -66,7 +67,8 @@
 done
 
 # The table goes to the key-value service.
-digest=$(printf 'demo-key' | sha256sum | cut -d' ' -f1)
+# The SHA-256 digest of the caller's key, which is demo-key.
+digest=c48a01f49fd0f2cc404bc3cbbc80e91457a3d41bb429a695243de4c61794155c
 table=$(cat <<JSON
 {"version": 1,
  "rows": [
@@ -76,41 +78,67 @@
  "callers": [{"name": "demo", "key_sha256": "$digest", "class": "visitors"}]}
 JSON
 )
-# Waits until `$1` answers, at most about ten seconds.
+cli=$bin/aspenloft
+# Runs a command until it succeeds, at most about ten seconds.
 await() {
   for _ in $(seq 1 100); do
-    curl -sf -o /dev/null "$@" && return 0
+    "$@" >/dev/null 2>&1 && return 0
     sleep 0.1
   done
-  echo "no answer: $*" >&2
+  echo "not in time: $*" >&2
   return 1
 }
-await -X POST "http://$kv/kv" -d '{"list":{"prefix":""}}'
-python3 - "$table" >"$work/put.json" <<'PY' 2>/dev/null || printf '%s' "$table" | sed 's/"/\\"/g' | tr -d '\n' | sed 's/^/{"put":{"key":"aspenloft\/table","expect":0,"value":"/; s/$/","lease":null}}/' >"$work/put.json"
-import json, sys
-print(json.dumps({"put": {"key": "aspenloft/table", "expect": 0, "value": sys.argv[1], "lease": None}}))
-PY
-curl -sf -X POST "http://$kv/kv" -d @"$work/put.json"
-echo
-for i in 1 2 3; do await "http://$ip:$((base + 300 + i))/readyz"; done
+# Calls a host as the caller "demo" does.
+call() {
+  local host=$1
+  shift
+  "$cli" call --to "$ip:$((base + 200 + host))" --key demo-key "$@"
+}
+admin() {
+  local host=$1
+  shift
+  "$cli" --host "$ip:$((base + 300 + host))" "$@"
+}
 
-auth="Authorization: Bearer demo-key"
-echo "== a streamed completion"
-curl -sfN "http://$ip:$((base + 201))/v1/completions" -H "$auth" -H 'content-type: application/json' \
-  -d '{"model": "scribe", "prompt": "Describe the blue door.", "max_tokens": 4, "stream": true}'
-echo "== a chat"
-curl -sf "http://$ip:$((base + 203))/v1/chat/completions" -H "$auth" -H 'content-type: application/json' \
-  -d '{"model": "scribe", "messages": [{"role": "user", "content": "Good day"}], "max_tokens": 4}'
-echo
-echo "== one booking, sent twice with one key"
-for i in 1 2; do
-  curl -sf "http://$ip:$((base + 200 + i))/bookings" -H "$auth" -H 'idempotency-key: slot-7' -d '{"slot": 7}'
-  echo
+echo "== the first table"
+escaped=$(printf '%s' "$table" | tr -d '\n' | sed 's/\\/\\\\/g; s/"/\\"/g')
+put="{\"put\":{\"key\":\"aspenloft/table\",\"expect\":0,\"value\":\"$escaped\",\"lease\":null}}"
+await "$cli" call --to "$kv" --key none /kv '{"list":{"prefix":""}}'
+"$cli" call --to "$kv" --key none /kv "$put"
+for i in 1 2 3; do await call "$i" /v1/models; done
+# A host that has a table and knows the servers answers a completion.
+for i in 1 2 3; do
+  await call "$i" /v1/completions '{"model": "scribe", "prompt": "Are you there?", "max_tokens": 1}'
 done
-$bin/aspenloft --host "$ip:$((base + 301))" status
+
+echo "== a streamed completion, by host 1"
+call 1 /v1/completions '{"model": "scribe", "prompt": "Describe the blue door.", "max_tokens": 4, "stream": true, "stream_options": {"include_usage": true}}'
+echo "== a chat, by host 3 in the other data centre"
+call 3 /v1/chat/completions '{"model": "scribe", "messages": [{"role": "user", "content": "Good day"}], "max_tokens": 4}'
+echo "== one booking, sent by hosts 1 and 2 with one key: executed once"
+call 1 --idempotency-key slot-7 /bookings '{"slot": 7}' | tee "$work/first"
+call 2 --idempotency-key slot-7 /bookings '{"slot": 7}' | tee "$work/second"
+cmp "$work/first" "$work/second"
+grep -q '"executions":1' "$work/second"
+echo "== status of host 1"
+admin 1 status
+echo "== backend servers"
+admin 1 backends
+echo "== burn"
+admin 1 report burn
 
 if [ "$keep" = 1 ]; then
-  echo "Callers: http://$ip:$((base + 201)) with '$auth'. Operators: $bin/aspenloft --host $ip:$((base + 301)) status"
+  echo
+  echo "It runs on. Try:"
+  echo "  $cli call --to $ip:$((base + 201)) --key demo-key /v1/models"
+  echo "  $cli --host $ip:$((base + 301)) status"
+  echo "  $cli --host $ip:$((base + 301)) drain"
   echo "Ctrl-C stops everything."
   wait
 fi
+
+echo "== a planned stop of host 3"
+admin 3 drain
+wait "${pids[-1]}"
+echo "host 3 has exited and cut nothing"
+echo "== done"
