--- a/crates/daemon/src/home/claims.rs
+++ b/crates/daemon/src/home/claims.rs
@@ -11,6 +11,7 @@
 
 use aspenloft_core::errors::{Result, unavailable};
 use aspenloft_core::prelude::{Backend, Name, RequestId};
+use aspenloft_core::standing::Fingerprint;
 use aspenloft_protocol::engine::{CancelCommand, EngineClient, ModelEngine};
 use async_std::task;
 use parking_lot::Mutex;
@@ -27,7 +28,7 @@
 /// `Stage` is how far a claim is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Stage {
-    Live,
+    Live(Fingerprint),
     Cancelling,
 }
 
@@ -39,10 +40,15 @@
 
 impl Claims {
     /// Claims `request` on `backend`.
-    pub async fn claim(self: &Arc<Self>, backend: &Backend, request: &RequestId) -> Result<Claim> {
+    pub async fn claim(
+        self: &Arc<Self>,
+        backend: &Backend,
+        request: &RequestId,
+        fingerprint: Fingerprint,
+    ) -> Result<Claim> {
         let looks = CLAIM_WAIT.as_millis() / CLAIM_LOOK.as_millis();
         for _ in 0..looks {
-            if self.enter(&backend.name, request, Stage::Live) {
+            if self.enter(&backend.name, request, Stage::Live(fingerprint)) {
                 return Ok(Claim {
                     claims: self.clone(),
                     backend: backend.clone(),
@@ -68,11 +74,22 @@
         stages.get(backend).map(|claims| claims.keys().cloned().collect()).unwrap_or_default()
     }
 
+    /// Returns what runs on `backend`, as far as this host knows.
+    pub fn running(&self, backend: &str) -> Vec<(RequestId, Fingerprint)> {
+        let stages = self.stages.lock();
+        let claims = stages.get(backend).into_iter().flatten();
+        let live = claims.filter_map(|(request, stage)| match stage {
+            Stage::Live(fingerprint) => Some((request.clone(), *fingerprint)),
+            Stage::Cancelling => None,
+        });
+        live.collect()
+    }
+
     /// Returns the live claims of each backend server.
     pub fn live(&self) -> Vec<(Name, Vec<RequestId>)> {
         let stages = self.stages.lock();
         let live = stages.iter().map(|(backend, claims)| {
-            let live = claims.iter().filter(|(_, stage)| **stage == Stage::Live);
+            let live = claims.iter().filter(|(_, stage)| matches!(stage, Stage::Live(_)));
             (backend.clone(), live.map(|(request, _)| request.clone()).collect())
         });
         live.filter(|(_, claims): &(Name, Vec<RequestId>)| !claims.is_empty()).collect()
--- a/crates/daemon/src/home/mod.rs
+++ b/crates/daemon/src/home/mod.rs
@@ -4,6 +4,7 @@
 
 mod account;
 mod claims;
+mod deaths;
 mod decode;
 mod prefill;
 pub mod service;
--- a/crates/policy/src/reservations.rs
+++ b/crates/policy/src/reservations.rs
@@ -199,9 +199,9 @@
         self.held.retain(|_, holding| holding.lapses > now);
     }
 
-    /// Tells whether a request holds a slot here.
-    pub fn claims(&self, request: &RequestId) -> bool {
-        self.held.values().any(|holding| holding.request == *request)
+    /// Tells whether a reservation stands, begun or not.
+    pub fn holds(&self, id: ReservationId) -> bool {
+        self.held.contains_key(&id)
     }
 
     /// Describes the account as of `now`.
