Measure processor time as the scheduler counts it

Ticks sample, and steps of 20 ms are aligned with timers, so the figure of /proc/pid/stat was doubted. The load tool now reads the scheduler's count of each thread as well.

--- a/crates/load/src/compare/product.rs
+++ b/crates/load/src/compare/product.rs
@@ -637,6 +637,8 @@
         live.ready = true;
         if let Some(engine) = live.prefill {
             self.homes.release(no, engine, at);
+            let pieces = &live.request.pieces;
+            self.hosts[live.host].index.observe(&engine_name(engine), pieces);
         }
         self.begin(no, now)
     }
--- a/crates/load/src/run/processes.rs
+++ b/crates/load/src/run/processes.rs
@@ -1,6 +1,8 @@
 //! The `processes` module reads the processor time and memory of the daemons.
 //!
-//! Source: proc(5), `/proc/pid/stat` fields 14 and 15 and `/proc/pid/status`.
+//! Source: proc(5), `/proc/pid/stat` fields 14 and 15, `/proc/pid/task/*/schedstat`
+//! field 1, and `/proc/pid/status`. The first counts ticks by sampling, which errs
+//! for work in short bursts that a timer starts; the second counts nanoseconds.
 
 use std::time::Duration;
 
@@ -15,8 +17,10 @@
 /// `Usage` is what a process has used.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Usage {
-    /// Processor time.
+    /// Processor time, sampled by ticks.
     pub cpu: Duration,
+    /// Processor time as the scheduler counts it, of the threads that live.
+    pub scheduled: Duration,
     /// Resident memory, in KiB.
     pub resident_kib: u64,
 }
@@ -26,7 +30,8 @@
     let stat = read(pid, "stat")?;
     let status = read(pid, "status")?;
     let cpu = cpu(&stat).ok_or_else(|| internal(format!("/proc/{pid}/stat is malformed")))?;
-    Ok(Usage { cpu, resident_kib: resident(&status).unwrap_or_default() })
+    let scheduled = scheduled(pid)?;
+    Ok(Usage { cpu, scheduled, resident_kib: resident(&status).unwrap_or_default() })
 }
 
 /// Sums the processor time of `pids`, and returns the most memory among them.
@@ -35,11 +40,27 @@
     for pid in pids {
         let one = usage(*pid)?;
         all.cpu += one.cpu;
+        all.scheduled += one.scheduled;
         all.resident_kib = all.resident_kib.max(one.resident_kib);
     }
     Ok(all)
 }
 
+/// Sums the time of all threads. One that ends meanwhile is left out.
+fn scheduled(pid: u32) -> Result<Duration> {
+    let path = format!("/proc/{pid}/task");
+    let threads = std::fs::read_dir(&path).map_err(|e| not_found(format!("{path}: {e}")))?;
+    let texts = threads
+        .flatten()
+        .filter_map(|thread| std::fs::read_to_string(thread.path().join("schedstat")).ok());
+    Ok(texts.filter_map(|text| on_cpu(&text)).sum())
+}
+
+/// Reads the time on a processor from the text of a `schedstat` file.
+pub fn on_cpu(schedstat: &str) -> Option<Duration> {
+    schedstat.split(' ').next()?.parse().ok().map(Duration::from_nanos)
+}
+
 fn read(pid: u32, file: &str) -> Result<String> {
     let path = format!("/proc/{pid}/{file}");
     std::fs::read_to_string(&path).map_err(|e| not_found(format!("{path}: {e}")))
--- a/crates/load/src/run/report.rs
+++ b/crates/load/src/run/report.rs
@@ -73,6 +73,8 @@
     /// Processor time of all daemons together for a relayed token, in
     /// microseconds, their idle share taken off.
     pub cpu_us_per_token: f64,
+    /// The same as the scheduler counts it, which is more exact for short bursts.
+    pub scheduled_us_per_token: f64,
 }
 
 /// `UsageSpan` is usage before and after a span of time.
@@ -87,12 +89,14 @@
 }
 
 impl UsageSpan {
-    fn cpu(&self) -> f64 {
-        self.after.cpu.saturating_sub(self.before.cpu).as_secs_f64()
+    /// Returns the seconds of a kind of processor time that were used.
+    fn used(&self, kind: impl Fn(&Usage) -> Duration) -> f64 {
+        kind(&self.after).saturating_sub(kind(&self.before)).as_secs_f64()
     }
 
-    fn cpu_share(&self) -> f64 {
-        if self.length.is_zero() { 0.0 } else { self.cpu() / self.length.as_secs_f64() }
+    /// Returns the share of a core that was used.
+    fn share(&self, kind: impl Fn(&Usage) -> Duration) -> f64 {
+        if self.length.is_zero() { 0.0 } else { self.used(kind) / self.length.as_secs_f64() }
     }
 }
 
@@ -100,13 +104,17 @@
     /// Computes the usage of `daemons` daemons that relayed `tokens` tokens.
     pub fn new(idle: UsageSpan, loaded: UsageSpan, daemons: usize, tokens: u64) -> Self {
         let mib = |kib: u64| kib as f64 / 1_024.0;
-        let idle_share = idle.cpu_share();
-        let net = loaded.cpu() - idle_share * loaded.length.as_secs_f64();
+        let per_token = |kind: fn(&Usage) -> Duration| {
+            let net = loaded.used(kind) - idle.share(kind) * loaded.length.as_secs_f64();
+            net * 1e6 / tokens.max(1) as f64
+        };
+        let idle_share = idle.share(|usage| usage.scheduled);
         DaemonUsage {
             idle_resident_mib: mib(idle.after.resident_kib),
             loaded_resident_mib: mib(loaded.after.resident_kib),
             idle_cpu_percent: 100.0 * idle_share / daemons.max(1) as f64,
-            cpu_us_per_token: net * 1e6 / tokens.max(1) as f64,
+            cpu_us_per_token: per_token(|usage| usage.cpu),
+            scheduled_us_per_token: per_token(|usage| usage.scheduled),
         }
     }
 }
@@ -143,10 +151,11 @@
         if let Some(daemons) = &self.daemons {
             writeln!(
                 f,
-                "daemons: idle {:.1} MiB and {:.2} % of a core, loaded {:.1} MiB, {:.2} us CPU a token",
+                "daemons: idle {:.1} MiB and {:.2} % of a core, loaded {:.1} MiB, CPU a token {:.2} us ({:.2} us by ticks)",
                 daemons.idle_resident_mib,
                 daemons.idle_cpu_percent,
                 daemons.loaded_resident_mib,
+                daemons.scheduled_us_per_token,
                 daemons.cpu_us_per_token
             )?;
         }
--- a/crates/load/tests/run.rs
+++ b/crates/load/tests/run.rs
@@ -6,7 +6,7 @@
 
 use aspenloft_load::run::driver;
 use aspenloft_load::run::options::{EnginePair, RunOptions};
-use aspenloft_load::run::processes::{cpu, resident};
+use aspenloft_load::run::processes::{cpu, on_cpu, resident};
 use aspenloft_standin::engine::{EngineFront, EngineOptions, EngineStandin};
 use aspenloft_transport::server;
 use async_std::net::TcpListener;
@@ -39,6 +39,7 @@
     assert_eq!(cpu(stat), Some(Duration::from_secs(2)));
     assert_eq!(resident("Name:\tx\nVmRSS:\t  2048 kB\n"), Some(2_048));
     assert_eq!(cpu("7 (a"), None);
+    assert_eq!(on_cpu("1500 20 3\n"), Some(Duration::from_nanos(1_500)));
 }
 
 async fn engine() -> (Arc<EngineStandin>, SocketAddr) {
--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -28,13 +28,17 @@
 list=$(at 2)
 prefill=$(at 11)
 decode=$(at 12)
+direct_prefill=$(at 13)
+direct_decode=$(at 14)
 
-# The platform and one engine of each role. Steps of 20 ms for one stream leave
+# The platform, and one engine of each role behind the router and one without it:
+# a home sweeps work that no host answers for off its engines. Steps of 20 ms for one stream leave
 # room for many streams, so that the engines' own queue stays out of the figures.
 start kv "$bin/aspenloft-standin" kv --listen "$kv"
 start list "$bin/aspenloft-standin" hosts --listen "$list" --file "$work/hosts.json"
-start prefill "$bin/aspenloft-standin" engine --listen "$prefill" --slots 1000
-start decode "$bin/aspenloft-standin" engine --listen "$decode" --slots 1000 --step-per-stream-us 0
+for engine in "$prefill" "$decode" "$direct_prefill" "$direct_decode"; do
+  start "engine-${engine##*:}" "$bin/aspenloft-standin" engine --listen "$engine" --slots 1000 --step-per-stream-us 0
+done
 cat >"$work/hosts.json" <<JSON
 {"hosts": [{"name": "h1", "addr": "$(at 101)", "data_centre": "dc-a"},
            {"name": "h2", "addr": "$(at 102)", "data_centre": "dc-a"}],
@@ -73,7 +77,7 @@
 
 code=0
 "$bin/aspenloft-load" run --router "$(at 201)" --router "$(at 202)" \
-  --prefill "$prefill" --decode "$decode" \
+  --prefill "$direct_prefill" --decode "$direct_decode" \
   --pid "${hosts[0]}" --pid "${hosts[1]}" "$@" || code=$?
 # The hosts' complaints explain a failed run.
 for i in 1 2; do tail -n 5 "$work/h$i.log" >&2; done
