Compare servers at their load, and count prefill work for the burn

Cause: a server's pace was compared with its peers whatever their load, so an evenly mended group with uneven load would name its busiest server; and nothing fed the paces or the prefill tokens into the burn report. Prefill work counted as wasted when its caller went in the middle of the answer, although the result had been imported.

Ruled out: buckets of load, since a server that moves between buckets mixes their paces in its average.

Change: a straight line of pace over load for each group, fitted with fading weights; paces are multiples of it. Homes' digests feed it each second. A prefill counts as used when the decode side has imported it.

--- a/crates/daemon/src/levels/record.rs
+++ b/crates/daemon/src/levels/record.rs
@@ -74,23 +74,18 @@
         self.state.lock().add(row, tally, now);
     }
 
-    /// Takes in the pace of a backend server: `work` for `tokens`. Servers of one
-    /// group do the same work.
-    pub fn pace(&self, server: &Name, group: &Name, tokens: u64, work: Duration, now: Instant) {
-        if tokens == 0 {
-            return;
-        }
-        let mut state = self.state.lock();
-        let pace = work.as_secs_f64() / tokens as f64;
-        state.servers.observe(server, group, pace, now);
-        let pending = state.pending.servers.entry(server.clone()).or_default();
-        pending.tokens += tokens;
-        pending.micros += u64::try_from(work.as_micros()).unwrap_or(u64::MAX);
+    /// Takes in the pace of a backend server, in seconds for a token, at a load
+    /// between zero and one. Servers of one group do the same work.
+    pub fn pace(&self, server: &Name, group: &Name, pace: f64, load: f64, now: Instant) {
+        self.state.lock().servers.observe(server, group, pace, load, now);
     }
 
-    /// Takes in the pace of a server whose home is another host, from its digest.
-    pub fn heard_pace(&self, server: &Name, group: &Name, pace: f64, now: Instant) {
-        self.state.lock().servers.observe(server, group, pace, now);
+    /// Keeps one look at a server whose home this host is for the history.
+    pub fn keep_pace(&self, server: &Name, pace: Duration) {
+        let mut state = self.state.lock();
+        let pending = state.pending.servers.entry(server.clone()).or_default();
+        pending.tokens += 1;
+        pending.micros += u64::try_from(pace.as_micros()).unwrap_or(u64::MAX);
     }
 
     /// Returns the servers that are declining; the dwell of the findings is counted
--- a/crates/daemon/src/path/model/attempt.rs
+++ b/crates/daemon/src/path/model/attempt.rs
@@ -44,6 +44,7 @@
     /// Dropped when the result has been imported.
     call: Option<Call>,
     until: Instant,
+    waste: Waste,
 }
 
 impl Work<'_> {
@@ -52,15 +53,9 @@
         let source = secured.prefill.backend.clone();
         let prefilled = self.prefill(secured.prefill).await;
         let mut prefilled = prefilled.inspect_err(|_| self.avoid.push(source.name.clone()))?;
-        let worked = prefilled.result.prompt_tokens.saturating_sub(prefilled.result.cached_tokens);
-        let row = self.req.row.name.clone();
-        let mut waste =
-            Waste { node: self.node.clone(), row, tokens: worked, cause: "caller_gone" };
         let outcome = self.decode_somewhere(secured.decode, &mut prefilled).await;
-        if prefilled.call.is_none() {
-            waste.tokens = Tokens(0);
-        } else if outcome.is_err() {
-            waste.cause = "decode_lost";
+        if outcome.is_err() {
+            prefilled.waste.cause = "decode_lost";
         }
         outcome
     }
@@ -88,7 +83,14 @@
         let pieces = piece_hashes(&self.req.row.serves, &self.req.prompt);
         self.node.router.cache.lock().observe(&source.name, &pieces);
         let until = self.node.clock.now() + result.expires;
-        Ok(Prefilled { result, source, call: Some(call), until })
+        let waste = Waste {
+            node: self.node.clone(),
+            row: self.req.row.name.clone(),
+            tokens: result.prompt_tokens.saturating_sub(result.cached_tokens),
+            used: false,
+            cause: "caller_gone",
+        };
+        Ok(Prefilled { result, source, call: Some(call), until, waste })
     }
 
     /// Decodes from a result, on another server when the first is lost before it has
@@ -168,6 +170,7 @@
         link.end(self.node.clock.now().duration_since(began));
         // The first token proves that the import is done, so the source may forget.
         prefilled.call = None;
+        prefilled.waste.used = true;
         loop {
             match reply {
                 PeerReply::Home(HomeReply::Tokens(tokens)) => self.pass_on(tokens).await?,
@@ -257,18 +260,21 @@
     }
 }
 
-/// `Waste` counts the tokens of a prefill whose result was never used, also when the
-/// future is dropped.
+/// `Waste` counts the tokens of a prefill, and those whose result was never used,
+/// also when the future is dropped.
 struct Waste {
     node: Arc<Node>,
     row: Name,
     tokens: Tokens,
+    used: bool,
     cause: &'static str,
 }
 
 impl Drop for Waste {
     fn drop(&mut self) {
-        if self.tokens > Tokens(0) {
+        let now = self.node.clock.now();
+        self.node.levels.prefilled(&self.row, self.tokens, self.used, now);
+        if !self.used && self.tokens > Tokens(0) {
             self.node.metrics.wasted_prefill(&self.row, self.cause, self.tokens.0);
         }
     }
--- a/crates/daemon/src/tasks.rs
+++ b/crates/daemon/src/tasks.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use aspenloft_core::prelude::{Backend, BackendRole, BackendState, Name};
 use async_std::task;
 
 use crate::levels::history;
@@ -13,6 +14,9 @@
 /// How often a host looks for backend servers that decline.
 const LOOK_INTERVAL: Duration = Duration::from_secs(1);
 
+/// The oldest word on a server that still says something of its pace.
+const FRESH: Duration = Duration::from_secs(3);
+
 /// Starts the loops; they run as long as the process.
 pub fn start(node: &Arc<Node>) {
     task::spawn(limits::renew_for_ever(node.clone()));
@@ -24,9 +28,10 @@
 
 /// Looks for servers that decline, and logs those newly found.
 async fn look_for_slow_servers(node: Arc<Node>) {
-    let mut known: Vec<aspenloft_core::prelude::Name> = Vec::new();
+    let mut known: Vec<Name> = Vec::new();
     loop {
         task::sleep(LOOK_INTERVAL).await;
+        take_paces(&node);
         let found = node.levels.slow_servers(node.clock.now());
         for slow in found.iter().filter(|slow| !known.contains(&slow.server)) {
             log::warn!(
@@ -36,3 +41,29 @@
         known = found.into_iter().map(|slow| slow.server).collect();
     }
 }
+
+/// Takes in the paces that the homes have published lately.
+fn take_paces(node: &Node) {
+    let now = node.clock.now();
+    for backend in &node.view.listing().backends {
+        let Some((state, age)) = node.view.state_of(&backend.name, now) else { continue };
+        let Some((pace, load)) = pace_of(backend, &state) else { continue };
+        if age > FRESH {
+            continue;
+        }
+        let group: Name = format!("{}/{}", backend.role, backend.serves).into();
+        node.levels.pace(&backend.name, &group, pace.as_secs_f64(), load, now);
+        if node.view.home(backend).is_ok_and(|home| home.name == node.settings.host) {
+            node.levels.keep_pace(&backend.name, pace);
+        }
+    }
+}
+
+/// Returns a server's pace and load, if it has done any work yet.
+fn pace_of(backend: &Backend, state: &BackendState) -> Option<(Duration, f64)> {
+    let (pace, load) = match backend.role {
+        BackendRole::Prefill => (state.prefill_per_token, 0.0),
+        _ => (state.step, f64::from(state.taken) / f64::from(state.slots.max(1))),
+    };
+    (!pace.is_zero()).then_some((pace, load))
+}
--- a/crates/policy/src/burn/servers.rs
+++ b/crates/policy/src/burn/servers.rs
@@ -1,9 +1,10 @@
 //! The `servers` module names a backend server that is slower than its peers or
 //! than its own past, while it still meets its targets.
 //!
-//! Each server's pace is compared with the median of its peers and with its own
-//! slow average. One pace is time of work for one token: for decode the time
-//! between tokens, for prefill the time for a prompt token.
+//! A pace is time of work for one token: for decode the time between tokens, for
+//! prefill the time for a prompt token. It depends on the load, so each pace is
+//! taken as a multiple of what the group's servers need at that load, and that
+//! multiple is compared with the median of the peers and with the server's own past.
 
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
@@ -66,8 +67,24 @@
 #[derive(Debug, Clone, Default)]
 pub struct ServerBook {
     servers: HashMap<Name, Server>,
+    groups: HashMap<Name, LoadLine>,
 }
 
+/// `LoadLine` is the straight line of pace over load that fits the readings of a
+/// group best, with old readings counting less and less.
+#[derive(Debug, Clone)]
+struct LoadLine {
+    updated: Instant,
+    weight: f64,
+    load: f64,
+    pace: f64,
+    load_load: f64,
+    load_pace: f64,
+}
+
+/// Spread of the loads below which their effect cannot be told from noise.
+const MIN_LOAD_VARIANCE: f64 = 0.002;
+
 #[derive(Debug, Clone)]
 struct Server {
     group: Name,
@@ -80,16 +97,20 @@
 }
 
 impl ServerBook {
-    /// Takes in one observation of a server's pace, in seconds for a token.
-    pub fn observe(&mut self, server: &Name, group: &Name, pace: f64, now: Instant) {
-        if !pace.is_finite() || pace <= 0.0 {
+    /// Takes in one observation of a server's pace, in seconds for a token, at a
+    /// load between zero and one.
+    pub fn observe(&mut self, server: &Name, group: &Name, pace: f64, load: f64, now: Instant) {
+        if !pace.is_finite() || pace <= 0.0 || !load.is_finite() {
             return;
         }
-        if let Some(known) = self.servers.get_mut(server) {
-            known.update(pace, now);
+        if self.servers.len() >= MAX_WATCHED && !self.servers.contains_key(server) {
             return;
         }
-        if self.servers.len() >= MAX_WATCHED {
+        let line = self.groups.entry(group.clone()).or_insert_with(|| LoadLine::new(now));
+        line.add(load, pace, now);
+        let pace = pace / line.at(load);
+        if let Some(known) = self.servers.get_mut(server) {
+            known.update(pace, now);
             return;
         }
         self.servers.insert(server.clone(), Server::new(group.clone(), pace, now));
@@ -98,6 +119,7 @@
     /// Drops servers that have not been heard of for `silence`.
     pub fn forget(&mut self, silence: Duration, now: Instant) {
         self.servers.retain(|_, server| now.saturating_duration_since(server.last) < silence);
+        self.groups.retain(|_, line| now.saturating_duration_since(line.updated) < silence);
     }
 
     /// Returns the servers that are declining, worst first.
@@ -126,6 +148,36 @@
     }
 }
 
+impl LoadLine {
+    fn new(now: Instant) -> LoadLine {
+        LoadLine { updated: now, weight: 0.0, load: 0.0, pace: 0.0, load_load: 0.0, load_pace: 0.0 }
+    }
+
+    fn add(&mut self, load: f64, pace: f64, now: Instant) {
+        let keep = 1.0 - weight(now.saturating_duration_since(self.updated), SLOW);
+        self.weight = self.weight * keep + 1.0;
+        self.load = self.load * keep + load;
+        self.pace = self.pace * keep + pace;
+        self.load_load = self.load_load * keep + load * load;
+        self.load_pace = self.load_pace * keep + load * pace;
+        self.updated = now;
+    }
+
+    /// Returns the pace that the line gives at `load`. A line that falls is noise,
+    /// because more load never makes a server quicker.
+    fn at(&self, load: f64) -> f64 {
+        let (mean_load, mean_pace) = (self.load / self.weight, self.pace / self.weight);
+        let variance = self.load_load / self.weight - mean_load * mean_load;
+        if variance < MIN_LOAD_VARIANCE {
+            return mean_pace;
+        }
+        let covariance = self.load_pace / self.weight - mean_load * mean_pace;
+        let slope = (covariance / variance).max(0.0);
+        // No group is taken to be quicker than a tenth of its mean at any load.
+        (mean_pace + slope * (load - mean_load)).max(mean_pace / 10.0)
+    }
+}
+
 impl Server {
     fn new(group: Name, pace: f64, now: Instant) -> Server {
         Server {
--- a/crates/policy/tests/burn.rs
+++ b/crates/policy/tests/burn.rs
@@ -60,7 +60,7 @@
     let group: Name = "decode/scribe".into();
     for (i, pace) in paces.iter().enumerate() {
         let name: Name = format!("decode-{i}").into();
-        book.observe(&name, &group, pace * rng.random_range(0.95..1.05), now);
+        book.observe(&name, &group, pace * rng.random_range(0.95..1.05), 0.7, now);
     }
 }
 
@@ -120,6 +120,34 @@
     }
 }
 
+#[test]
+fn load_alone_names_nobody_and_does_not_hide_a_decline() {
+    for seed in 0..10 {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        let mut book = ServerBook::default();
+        let start = Instant::now();
+        let group: Name = "decode/scribe".into();
+        let mut named = false;
+        for i in 0..2_400_u32 {
+            let now = start + SECOND * i;
+            for server in 0..10_u32 {
+                // Each server has a load of its own, which wanders.
+                let phase = f64::from(server) + f64::from(i) / 200.0;
+                let load = 0.5 + 0.45 * phase.sin();
+                let decline = if server == 4 && i > 1_200 { 1.25 } else { 1.0 };
+                let pace = (0.015 + 0.025 * load) * decline * rng.random_range(0.95..1.05);
+                let name: Name = format!("decode-{server}").into();
+                book.observe(&name, &group, pace, load, now);
+            }
+            let findings = book.findings(now);
+            let right = findings.iter().all(|f| &*f.server == "decode-4" && i > 1_200);
+            assert!(right, "seed {seed}, second {i}: {findings:?}");
+            named |= !findings.is_empty();
+        }
+        assert!(named, "seed {seed}: the declining server is not named");
+    }
+}
+
 fn contribution(ttft_ms: u64) -> Rollup {
     let mut row = RowRollup { tally: served(1), ..RowRollup::default() };
     row.ttft.record(Duration::from_millis(ttft_ms));
