Hand ledger shards over at a planned stop

Cause: a stopped host's shards waited for its lease, up to 6 s of "not run".

Change: a leaving owner takes no new keys, lets its calls finish, writes their outcomes and deletes its owner key; entry hosts take its refusal for "ask the next host". A drain waits for it within its bound.

--- a/crates/daemon/src/leave.rs
+++ b/crates/daemon/src/leave.rs
@@ -34,6 +34,7 @@
     let (grace, drain) = (node.settings.limits.leave_grace, node.settings.limits.drain);
     node.shutdown.advance(Stage::Leaving);
     node.view.set_leaving();
+    node.ledger.leave();
     log::info!(
         event = "leaving",
         requests = node.shutdown.requests(),
@@ -58,7 +59,7 @@
 async fn drained(node: &Node) {
     loop {
         node.shutdown.drained().await;
-        if node.home.reserved() == 0 {
+        if node.home.reserved() == 0 && node.ledger.is_idle() {
             task::sleep(SETTLE).await;
             if remaining(node) == Left::Whole && node.home.reserved() == 0 {
                 return;
--- a/crates/daemon/src/ledger/entry.rs
+++ b/crates/daemon/src/ledger/entry.rs
@@ -4,7 +4,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use aspenloft_core::errors::{Error, Result, timeout, unavailable};
+use aspenloft_core::errors::{Error, ErrorCode, Result, timeout, unavailable};
 use aspenloft_core::execution::Execution;
 use aspenloft_core::prelude::{Duration, Host, Name};
 use aspenloft_ledger::digest::KeyDigest;
@@ -107,6 +107,8 @@
             Asked::Final(Ok(Answer { status, content_type: content_type.to_string(), body }))
         }
         Ok(Ok(Some(PeerReply::Ledger(LedgerReply::Redirect { owner })))) => Asked::Redirect(owner),
+        // A leaving owner gives its shards to whom the call reaches next.
+        Ok(Ok(Some(PeerReply::Failed(e)))) if e.code == ErrorCode::NotReady => Asked::Lost(e),
         Ok(Ok(Some(PeerReply::Failed(e)))) => Asked::Final(Err(e)),
         Ok(Ok(Some(other))) => Asked::Final(Err(unexpected(&other))),
         Ok(Ok(None)) => {
--- a/crates/daemon/src/ledger/mod.rs
+++ b/crates/daemon/src/ledger/mod.rs
@@ -8,6 +8,7 @@
 pub mod store;
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 use aspenloft_core::errors::{Result, internal, not_found};
 use aspenloft_core::execution::Execution;
@@ -68,6 +69,7 @@
 pub struct LedgerService {
     view: Arc<View>,
     shards: Vec<Sender<Input>>,
+    idle: Vec<Arc<AtomicBool>>,
 }
 
 impl LedgerService {
@@ -75,7 +77,7 @@
     /// service only once calls come in.
     pub fn start(parts: Parts) -> LedgerService {
         let lease = Arc::new(HostLease::new(parts.kv.clone(), parts.clock.clone()));
-        let mut shards = Vec::new();
+        let (mut shards, mut idle) = (Vec::new(), Vec::new());
         for number in 0..SHARDS {
             let (tx, rx) = unbounded();
             let store = ShardStore {
@@ -85,14 +87,27 @@
                 lease: lease.clone(),
             };
             let seed = parts.seed.wrapping_add(number.into());
-            task::spawn(ShardTask::new(&parts, store, tx.clone(), seed).run(rx));
+            let shard = ShardTask::new(&parts, store, tx.clone(), seed);
+            idle.push(shard.idle());
+            task::spawn(shard.run(rx));
             shards.push(tx);
         }
         let owners = shards.clone();
         task::spawn(async move {
-            lease.keep(|| lose_all(&owners)).await;
+            lease.keep(|| tell_all(&owners, || Event::LeaseLost)).await;
         });
-        LedgerService { view: parts.view, shards }
+        LedgerService { view: parts.view, shards, idle }
+    }
+
+    /// Starts to hand all shards over: calls in flight finish, new keys are refused.
+    pub fn leave(&self) {
+        self.idle.iter().for_each(|idle| idle.store(false, Ordering::SeqCst));
+        tell_all(&self.shards, || Event::Leave);
+    }
+
+    /// Tells whether no shard has anything left to do here.
+    pub fn is_idle(&self) -> bool {
+        self.idle.iter().all(|idle| idle.load(Ordering::SeqCst))
     }
 
     /// Serves one call as the owner, or says who is.
@@ -123,9 +138,10 @@
     }
 }
 
-fn lose_all(owners: &[Sender<Input>]) {
-    for owner in owners {
-        let _ = owner.try_send(Input::Event(Event::LeaseLost));
+/// Tells all shards the same.
+fn tell_all(shards: &[Sender<Input>], event: impl Fn() -> Event) {
+    for shard in shards {
+        let _ = shard.try_send(Input::Event(event()));
     }
 }
 
--- a/crates/daemon/src/ledger/owner.rs
+++ b/crates/daemon/src/ledger/owner.rs
@@ -3,6 +3,7 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Instant;
 
 use aspenloft_core::clock::unix_millis;
@@ -44,6 +45,7 @@
     tx: Sender<Input>,
     waiting: HashMap<CallId, Waiting>,
     calls: CallId,
+    idle: Arc<AtomicBool>,
 }
 
 /// `Waiting` is a call without its verdict.
@@ -63,9 +65,15 @@
             tx,
             waiting: HashMap::new(),
             calls: 0,
+            idle: Arc::new(AtomicBool::new(true)),
         }
     }
 
+    /// Returns where the task says whether it has nothing left to do.
+    pub fn idle(&self) -> Arc<AtomicBool> {
+        self.idle.clone()
+    }
+
     /// Runs for as long as the process.
     pub async fn run(mut self, rx: Receiver<Input>) {
         while let Some(event) = self.next(&rx).await {
@@ -73,6 +81,7 @@
             for action in self.shard.handle(event, at) {
                 self.perform(action).await;
             }
+            self.idle.store(self.shard.is_idle(), Ordering::SeqCst);
         }
     }
 
@@ -116,6 +125,10 @@
             Action::Send { key, attempt, call, not_after } => {
                 self.send(key, attempt, call, not_after);
             }
+            // A leaving host must not exit before its shards are given back.
+            action @ Action::Release(_) => {
+                self.store.perform(action).await;
+            }
             action => {
                 let (store, tx) = (self.store.clone(), self.tx.clone());
                 task::spawn(async move {
--- a/crates/daemon/src/ledger/store.rs
+++ b/crates/daemon/src/ledger/store.rs
@@ -9,7 +9,7 @@
 use aspenloft_core::execution::Execution;
 use aspenloft_core::prelude::Name;
 use aspenloft_ledger::head::{
-    Head, HeadMark, Loaded, Owner, PageRef, head_key, owner_key, page_key,
+    Epoch, Head, HeadMark, Loaded, Owner, PageRef, head_key, owner_key, page_key,
 };
 use aspenloft_ledger::record::Record;
 use aspenloft_ledger::shard::event::{Acquired, Action, Event};
@@ -62,6 +62,10 @@
                 self.delete(&page_key(self.number, page)).await;
                 return None;
             }
+            Action::Release(epoch) => {
+                self.release(epoch).await;
+                return None;
+            }
             Action::Send { .. } | Action::Answer(..) => return None,
         })
     }
@@ -104,6 +108,16 @@
         Ok(Acquired::Other(owner.host))
     }
 
+    /// Gives the ownership back. After a failure its lease ends by itself.
+    async fn release(&self, epoch: Epoch) {
+        let key = owner_key(self.number);
+        let put = Put { key, expect: epoch, value: None, lease: None };
+        if let Err(e) = limited(self.kv.put(put)).await {
+            let error = e.to_string();
+            log::warn!(event = "ledger_not_released", shard = self.number, error = error.as_str(); "");
+        }
+    }
+
     async fn load(&self) -> Result<Loaded> {
         let Some(found) = limited(self.kv.get(&head_key(self.number))).await? else {
             return Ok(Loaded { version: 0, head: None, sealed: Vec::new() });
--- a/crates/daemon/tests/at_most_once.rs
+++ b/crates/daemon/tests/at_most_once.rs
@@ -182,3 +182,21 @@
     assert_eq!(scene.service.count(&scene.slow), 1);
     assert_eq!(scene.service.count(&scene.second), 1);
 }
+
+#[async_std::test]
+async fn a_planned_stop_hands_the_shard_over_before_its_lease_ends() {
+    let scene = Scene::start().await;
+    assert_eq!(scene.book(scene.others[0], &scene.second).await, (200, "run".into()));
+    let owner = Some(format!("h{}", scene.owner));
+    assert_eq!(scene.listed_owner().await, owner);
+    scene.deployment.signal_host(scene.owner, "TERM");
+    let released = || async { scene.listed_owner().await != owner };
+    eventually("the shard is given back", LEASE_TTL / 2, released).await;
+    for i in scene.others {
+        assert_eq!(scene.book(i, &scene.second).await, (200, "run".into()));
+    }
+    let fresh = (0..).map(|n| format!("fresh-{n}")).find(|k| shard_of(k) == shard_of(&scene.slow));
+    let fresh = fresh.expect("a key of the shard");
+    assert_eq!(scene.book(scene.others[1], &fresh).await, (200, "run".into()));
+    assert_eq!(scene.service.count(&scene.second), 1);
+}
--- a/crates/ledger/src/refusals.rs
+++ b/crates/ledger/src/refusals.rs
@@ -8,6 +8,9 @@
 
 use crate::record::Oversized;
 
+/// When a caller should come back to a leaving owner's successor.
+const LEAVING_PAUSE: Duration = Duration::from_secs(1);
+
 /// The key-value service cannot be reached, so that nothing may start.
 pub fn service_down(pause: Duration) -> Error {
     unavailable("the key-value service does not answer; the call was not sent").retry_after(pause)
@@ -18,6 +21,12 @@
     unavailable("the key's ledger changed hands; the call was not sent").retry_after(pause)
 }
 
+/// The host leaves and takes no new keys; another one will.
+pub fn leaving() -> Error {
+    Error::new(ErrorCode::NotReady, "the owner of the key's ledger is leaving")
+        .retry_after(LEAVING_PAUSE)
+}
+
 /// The intent did not stand in time.
 pub fn too_late(pause: Duration) -> Error {
     Error::new(ErrorCode::Timeout, "the call's intent was not written in time; it was not sent")
--- a/crates/ledger/src/shard/calls.rs
+++ b/crates/ledger/src/shard/calls.rs
@@ -20,6 +20,9 @@
             State::Other { owner, until } if *until > at.now => {
                 out.push(Action::Answer(call.id, Verdict::Redirect(owner.clone())));
             }
+            State::Idle | State::Other { .. } if self.leaving => {
+                refuse(call, refusals::leaving(), out);
+            }
             State::Idle | State::Other { .. } => self.ask_for_ownership(call, at, out),
             State::Acquiring(_) | State::Loading { .. } | State::Owner(_) => {
                 self.enqueue(call, at, out);
@@ -71,6 +74,9 @@
 
     /// Returns why a new key cannot be taken now, if so.
     fn obstacle(&self, call: &Call, at: Moment) -> Option<Error> {
+        if self.leaving {
+            return Some(refusals::leaving());
+        }
         let State::Owner(copy) = &self.state else { return None };
         if let Some(pause) = self.backoff.pause(at.now) {
             return Some(refusals::service_down(pause));
--- a/crates/ledger/src/shard/event.rs
+++ b/crates/ledger/src/shard/event.rs
@@ -55,6 +55,8 @@
     Sent(KeyDigest, Attempt, Outcome),
     /// The host's lease has lapsed or may have.
     LeaseLost,
+    /// The host leaves: it takes no new key and gives the shard up once it is idle.
+    Leave,
     /// Time has passed.
     Tick,
 }
@@ -121,6 +123,8 @@
         /// The last moment at which it may be sent.
         not_after: Instant,
     },
+    /// Give the ownership back, so that the next host need not wait for the lease.
+    Release(Epoch),
     /// Answer a call.
     Answer(CallId, Verdict),
 }
--- a/crates/ledger/src/shard/mod.rs
+++ b/crates/ledger/src/shard/mod.rs
@@ -41,6 +41,7 @@
     backoff: Backoff,
     ops: Op,
     attempts: Attempt,
+    leaving: bool,
 }
 
 /// `State` is how the host stands to the shard.
@@ -115,6 +116,7 @@
             backoff: Backoff::new(seed),
             ops: 0,
             attempts: 0,
+            leaving: false,
         }
     }
 
@@ -131,10 +133,12 @@
             Event::PageRead(call, result) => self.on_page_read(call, result, at, &mut out),
             Event::Sent(key, attempt, outcome) => self.on_sent(key, attempt, outcome, at, &mut out),
             Event::LeaseLost => self.lose(at, &mut out),
+            Event::Leave => self.leaving = true,
             Event::Tick => (),
         }
         self.refuse_late(at, &mut out);
         self.pump(at, &mut out);
+        self.hand_over(&mut out);
         out
     }
 
@@ -153,6 +157,12 @@
         matches!(&self.state, State::Owner(copy) if copy.claimed)
     }
 
+    /// Tells whether this host has nothing left to do for the shard.
+    pub fn is_idle(&self) -> bool {
+        let unowned = matches!(self.state, State::Idle | State::Other { .. });
+        unowned && self.in_flight() == 0
+    }
+
     /// Returns how many calls wait here.
     pub fn in_flight(&self) -> usize {
         self.live.len() + self.queue.len()
--- a/crates/ledger/src/shard/ownership.rs
+++ b/crates/ledger/src/shard/ownership.rs
@@ -94,6 +94,15 @@
         self.refuse_queue(&e, out);
     }
 
+    /// Gives the shard up once a leaving host has nothing left to do for it.
+    pub(super) fn hand_over(&mut self, out: &mut Vec<Action>) {
+        let State::Owner(copy) = &self.state else { return };
+        if self.leaving && copy.is_settled() && self.in_flight() == 0 {
+            out.push(Action::Release(copy.epoch()));
+            self.state = State::Idle;
+        }
+    }
+
     /// Takes note that the service failed: all that is not sent is refused at
     /// once, and the service is left alone for a while.
     pub(super) fn fail(&mut self, at: Moment, out: &mut Vec<Action>) {
--- a/crates/ledger/src/shard/writes.rs
+++ b/crates/ledger/src/shard/writes.rs
@@ -87,6 +87,16 @@
         copy
     }
 
+    /// Returns the ownership under which the copy was read.
+    pub(super) fn epoch(&self) -> Epoch {
+        self.epoch
+    }
+
+    /// Tells whether the head stands as the copy has it.
+    pub(super) fn is_settled(&self) -> bool {
+        !self.dirty && self.op.is_none()
+    }
+
     /// Returns the bytes of the head, at most.
     pub(super) fn bytes(&self) -> usize {
         self.bytes
--- a/crates/ledger/tests/world/kv.rs
+++ b/crates/ledger/tests/world/kv.rs
@@ -55,6 +55,10 @@
                 self.pages.remove(page);
                 Event::Tick
             }
+            Action::Release(epoch) => {
+                self.owner.take_if(|owner| owner.version == *epoch);
+                Event::Tick
+            }
             Action::Send { .. } | Action::Answer(..) => unreachable!("not for the service"),
         }
     }
@@ -117,7 +121,7 @@
         Action::ReadBack(op) => Event::ReadBack(*op, Err(e)),
         Action::WritePage { op, .. } => Event::PageWritten(*op, Err(e)),
         Action::ReadPage(_, call) => Event::PageRead(call.clone(), Err(e)),
-        Action::DeletePage(_) => Event::Tick,
+        Action::DeletePage(_) | Action::Release(_) => Event::Tick,
         Action::Send { .. } | Action::Answer(..) => unreachable!("not for the service"),
     }
 }
--- a/crates/ledger/tests/world/mod.rs
+++ b/crates/ledger/tests/world/mod.rs
@@ -138,7 +138,8 @@
                 self.note(format!("down {}", self.down));
                 Ok(())
             }
-            96..98 if broken => self.lose_lease(),
+            96 if broken => self.lose_lease(),
+            97 if broken => self.leave(),
             _ => self.renew(),
         }
     }
@@ -375,6 +376,13 @@
         Ok(())
     }
 
+    /// A host starts to leave, and may be killed at any later step.
+    fn leave(&mut self) -> Result<(), String> {
+        let host = self.rng.random_range(0..HOSTS);
+        self.note(format!("host {host}: leaves"));
+        self.deliver(host, Event::Leave)
+    }
+
     /// A host hears that its lease has lapsed, whether true or not.
     fn lose_lease(&mut self) -> Result<(), String> {
         let host = self.rng.random_range(0..HOSTS);
