--- a/crates/daemon/examples/ledger_rate.rs
+++ b/crates/daemon/examples/ledger_rate.rs
@@ -129,6 +129,7 @@
             key,
             method: "POST".into(),
             path: "/bookings".into(),
+            content_type: "application/json".into(),
             body: br#"{"slot": 7}"#.to_vec(),
         };
         let mut word = "no owner".to_string();
--- a/crates/daemon/src/callers/front.rs
+++ b/crates/daemon/src/callers/front.rs
@@ -184,6 +184,7 @@
             caller: asked.caller.name.clone(),
             method: req.method(),
             path: format!("{path}{query}"),
+            content_type: req.header("content-type").map_or("", |values| values.as_str()).into(),
             body: asked.body,
             key: idempotency_key(req)?,
         };
--- a/crates/daemon/src/ledger/lease.rs
+++ b/crates/daemon/src/ledger/lease.rs
@@ -47,8 +47,16 @@
             return Ok(held.id);
         }
         let id = limited(self.kv.grant(LEASE_TTL)).await?;
-        *self.held.lock() = Some(Held { id, ends: now + LEASE_TTL });
-        Ok(id)
+        let mut held = self.held.lock();
+        // Several shards may ask at once. All must hang on the one lease that is
+        // renewed; the others lapse unused.
+        match held.filter(|held| held.ends > now) {
+            Some(earlier) => Ok(earlier.id),
+            None => {
+                *held = Some(Held { id, ends: now + LEASE_TTL });
+                Ok(id)
+            }
+        }
     }
 
     /// Renews the lease for ever and calls `lost` whenever it has lapsed.
--- a/crates/daemon/src/path/exchange.rs
+++ b/crates/daemon/src/path/exchange.rs
@@ -24,6 +24,8 @@
     pub method: Method,
     /// The path with the query.
     pub path: &'a str,
+    /// The media type of the body; empty for none.
+    pub content_type: &'a str,
     /// The body.
     pub body: &'a [u8],
     /// The idempotency key, if one came.
@@ -36,14 +38,25 @@
     /// Makes the exchange of a call that may not be repeated.
     pub fn of_call(call: &'a LedgerCall, limit: Duration) -> Result<Exchange<'a>> {
         let method = Method::from_str(&call.method).map_err(|e| invalid(e.to_string()))?;
-        let (path, body) = (&*call.path, &call.body);
-        Ok(Exchange { method, path, body, key: Some(&call.key), limit })
+        Ok(Exchange {
+            method,
+            path: &call.path,
+            content_type: &call.content_type,
+            body: &call.body,
+            key: Some(&call.key),
+            limit,
+        })
     }
 
     /// Sends the request to `backend` and reads the whole answer. Only an error with
     /// [`Execution::NotRun`] means that nothing was sent.
     pub async fn run(&self, backend: &Backend) -> Result<Answer> {
         let mut req = http::request(self.method, backend.addr, self.path, self.body.to_vec())?;
+        if self.content_type.is_empty() {
+            req.remove_header("content-type");
+        } else {
+            req.insert_header("content-type", self.content_type);
+        }
         if let Some(key) = self.key {
             req.insert_header("idempotency-key", key);
         }
--- a/crates/daemon/src/path/service.rs
+++ b/crates/daemon/src/path/service.rs
@@ -58,6 +58,8 @@
     pub method: Method,
     /// The path with the query.
     pub path: String,
+    /// The media type of the body; empty for none.
+    pub content_type: Name,
     /// The body.
     pub body: Vec<u8>,
     /// The idempotency key, if one came.
@@ -79,6 +81,7 @@
         key,
         method: call.method.as_ref().into(),
         path: call.path.as_str().into(),
+        content_type: call.content_type.clone(),
         body: call.body.clone(),
     };
     entry::run(node, call).await
@@ -106,6 +109,7 @@
         let exchange = Exchange {
             method: call.method,
             path: &call.path,
+            content_type: &call.content_type,
             body: &call.body,
             key: call.key.as_deref(),
             limit: deadline.clamp(SHORTEST_DEADLINE, LONGEST_DEADLINE),
--- a/crates/daemon/tests/at_most_once.rs
+++ b/crates/daemon/tests/at_most_once.rs
@@ -42,7 +42,8 @@
         while key.starts_with("slow") && !*self.open.lock() {
             task::sleep(Duration::from_millis(10)).await;
         }
-        server::json(&json!({"booked": key}))
+        let media_type = req.header("content-type").map_or("", |values| values.as_str());
+        server::json(&json!({"booked": key, "media_type": media_type}))
     }
 }
 
@@ -144,6 +145,19 @@
     }
 }
 
+#[async_std::test]
+async fn a_call_keeps_its_media_type() {
+    let scene = Scene::start().await;
+    for path in ["/bookings", "/trails"] {
+        let mut req = scene.deployment.post(0, path, &json!({}));
+        req.insert_header("idempotency-key", "form");
+        req.insert_header("content-type", "application/x-www-form-urlencoded");
+        let answer = http::send(scene.deployment.callers(0), req, LIMIT).await;
+        let body: Value = answer.expect("an answer").body_json().await.expect("JSON");
+        assert_eq!(body["media_type"], "application/x-www-form-urlencoded", "{path}");
+    }
+}
+
 #[async_std::test]
 async fn an_owner_killed_mid_call_leaves_no_second_execution() {
     let mut scene = Scene::start().await;
--- a/crates/daemon/tests/ledger_driver.rs
+++ b/crates/daemon/tests/ledger_driver.rs
@@ -81,6 +81,7 @@
         key: key.into(),
         method: "POST".into(),
         path: "/bookings".into(),
+        content_type: "".into(),
         body: b"{}".to_vec(),
     }
 }
--- a/crates/protocol/src/peer/ledger.rs
+++ b/crates/protocol/src/peer/ledger.rs
@@ -18,6 +18,8 @@
     pub method: Name,
     /// The path with the query.
     pub path: Name,
+    /// The media type of the body; empty for none.
+    pub content_type: Name,
     /// The body.
     pub body: Vec<u8>,
 }
