--- a/crates/daemon/src/ledger/orders.rs
+++ b/crates/daemon/src/ledger/orders.rs
@@ -10,9 +10,8 @@
 use aspenloft_core::errors::{Error, ErrorCode, Result, internal, invalid, timeout};
 use aspenloft_core::execution::Execution;
 use aspenloft_core::prelude::{Backend, Name, SharedClock};
-use aspenloft_ledger::orders::{
-    Action, Desk, Event, Found, ORDER_VALID, OrderId, Outcome, Seat, seat_key,
-};
+use aspenloft_ledger::orders::event::{Action, Event, Found, OrderId, Outcome, Seat, seat_key};
+use aspenloft_ledger::orders::{Desk, ORDER_VALID};
 use aspenloft_protocol::admin::{OrderAsk, OrderReport};
 use aspenloft_protocol::engine::{Ack, CONTROL_TIMEOUT, Order, paths};
 use aspenloft_protocol::platform::{KeyValue, Put, Swap, Version};
--- a/crates/daemon/tests/orders.rs
+++ b/crates/daemon/tests/orders.rs
@@ -6,7 +6,8 @@
 
 use aspenloft_core::errors::{Error, Result};
 use aspenloft_core::execution::Execution;
-use aspenloft_ledger::orders::{WAIT_OUT, seat_key};
+use aspenloft_ledger::orders::WAIT_OUT;
+use aspenloft_ledger::orders::event::seat_key;
 use aspenloft_protocol::admin::{OrderAsk, OrderReport, paths};
 use aspenloft_protocol::engine::OrderKind;
 use aspenloft_protocol::platform::KeyValue;
--- a/crates/ledger/src/shard/mod.rs
+++ b/crates/ledger/src/shard/mod.rs
@@ -4,6 +4,7 @@
 //! `writes` swaps the head, `ownership` gains and loses the shard.
 
 mod calls;
+mod copy;
 pub mod event;
 mod ownership;
 mod writes;
@@ -17,8 +18,8 @@
 use crate::digest::{KeyDigest, RequestDigest};
 use crate::options::Options;
 use crate::record::Fate;
+use copy::Copy;
 use event::{Action, Attempt, Call, CallId, Event, Op};
-use writes::Copy;
 
 /// `Shard` is one shard of the ledger as one host sees it.
 ///
--- a/crates/ledger/src/shard/ownership.rs
+++ b/crates/ledger/src/shard/ownership.rs
@@ -2,8 +2,8 @@
 
 use aspenloft_core::prelude::Result;
 
+use super::copy::Copy;
 use super::event::{Acquired, Action, Call, Op, Verdict};
-use super::writes::Copy;
 use super::{Moment, Shard, State};
 use crate::head::Loaded;
 use crate::refusals;
--- a/crates/ledger/tests/orders.rs
+++ b/crates/ledger/tests/orders.rs
@@ -6,10 +6,8 @@
 
 use aspenloft_core::errors::unavailable;
 use aspenloft_core::prelude::Execution;
-use aspenloft_ledger::orders::{
-    Action, Desk, Event, Found, ORDER_IN_FLIGHT, ORDER_VALID, OrderId, Outcome, SEND_WINDOW, Seat,
-    WAIT_OUT,
-};
+use aspenloft_ledger::orders::event::{Action, Event, Found, OrderId, Outcome, Seat};
+use aspenloft_ledger::orders::{Desk, ORDER_IN_FLIGHT, ORDER_VALID, SEND_WINDOW, WAIT_OUT};
 use aspenloft_protocol::engine::OrderKind;
 use aspenloft_protocol::platform::{Swap, Version};
 use rand::{Rng, SeedableRng};
