--- a/crates/cli/src/order.rs
+++ b/crates/cli/src/order.rs
@@ -1,29 +1,20 @@
 //! The `order` module gives orders to model engines; see `docs/ORDERS.md`.
 
-use std::net::SocketAddr;
-
 use aspenloft_core::backend::BackendRole;
-use aspenloft_core::errors::{Error, Result, invalid};
-use aspenloft_protocol::admin::{OrderAsk, OrderReport, paths};
+use aspenloft_core::errors::{Result, invalid};
+use aspenloft_protocol::admin::{OrderAsk, OrderReport};
 use aspenloft_protocol::engine::OrderKind;
-use aspenloft_transport::http;
 
-use super::{ANSWER_TIMEOUT, flags};
+use super::flags;
 
-/// Gives the order that `flags` describe over the host at `host`.
-pub async fn give(host: SocketAddr, flags: &flags::Order) -> Result<OrderReport> {
-    let ask = OrderAsk { backend: flags.backend.as_str().into(), kind: kind(flags)? };
-    let given = http::post_json(host, paths::ORDERS, &ask, ANSWER_TIMEOUT).await;
-    given.map_err(explain)
+/// Makes the order that `flags` describe.
+pub fn ask(flags: &flags::Order) -> Result<OrderAsk> {
+    Ok(OrderAsk { backend: flags.backend.as_str().into(), kind: kind(flags)? })
 }
 
-/// Adds what operators need to know: whether it ran, and when to try again.
-fn explain(mut e: Error) -> Error {
-    e.message = format!("{} (execution: {})", e.message, e.execution);
-    if let Some(after) = e.retry_after {
-        e.message = format!("{}; try again in {} s", e.message, after.as_secs_f64().ceil());
-    }
-    e
+/// Turns the report on an order into text for people.
+pub fn order_text(report: &OrderReport) -> String {
+    format!("carried out with fencing number {}", report.fence)
 }
 
 fn kind(flags: &flags::Order) -> Result<OrderKind> {
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -109,9 +109,9 @@
         self.entries.is_empty()
     }
 
-    /// Tells whether a request has a turn here.
-    pub fn claims(&self, request: &RequestId) -> bool {
-        self.entries.values().any(|entry| entry.request == *request)
+    /// Tells whether a reservation stands, begun or not.
+    pub fn holds(&self, id: ReservationId) -> bool {
+        self.entries.contains_key(&id)
     }
 
     /// Estimates the wait of a new entry.
--- a/crates/protocol/src/peer/home.rs
+++ b/crates/protocol/src/peer/home.rs
@@ -4,6 +4,7 @@
 
 pub use aspenloft_core::backend::BackendState;
 use aspenloft_core::prelude::{Name, RequestId, ReservationId, Tokens};
+use aspenloft_core::standing::Fingerprint;
 use serde::{Deserialize, Serialize};
 
 use crate::engine::{FinishReason, KvHandle, PrefillResult, Token};
@@ -35,6 +36,8 @@
     pub backend: Name,
     /// The row's name.
     pub row: Name,
+    /// What the request asks of an engine; suspects are kept apart by it.
+    pub fingerprint: Fingerprint,
     /// Tokens of the prompt that need work.
     pub prompt_tokens: Tokens,
     /// The tokens that the answer likely has yet to get.
@@ -55,6 +58,8 @@
     pub backend: Name,
     /// The reservation.
     pub reservation: ReservationId,
+    /// What the request asks of an engine.
+    pub fingerprint: Fingerprint,
     /// The prompt.
     pub prompt: Name,
     /// Higher goes first.
@@ -72,6 +77,8 @@
     pub backend: Name,
     /// The reservation.
     pub reservation: ReservationId,
+    /// What the request asks of an engine.
+    pub fingerprint: Fingerprint,
     /// The KV cache to import.
     pub kv: KvHandle,
     /// The backend server that holds it.
