Join heartbeats and edits of the table to the daemon

Cause: every host polled the platform's list each second and held its own watch on the table; hosts took listed for live; the table had no editing API. Change: `refresh` gives way to `membership` (beats, listing, tables). Three hosts of each data centre watch the table and read the list each second; the others learn by heartbeats, and follow at once when told of a newer version. The administration API reads, checks, edits and restores the table, shows history and the version at each host. A host that has lost touch with the platform and all others is not ready. Leaving moves the homes at once.

--- a/crates/daemon/src/admin/status.rs
+++ b/crates/daemon/src/admin/status.rs
@@ -11,6 +11,9 @@
         return Err(Error::new(ErrorCode::NotReady, "this host is leaving"));
     }
     node.view.table()?;
+    if node.view.is_isolated(node.clock.now()) {
+        return Err(Error::new(ErrorCode::NotReady, "neither the platform nor a host answers"));
+    }
     if node.view.listing().backends.is_empty() {
         return Err(Error::new(ErrorCode::NotReady, "no backend servers known yet"));
     }
@@ -21,12 +24,13 @@
 pub fn status(node: &Node) -> HostStatus {
     let view = &node.view;
     let listing = view.listing();
-    let others = listing.hosts.iter().filter(|host| host.name != view.me().name);
-    let peers = others.map(|host| PeerStatus {
-        host: host.name.clone(),
-        data_centre: host.data_centre.clone(),
-        live: !host.leaving,
-        table_version: 0,
+    let members = view.members(node.clock.now()).into_iter();
+    let others = members.filter(|member| member.host.name != view.me().name);
+    let peers = others.map(|member| PeerStatus {
+        host: member.host.name,
+        data_centre: member.host.data_centre,
+        live: member.live,
+        table_version: member.table_version,
     });
     let homes = listing
         .backends
@@ -37,6 +41,7 @@
         data_centre: view.me().data_centre.clone(),
         table_version: view.table_version(),
         platform_reachable: view.platform_reachable(),
+        isolated: view.is_isolated(node.clock.now()),
         leaving: node.shutdown.is_leaving(),
         in_flight: node.shutdown.requests() as u64,
         peers: peers.collect(),
--- /dev/null
+++ b/crates/daemon/src/edits.rs
@@ -0,0 +1,92 @@
+//! The `edits` module brings edits of the table into the platform's key-value
+//! service. The decisions are in `aspenloft_table::commit`.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use aspenloft_core::clock::unix_millis;
+use aspenloft_core::errors::{Error, timeout};
+use aspenloft_core::execution::Execution;
+use aspenloft_protocol::platform::{Put, Swap};
+use aspenloft_table::commit::{Commit, CommitAction, CommitEvent, Outcome};
+use aspenloft_table::edit::Edit;
+use aspenloft_table::table::TABLE_KEY;
+use async_std::task;
+
+use crate::membership::tables::put_in_force;
+use crate::node::Node;
+
+/// How long an edit may try.
+const EDIT_TIMEOUT: Duration = Duration::from_secs(8);
+
+/// The longest pause before an edit reads the value again, in milliseconds. Pauses
+/// are random, so that operators who collide do not collide again.
+const MAX_PAUSE_MS: u64 = 100;
+
+/// Brings `edit` in and, when it is accepted, puts the table in force here.
+pub async fn edit(node: &Arc<Node>, edit: Edit) -> Outcome {
+    let now = node.clock.now();
+    let members = node.view.members(now);
+    let floor = members.iter().map(|member| member.table_version).max().unwrap_or_default();
+    let commit = Commit::new(edit, unix_millis(node.clock.wall()), floor);
+    drive(node, commit).await
+}
+
+/// Puts the table in force here back into a service that fell back.
+pub async fn restore(node: &Arc<Node>, edit: Edit) -> Outcome {
+    match node.view.table() {
+        Ok(table) => {
+            let at_ms = unix_millis(node.clock.wall());
+            drive(node, Commit::restore((*table).clone(), edit, at_ms)).await
+        }
+        Err(e) => Outcome::Failed(e),
+    }
+}
+
+async fn drive(node: &Arc<Node>, mut commit: Commit) -> Outcome {
+    let ends = node.clock.now() + EDIT_TIMEOUT;
+    let mut action = commit.next(CommitEvent::Begin);
+    loop {
+        let event = match action {
+            CommitAction::Done(outcome) => {
+                if let Outcome::Accepted(stored, _) = &outcome {
+                    put_in_force(node, stored.table());
+                }
+                return outcome;
+            }
+            _ if node.clock.now() >= ends => {
+                return commit.give_up(timeout("the key-value service did not take the edit"));
+            }
+            CommitAction::Read => read(node).await,
+            CommitAction::ReadLater => {
+                task::sleep(Duration::from_millis(node.random_below(MAX_PAUSE_MS) + 1)).await;
+                read(node).await
+            }
+            CommitAction::Write { expect, text } => write(node, expect, text).await,
+        };
+        action = commit.next(event);
+    }
+}
+
+async fn read(node: &Node) -> CommitEvent {
+    match node.kv.get(TABLE_KEY).await {
+        Ok(value) => CommitEvent::Read(value.map(|value| (value.version, value.value))),
+        Err(e) => CommitEvent::Unreachable(not_run(e)),
+    }
+}
+
+/// A read changes nothing, whatever became of it.
+fn not_run(mut e: Error) -> Error {
+    e.execution = Execution::NotRun;
+    e
+}
+
+async fn write(node: &Node, expect: u64, text: String) -> CommitEvent {
+    let put = Put { key: TABLE_KEY.into(), expect, value: Some(text), lease: None };
+    match node.kv.put(put).await {
+        Ok(Swap::Done(_)) => CommitEvent::Written,
+        Ok(Swap::Conflict(_)) => CommitEvent::Lost,
+        Err(e) if e.execution == Execution::NotRun => CommitEvent::Unreachable(e),
+        Err(e) => CommitEvent::Unsure(e),
+    }
+}
--- a/crates/daemon/src/leave.rs
+++ b/crates/daemon/src/leave.rs
@@ -33,7 +33,7 @@
 pub async fn leave(node: &Arc<Node>) -> Left {
     let (grace, drain) = (node.settings.limits.leave_grace, node.settings.limits.drain);
     node.shutdown.advance(Stage::Leaving);
-    node.view.set_leaving();
+    node.view.set_leaving(node.clock.now());
     log::info!(
         event = "leaving",
         requests = node.shutdown.requests(),
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -11,9 +11,9 @@
 use aspenloft_daemon::home::sweep;
 use aspenloft_daemon::leave::{self, Left};
 use aspenloft_daemon::logging;
+use aspenloft_daemon::membership;
 use aspenloft_daemon::node::{Dispatch, Node};
 use aspenloft_daemon::peers::Unpacked;
-use aspenloft_daemon::refresh;
 use aspenloft_daemon::settings::Settings;
 use aspenloft_daemon::shutdown::Guarded;
 use aspenloft_daemon::tasks;
@@ -70,7 +70,7 @@
     let callers = bind(node.settings.callers).await?;
     let peers = bind(node.settings.peers).await?;
     let admin = bind(node.settings.admin).await?;
-    refresh::start(&node);
+    membership::start(&node);
     task::spawn(sweep::run(node.clone()));
     tasks::start(&node);
     let guarded =
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -7,12 +7,11 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use aspenloft_core::clock::unix_millis;
-use aspenloft_core::errors::{Result, internal};
+use aspenloft_core::errors::Result;
 use aspenloft_core::prelude::{RequestId, SharedClock};
 use aspenloft_ledger::options::Options;
 use aspenloft_policy::explain::Explanations;
 use aspenloft_protocol::peer::control::{ControlReply, ControlRequest};
-use aspenloft_protocol::peer::table::{TableReply, TableRequest};
 use aspenloft_protocol::peer::{PeerReply, PeerRequest};
 use aspenloft_protocol::platform::{HostList, HostListClient, KeyValue, KvClient};
 use async_trait::async_trait;
@@ -27,6 +26,8 @@
 use crate::levels::record::Levels;
 use crate::levels::report;
 use crate::limits::service::{self as limits, Limits};
+use crate::membership::listing::Hint;
+use crate::membership::{beats, tables};
 use crate::metrics::Metrics;
 use crate::path::model::gate::Gate;
 use crate::path::model::router::Router;
@@ -80,6 +81,8 @@
     pub gate: Gate,
     /// The last decisions, for operators.
     pub explain: Mutex<Explanations>,
+    /// Asks for a reading of the platform's list.
+    pub listing_hint: Hint,
     requests: AtomicU64,
     born_ms: u64,
     random: Mutex<StdRng>,
@@ -100,7 +103,8 @@
         kv: Arc<dyn KeyValue>,
         host_list: Arc<dyn HostList>,
     ) -> Result<Arc<Node>> {
-        let view = Arc::new(View::new(settings.host()));
+        let born_ms = unix_millis(clock.wall());
+        let view = Arc::new(View::with_incarnation(settings.host(), born_ms, clock.now()));
         let services = Arc::new(Services::new(view.clone(), clock.clone()));
         let mut random = StdRng::from_os_rng();
         let orders = OrderDesks::new(kv.clone(), clock.clone(), view.clone(), random.random());
@@ -131,7 +135,8 @@
             gate: Gate::default(),
             explain: Mutex::new(Explanations::new(EXPLAINED_REQUESTS)),
             requests: AtomicU64::new(0),
-            born_ms: unix_millis(clock.wall()),
+            born_ms,
+            listing_hint: Hint::default(),
             random: Mutex::new(random),
             view,
             clock,
@@ -167,9 +172,8 @@
     async fn handle(&self, req: PeerRequest, tx: ReplySender) {
         match req {
             PeerRequest::Home(req) => self.0.home.handle(req, tx).await,
-            PeerRequest::Table(TableRequest::Fetch { have }) => {
-                let reply = newer_table(&self.0, have);
-                let _ = tx.send(PeerReply::Table(reply)).await;
+            PeerRequest::Table(req) => {
+                let _ = tx.send(tables::serve(&self.0, &req)).await;
             }
             PeerRequest::Control(req) => {
                 let reply = control(&self.0, &req).await;
@@ -178,25 +182,13 @@
             PeerRequest::Ledger(call) => {
                 let _ = tx.send(self.0.ledger.serve(*call).await).await;
             }
-            PeerRequest::Heartbeat(_) => {
-                let refusal = internal("this host does not serve such calls yet");
-                let _ = tx.send(PeerReply::Failed(refusal)).await;
+            PeerRequest::Heartbeat(heartbeat) => {
+                let _ = tx.send(beats::serve(&self.0, heartbeat)).await;
             }
         }
     }
 }
 
-fn newer_table(node: &Node, have: u64) -> TableReply {
-    let Ok(table) = node.view.table() else { return TableReply::Same };
-    if table.version <= have {
-        return TableReply::Same;
-    }
-    match table.to_json() {
-        Ok(text) => TableReply::Newer { version: table.version, text: text.into() },
-        Err(_) => TableReply::Same,
-    }
-}
-
 /// Hands a call about limits, suspects or service levels to its part.
 async fn control(node: &Arc<Node>, req: &ControlRequest) -> Result<ControlReply> {
     if let Some(served) = limits::serve(node, req).await {
--- a/crates/membership/benches/slopes/wire.rs
+++ b/crates/membership/benches/slopes/wire.rs
@@ -67,7 +67,7 @@
         task::spawn(count(client.clone(), server.clone(), counted.clone()));
         count(server, client, counted).await;
     });
-    let connection = PeerConnection::open(near_addr).await.expect("a connection");
+    let connection = PeerConnection::open(near_addr, &Arc::default()).await.expect("a connection");
     let call = || async {
         let mut call = connection.call(frame(&[7; BODY_BYTES])).await.expect("a call");
         while call.next().await.expect("a reply").is_some() {}
--- a/crates/membership/src/machine.rs
+++ b/crates/membership/src/machine.rs
@@ -250,6 +250,7 @@
                 group.queued_tokens / u64::from(group.servers),
             ),
             free_in: Duration::from_millis(group.free_in_ms.into()),
+            ..BackendState::default()
         };
         Some((state, age))
     }
@@ -259,6 +260,11 @@
         &self.live
     }
 
+    /// Returns the backend servers as the platform last listed them.
+    pub fn backends(&self) -> Vec<Backend> {
+        self.backends.values().cloned().collect()
+    }
+
     /// Returns this host.
     pub fn me(&self) -> &Host {
         &self.me
--- a/crates/membership/src/machine/summary.rs
+++ b/crates/membership/src/machine/summary.rs
@@ -57,7 +57,8 @@
         let mut groups: BTreeMap<(Name, BackendRole), GroupDigest> = BTreeMap::new();
         for (name, state, _) in self.digests.fresh(now) {
             let Some(backend) = self.backends.get(name) else { continue };
-            if backend.data_centre != self.me.data_centre || backend.leaving {
+            let shut = backend.leaving || state.closed;
+            if backend.data_centre != self.me.data_centre || shut {
                 continue;
             }
             let key = (backend.serves.clone(), backend.role);
--- a/crates/membership/src/roster.rs
+++ b/crates/membership/src/roster.rs
@@ -5,6 +5,16 @@
 use std::time::Instant;
 
 use aspenloft_core::prelude::{Host, Name};
+use aspenloft_protocol::platform::Listing;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Returns a fingerprint of `listing` that does not depend on its order.
+pub fn fingerprint(listing: &Listing) -> u32 {
+    let hosts = listing.hosts.iter().map(|host| format!("{host:?}"));
+    let backends = listing.backends.iter().map(|backend| format!("{backend:?}"));
+    let hashes = hosts.chain(backends).map(|entry| xxh3_64(entry.as_bytes()));
+    (hashes.fold(0, u64::wrapping_add) >> 32) as u32
+}
 
 /// `Listed` is one host on the platform's list.
 #[derive(Debug, Clone)]
--- a/crates/membership/tests/common/mod.rs
+++ b/crates/membership/tests/common/mod.rs
@@ -348,6 +348,9 @@
                 taken: self.rng.random_range(0..20),
                 queued_tokens: Tokens(self.rng.random_range(0..60_000)),
                 free_in: Duration::from_millis(self.rng.random_range(0..5_000)),
+                prefill_per_token: Duration::from_micros(self.rng.random_range(50..200)),
+                step: Duration::from_micros(self.rng.random_range(20_000..40_000)),
+                closed: false,
             };
             node.membership.publish(&name, state, now);
         }
--- a/crates/protocol/src/admin/mod.rs
+++ b/crates/protocol/src/admin/mod.rs
@@ -22,6 +22,9 @@
     pub table_version: u64,
     /// Whether the platform answered lately.
     pub platform_reachable: bool,
+    /// Whether the host has lost touch with the platform and all other hosts.
+    #[serde(default)]
+    pub isolated: bool,
     /// Whether the host is leaving.
     pub leaving: bool,
     /// Requests in flight that callers sent to this host.
@@ -103,8 +106,18 @@
     pub const BACKENDS: &str = "/admin/backends";
     /// `POST`: starts a graceful shutdown; the answer is the [`super::HostStatus`].
     pub const DRAIN: &str = "/admin/drain";
-    /// `GET`: the table. `POST`: an edit.
+    /// `GET`: the table in force.
     pub const TABLE: &str = "/admin/table";
+    /// `POST`: a table as text, answered by all findings.
+    pub const TABLE_CHECK: &str = "/admin/table/check";
+    /// `POST`: an edit, answered by what became of it.
+    pub const TABLE_EDIT: &str = "/admin/table/edit";
+    /// `GET`: the last edits.
+    pub const TABLE_HISTORY: &str = "/admin/table/history";
+    /// `GET`: the version in force at each host.
+    pub const TABLE_HOSTS: &str = "/admin/table/hosts";
+    /// `POST`: puts the hosts' table back into a service that fell back.
+    pub const TABLE_RESTORE: &str = "/admin/table/restore";
     /// `GET`: the [`super::burn::BurnReport`]; `?grain=day` for days of history.
     pub const BURN: &str = "/admin/burn";
 }
--- a/crates/protocol/src/peer/membership.rs
+++ b/crates/protocol/src/peer/membership.rs
@@ -105,6 +105,12 @@
     pub queued_tokens: u64,
     /// When a slot is likely to be free, in milliseconds from the record's writing.
     pub free_in_ms: u32,
+    /// The time for a token of prefill, in microseconds; zero for not known.
+    pub prefill_us: u32,
+    /// The time of a decode step, in microseconds; zero for not known.
+    pub step_us: u32,
+    /// Whether the server refuses new work or cannot be reached.
+    pub closed: bool,
 }
 
 impl BackendDigest {
@@ -116,6 +122,9 @@
             taken: state.taken,
             queued_tokens: state.queued_tokens.0,
             free_in_ms: u32::try_from(state.free_in.as_millis()).unwrap_or(u32::MAX),
+            prefill_us: micros(state.prefill_per_token),
+            step_us: micros(state.step),
+            closed: state.closed,
         }
     }
 
@@ -126,10 +135,17 @@
             taken: self.taken,
             queued_tokens: Tokens(self.queued_tokens),
             free_in: Duration::from_millis(self.free_in_ms.into()),
+            prefill_per_token: Duration::from_micros(self.prefill_us.into()),
+            step: Duration::from_micros(self.step_us.into()),
+            closed: self.closed,
         }
     }
 }
 
+fn micros(span: Duration) -> u32 {
+    u32::try_from(span.as_micros()).unwrap_or(u32::MAX)
+}
+
 /// `Summary` is one host's word on its whole data centre, for the others.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Summary {
--- a/crates/table/src/lib.rs
+++ b/crates/table/src/lib.rs
@@ -2,6 +2,7 @@
 //! finds its row, and how the table is checked and edited. `docs/TABLE.md`
 //! documents each column, `docs/design/table.md` the way of an edit.
 
+pub mod answer;
 pub mod cell;
 pub mod check;
 pub mod columns;
