--- a/crates/membership/tests/common/mod.rs
+++ b/crates/membership/tests/common/mod.rs
@@ -16,6 +16,8 @@
 use aspenloft_protocol::peer::home::BackendState;
 use aspenloft_protocol::peer::membership::{Heartbeat, Step};
 use aspenloft_protocol::platform::Listing;
+use aspenloft_table::in_force::{InForce, Offered};
+use aspenloft_table::table::Table;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
@@ -80,8 +82,12 @@
     pub life: u64,
     pub membership: Membership,
     pub fleet: Fleet,
-    /// The version in force, never allowed to fall within a life.
+    /// The table in force.
+    pub force: InForce,
+    /// The version in force.
     pub version: u64,
+    /// Each version that came into force in this life.
+    pub versions: Vec<u64>,
     /// The side of a cut network on which the host is.
     pub side: u8,
     pub reaches_platform: bool,
@@ -173,7 +179,9 @@
                 life: 0,
                 membership,
                 fleet: Fleet::default(),
+                force: InForce::default(),
                 version: 0,
+                versions: Vec::new(),
                 side: 0,
                 reaches_platform: true,
                 sent: Traffic::default(),
@@ -203,7 +211,9 @@
         node.up = true;
         node.paused = false;
         node.life = life;
+        node.force = InForce::default();
         node.version = 0;
+        node.versions.clear();
         node.listing_at = None;
         // The time of the start in milliseconds, as the daemon takes it.
         let incarnation = 1_700_000_000_000 + self.elapsed.as_millis() as u64;
@@ -327,8 +337,13 @@
     pub fn take_table(&mut self, i: usize, version: u64) {
         let now = self.now();
         let node = &mut self.hosts[i];
-        if version > node.version {
-            node.version = version;
+        if version == 0 {
+            return;
+        }
+        let table = Table { version, ..Table::default() };
+        if node.force.offer(table).expect("a table") == Offered::Taken {
+            node.version = node.force.version();
+            node.versions.push(node.version);
             let actions = node.membership.handle(Event::TableInForce(version), now);
             self.act(i, actions);
         }
