Add the table to the command-line tool

Cause: operators had no way to edit a cell but to write the whole value by hand. Change: `aspenloft table get|check|set|edit|history|hosts|restore`. A whole edited table becomes an edit of the cells that differ, so that it merges with others; `--wait` reports when every live host has the version and names those that lack it.

--- /dev/null
+++ b/crates/cli/src/table_text.rs
@@ -0,0 +1,98 @@
+//! The `table_text` module puts what a host says of the table into words.
+
+use std::fmt::Write as _;
+
+use aspenloft_table::answer::{EditAnswer, Rollout};
+use aspenloft_table::edit::Refusal;
+use aspenloft_table::stored::EditRecord;
+
+/// Says what became of the edit `id`, and what to do.
+pub fn answer(answer: &EditAnswer, id: &str) -> String {
+    match answer {
+        EditAnswer::Accepted { version } => format!("accepted as version {version}"),
+        EditAnswer::Refused(Refusal::Findings(findings)) => {
+            format!("refused, nothing changed; the edited table has findings:\n{findings}")
+        }
+        EditAnswer::Refused(Refusal::Conflict { version, cells }) => {
+            let mut text = format!("conflict with version {version}, nothing changed:\n");
+            for cell in cells {
+                let _ = writeln!(text, "{cell}");
+            }
+            text + "Read the table again (`table get`) and decide anew."
+        }
+        EditAnswer::Regressed { service, hosts } => format!(
+            "refused, nothing changed: the key-value service holds version {service}, but hosts \
+             obey version {hosts}.\nThe service fell back to an older table. `table restore` puts \
+             the hosts' table back."
+        ),
+        EditAnswer::Failed(e) => format!("not accepted, nothing changed: {}", e.message),
+        EditAnswer::Unknown(e) => format!(
+            "it is not known whether the edit was accepted: {}\nIts id is {id}; `table history` \
+             shows it if it was.",
+            e.message
+        ),
+    }
+}
+
+/// Says whether `version` is in force everywhere, and who lacks it.
+pub fn rollout(rollout: &Rollout, version: u64) -> String {
+    let lacking: Vec<_> = rollout.lacking(version).collect();
+    if lacking.is_empty() {
+        return format!("version {version} is in force at every live host");
+    }
+    let mut text = format!("version {version} is not in force at {} live hosts:\n", lacking.len());
+    for host in lacking {
+        let _ = writeln!(text, "{} in {} has {}", host.host, host.data_centre, host.version);
+    }
+    text
+}
+
+/// Shows the version at each host.
+pub fn hosts(known: &Rollout) -> String {
+    let mut text = format!("newest version {}\n", known.newest);
+    if known.service > 0 && known.service < known.newest {
+        let _ = writeln!(
+            text,
+            "the key-value service fell back to version {}; `table restore` mends it",
+            known.service
+        );
+    }
+    for host in &known.hosts {
+        let state = if host.live { "live" } else { "NOT live" };
+        let behind = if host.version < known.newest { "  lacks the newest" } else { "" };
+        let age = host
+            .age
+            .map_or_else(|| "never".into(), |age| format!("{:.1} s ago", age.as_secs_f64()));
+        let _ = writeln!(
+            text,
+            "{}  {}  {state}  version {}  heard {age}{behind}",
+            host.host, host.data_centre, host.version
+        );
+    }
+    text
+}
+
+/// Shows the last edits, the newest first.
+pub fn history(history: &[EditRecord]) -> String {
+    if history.is_empty() {
+        return "no edits yet".into();
+    }
+    let mut text = String::new();
+    for record in history.iter().rev() {
+        let seconds = record.at_ms / 1_000;
+        let _ = writeln!(
+            text,
+            "version {}  by {}  at {seconds} s since 1970  id {}",
+            record.version, record.who, record.id
+        );
+        for change in &record.changes {
+            let show = |cell: &Option<_>| match cell {
+                Some(cell) => format!("{cell}"),
+                None => "nothing".into(),
+            };
+            let (before, after) = (show(&change.before), show(&change.after));
+            let _ = writeln!(text, "  {}: {before} -> {after}", change.place);
+        }
+    }
+    text
+}
--- a/crates/table/src/lib.rs
+++ b/crates/table/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod check;
 pub mod columns;
 pub mod commit;
+pub mod diff;
 pub mod edit;
 pub mod in_force;
 pub mod lookup;
