--- a/crates/cli/src/table_text.rs
+++ b/crates/cli/src/table_text.rs
@@ -38,7 +38,13 @@
 pub fn rollout(rollout: &Rollout, version: u64) -> String {
     let lacking: Vec<_> = rollout.lacking(version).collect();
     if lacking.is_empty() {
-        return format!("version {version} is in force at every live host");
+        let mut text = format!("version {version} is in force at every live host\n");
+        // A host that is listed and silent may be paused, and wakes with its old table.
+        let silent = rollout.hosts.iter().filter(|h| h.listed && !h.live && h.version < version);
+        for host in silent {
+            let _ = writeln!(text, "{} in {} is silent and lacks it", host.host, host.data_centre);
+        }
+        return text;
     }
     let mut text = format!("version {version} is not in force at {} live hosts:\n", lacking.len());
     for host in lacking {
--- a/crates/daemon/src/home/account.rs
+++ b/crates/daemon/src/home/account.rs
@@ -1,10 +1,12 @@
 //! The `account` module is what a home knows of one backend server: its room, its
 //! speed, and whether it takes work.
 
+use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
 use aspenloft_core::errors::{Error, ErrorCode};
 use aspenloft_core::prelude::{BackendRole, BackendState, ReservationId, Tokens};
+use aspenloft_core::standing::Fingerprint;
 use aspenloft_policy::estimate::{Mean, StepModel};
 use aspenloft_policy::queue::{PrefillQueue, PrefillRequest, scale};
 use aspenloft_policy::reservations::{Begin, Reservations, SlotRequest};
@@ -31,6 +33,8 @@
     pub known: bool,
     closed_until: Option<Instant>,
     unreachable: bool,
+    /// Reservations of requests that may crash their server.
+    suspects: HashMap<ReservationId, Fingerprint>,
 }
 
 impl Default for Account {
@@ -43,6 +47,7 @@
             known: false,
             closed_until: None,
             unreachable: false,
+            suspects: HashMap::new(),
         }
     }
 }
@@ -117,8 +122,20 @@
         self.slots.postpone(id, starts, now)
     }
 
+    /// Notes that a reservation is for a suspect.
+    pub fn note_suspect(&mut self, id: ReservationId, fingerprint: Fingerprint) {
+        self.suspects.insert(id, fingerprint);
+    }
+
+    /// Returns the suspects that have room here.
+    pub fn suspects(&mut self, now: Instant) -> impl Iterator<Item = Fingerprint> {
+        self.expire(now);
+        self.suspects.values().copied()
+    }
+
     /// Gives room back, of whichever kind.
     pub fn release(&mut self, id: ReservationId, now: Instant) {
+        self.suspects.remove(&id);
         if self.slots.release(id).is_none() {
             self.queue.release(id, now);
         }
@@ -171,6 +188,7 @@
     pub fn expire(&mut self, now: Instant) {
         self.slots.expire(now);
         self.queue.expire(now);
+        self.suspects.retain(|id, _| self.slots.holds(*id) || self.queue.holds(*id));
     }
 
     fn step_time(&self) -> Duration {
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -171,7 +171,7 @@
 impl PeerHandler for Dispatch {
     async fn handle(&self, req: PeerRequest, tx: ReplySender) {
         match req {
-            PeerRequest::Home(req) => self.0.home.handle(req, tx).await,
+            PeerRequest::Home(req) => self.0.home.handle(&self.0, req, tx).await,
             PeerRequest::Table(req) => {
                 let _ = tx.send(tables::serve(&self.0, &req)).await;
             }
--- a/crates/daemon/tests/model_failures.rs
+++ b/crates/daemon/tests/model_failures.rs
@@ -349,5 +349,15 @@
         }
     }
     assert!(told_not_run > 0, "the overload refused nobody");
+    // All decode engines fall in mid-answer and stay down: this was run, and says so.
+    for engine in &deployment.decode {
+        engine.standin.faults.lock().down = WITHIN;
+    }
+    let crash = async {
+        decoding(deployment, 1).await;
+        deployment.decode.iter().for_each(|engine| engine.standin.crash());
+    };
+    let (answer, ()) = futures::join!(ask(deployment, 0, "Describe the fall.", 90), crash);
+    assert_eq!((answer.status, answer.execution()), (503, "run"), "{answer:?}");
     freed(deployment, "engines are free after the overload").await;
 }
