--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -6,6 +6,8 @@
 mod order;
 mod report;
 mod status;
+mod table;
+mod table_text;
 
 use std::fmt::Write as _;
 use std::io::Write as _;
@@ -15,6 +17,7 @@
 use aspenloft_core::errors::{Error, ErrorCode, Result, invalid};
 use aspenloft_protocol::admin::burn::BurnReport;
 use aspenloft_protocol::admin::{BackendStatus, HostStatus, OrderReport, paths};
+use aspenloft_table::cell::Sheet;
 use async_std::task;
 use serde::Serialize;
 
@@ -23,6 +26,7 @@
 mod flags {
     #![allow(missing_docs)]
     use std::net::SocketAddr;
+    use std::path::PathBuf;
 
     xflags::xflags! {
         /// Operates a deployment of aspenloft over its administration API.
@@ -34,7 +38,7 @@
         ///     aspenloft status
         ///
         /// Exit codes: 0 done, 1 failed, 2 wrong use, 3 the host cannot be reached,
-        /// 4 refused (the message says why and what to do).
+        /// 4 refused (the message says why and what to do), 5 conflict with another edit.
         cmd aspenloft {
             /// The administration address of any host (default: $ASPENLOFT_HOST).
             optional --host addr: SocketAddr
@@ -54,6 +58,57 @@
                 /// Changes the role: prefill or decode.
                 optional --role role: String
             }
+            /// Reads, checks and edits the operators' table; see docs/TABLE.md.
+            ///
+            /// Exit codes: 0 done, 1 failed, 2 findings in the table or wrong use,
+            /// 3 the host cannot be reached, 5 conflict with another edit.
+            cmd table {
+                /// Prints the table in force, ready to be edited.
+                cmd get {
+                }
+                /// Checks a table and prints all findings; nothing changes.
+                cmd check {
+                    /// The file.
+                    required file: PathBuf
+                }
+                /// Sets one cell, for instance: table set scribe ttft_ms 1200 --wait
+                cmd set {
+                    /// The row's name; with --caller, the caller's.
+                    required entry: String
+                    /// The column; docs/TABLE.md names all.
+                    required column: String
+                    /// The new value; lists are separated by commas.
+                    required value: String
+                    /// Sets a cell of a caller instead of a row.
+                    optional --caller
+                    /// Waits until every live host has it, and names those that lack it.
+                    optional --wait
+                    /// Who makes the edit (default: $USER).
+                    optional --who name: String
+                }
+                /// Takes an edited table, as `table get` printed it, or an edit.
+                cmd edit {
+                    /// The file.
+                    required file: PathBuf
+                    /// Waits until every live host has it, and names those that lack it.
+                    optional --wait
+                    /// Who makes the edit (default: $USER).
+                    optional --who name: String
+                }
+                /// Prints the last edits, the newest first.
+                cmd history {
+                }
+                /// Prints the version in force at each host.
+                cmd hosts {
+                }
+                /// Puts the hosts' table back into a service that fell back.
+                cmd restore {
+                    /// Waits until every live host has it, and names those that lack it.
+                    optional --wait
+                    /// Who asks (default: $USER).
+                    optional --who name: String
+                }
+            }
             /// Shows each backend server, its home host and its load.
             cmd backends {
             }
@@ -114,8 +169,8 @@
     if let Cmd::Call(call) = f.subcommand {
         return call::run(call_options(call)?).await;
     }
-    let client = Client::new(host(f.host)?);
-    let json = f.json;
+    let (addr, json) = (host(f.host)?, f.json);
+    let client = Client::new(addr);
     match f.subcommand {
         Cmd::Status(_) => {
             let host: HostStatus = client.get(paths::STATUS).await?;
@@ -141,6 +196,10 @@
             let given: OrderReport = client.post(paths::ORDERS, &order::ask(&f)?).await?;
             print(json, &given, order::order_text)
         }
+        Cmd::Table(f) => {
+            let tool = table::TableTool { host: addr, json };
+            exit(tool.run(table_command(f)).await as i32)
+        }
         Cmd::Call(_) => Ok(()),
     }
 }
@@ -199,6 +258,26 @@
     (text, code)
 }
 
+fn table_command(f: flags::Table) -> table::Command {
+    use flags::TableCmd as Cmd;
+    use table::{Command, EditOptions, SetOptions};
+    match f.subcommand {
+        Cmd::Get(_) => Command::Get,
+        Cmd::Check(f) => Command::Check(f.file),
+        Cmd::Set(f) => Command::Set(SetOptions {
+            sheet: if f.caller { Sheet::Callers } else { Sheet::Rows },
+            entry: f.entry,
+            column: f.column,
+            value: f.value,
+            edit: EditOptions { who: f.who, wait: f.wait },
+        }),
+        Cmd::Edit(f) => Command::Edit(f.file, EditOptions { who: f.who, wait: f.wait }),
+        Cmd::History(_) => Command::History,
+        Cmd::Hosts(_) => Command::Hosts,
+        Cmd::Restore(f) => Command::Restore(EditOptions { who: f.who, wait: f.wait }),
+    }
+}
+
 fn main() {
     let flags = flags::Aspenloft::from_env_or_exit();
     if let Err(e) = task::block_on(run(flags)) {
