--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -3,6 +3,8 @@
 mod call;
 mod client;
 mod columns;
+mod explain;
+mod order;
 mod report;
 mod status;
 
@@ -12,8 +14,9 @@
 use std::process::exit;
 
 use aspenloft_core::errors::{Error, ErrorCode, Result, invalid};
+use aspenloft_policy::explain::Explanation;
 use aspenloft_protocol::admin::burn::BurnReport;
-use aspenloft_protocol::admin::{BackendStatus, HostStatus, paths};
+use aspenloft_protocol::admin::{BackendStatus, HostStatus, OrderReport, paths};
 use async_std::task;
 use serde::Serialize;
 
@@ -45,6 +48,12 @@
             /// Shows each backend server, its home host and its load.
             cmd backends {
             }
+            /// Shows why a request went where it did: each candidate's verdict, each
+            /// ranked pair's cost term by term, what happened, and the outcome.
+            cmd explain {
+                /// The request's id, from the answer's x-request-id or a log line.
+                required request: String
+            }
             /// Takes the host out of service: it finishes what is in flight, then exits.
             cmd drain {
             }
@@ -74,6 +83,17 @@
                 /// The body, in JSON; without one the request is a GET.
                 optional body: String
             }
+            /// Gives a model engine an order: one of load, unload, or a new role.
+            cmd order {
+                /// The backend server.
+                required backend: String
+                /// Loads this model, adapter or version.
+                optional --load name: String
+                /// Unloads it.
+                optional --unload name: String
+                /// Changes the role: prefill or decode.
+                optional --role role: String
+            }
         }
     }
 }
@@ -113,6 +133,15 @@
             let backends: Vec<BackendStatus> = client.get(paths::BACKENDS).await?;
             print(json, &backends, |backends| status::backends_text(backends))
         }
+        Cmd::Explain(f) => {
+            let path = format!("{}/{}", paths::EXPLAIN, f.request);
+            let explanation: Explanation = client.get(&path).await?;
+            print(json, &explanation, explain::text)
+        }
+        Cmd::Order(f) => {
+            let report: OrderReport = order::give(&client, &f).await?;
+            print(json, &report, order::text)
+        }
         Cmd::Drain(_) => {
             let host: HostStatus = client.post(paths::DRAIN, &()).await?;
             print(json, &host, status::drain_text)
--- a/crates/daemon/src/admin/mod.rs
+++ b/crates/daemon/src/admin/mod.rs
@@ -1,6 +1,8 @@
 //! The `admin` module answers operators, the command-line tool and the balancer.
 
 pub mod burn;
+pub mod explain;
+pub mod orders;
 pub mod status;
 pub mod table;
 
@@ -36,6 +38,10 @@
                 self.0.shutdown.ask();
                 server::json(&status::status(&self.0))
             }
+            (Method::Post, paths::ORDERS) => orders::handle(&self.0, req).await,
+            (Method::Get, path) if path.starts_with(paths::EXPLAIN) => {
+                server::outcome(explain::explanation(&self.0, path))
+            }
             (Method::Get, paths::BURN) => burn::handle(&self.0, &req).await,
             _ => server::outcome(Err::<(), _>(not_found("no such path"))),
         }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -19,4 +19,5 @@
 pub mod shutdown;
 pub mod suspects;
 pub mod tasks;
+pub mod traffic;
 pub mod view;
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -4,6 +4,7 @@
 //! Labels are rows of the table, codes and causes, all of which are few. Callers
 //! and requests are no labels, because their number has no bound.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use aspenloft_core::errors::{Error, ErrorCode, Result, internal};
@@ -13,6 +14,8 @@
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
 
+use crate::traffic::Traffic;
+
 /// Bounds of the buckets for times to first token, in seconds.
 const TTFT_BUCKETS_S: [f64; 10] = [0.05, 0.1, 0.2, 0.4, 0.8, 1.2, 1.7, 2.5, 5.0, 10.0];
 
@@ -46,13 +49,12 @@
     retries: Counter<u64>,
     in_flight: Gauge<u64>,
     reservations: Gauge<u64>,
-    control_bytes: Counter<u64>,
-    cpu: Gauge<f64>,
 }
 
 impl Metrics {
-    /// Creates the instruments of the host named `host`.
-    pub fn new(host: &str) -> Result<Metrics> {
+    /// Creates the instruments of the host named `host`, whose control bytes
+    /// `traffic` counts.
+    pub fn new(host: &str, traffic: Arc<Traffic>) -> Result<Metrics> {
         let registry = Registry::new();
         let exporter = opentelemetry_prometheus::exporter()
             .with_registry(registry.clone())
@@ -68,6 +70,21 @@
         let seconds = |name, buckets: &[f64]| {
             m.f64_histogram(name).with_unit("s").with_boundaries(buckets.to_vec()).build()
         };
+        m.u64_observable_counter("aspenloft_control_bytes")
+            .with_callback(move |observer| {
+                let (sent, received) = traffic.totals();
+                observer.observe(sent, &[KeyValue::new("direction", "sent")]);
+                observer.observe(received, &[KeyValue::new("direction", "received")]);
+            })
+            .build();
+        m.f64_observable_counter("aspenloft_process_cpu")
+            .with_unit("s")
+            .with_callback(|observer| {
+                if let Some(cpu) = process_cpu() {
+                    observer.observe(cpu.as_secs_f64(), &[]);
+                }
+            })
+            .build();
         Ok(Metrics {
             ttft: seconds("aspenloft_ttft", &TTFT_BUCKETS_S),
             tbt: seconds("aspenloft_time_between_tokens", &TBT_BUCKETS_S),
@@ -78,8 +95,6 @@
             retries: m.u64_counter("aspenloft_retries").build(),
             in_flight: m.u64_gauge("aspenloft_in_flight").build(),
             reservations: m.u64_gauge("aspenloft_reservations").build(),
-            control_bytes: m.u64_counter("aspenloft_control_bytes").build(),
-            cpu: m.f64_gauge("aspenloft_process_cpu").with_unit("s").build(),
             registry,
             _provider: provider,
         })
@@ -116,18 +131,10 @@
         self.retries.add(1, &[row_label(row)]);
     }
 
-    /// Counts bytes of control messages between hosts.
-    pub fn control_bytes(&self, direction: &'static str, bytes: u64) {
-        self.control_bytes.add(bytes, &[KeyValue::new("direction", direction)]);
-    }
-
     /// Renders the page, with the numbers of work in progress as they are now.
     pub fn page(&self, in_flight: usize, reservations: usize) -> Result<Vec<u8>> {
         self.in_flight.record(in_flight as u64, &[]);
         self.reservations.record(reservations as u64, &[]);
-        if let Some(cpu) = process_cpu() {
-            self.cpu.record(cpu.as_secs_f64(), &[]);
-        }
         let mut page = Vec::new();
         TextEncoder::new().encode(&self.registry.gather(), &mut page).map_err(failed)?;
         Ok(page)
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -10,6 +10,7 @@
 use aspenloft_core::errors::{Result, internal};
 use aspenloft_core::prelude::{RequestId, SharedClock};
 use aspenloft_ledger::options::Options;
+use aspenloft_policy::explain::Explanations;
 use aspenloft_protocol::peer::control::{ControlReply, ControlRequest};
 use aspenloft_protocol::peer::table::{TableReply, TableRequest};
 use aspenloft_protocol::peer::{PeerReply, PeerRequest};
@@ -21,11 +22,14 @@
 
 use crate::home::service::HomeService;
 use crate::ledger::entry::OwnerHints;
+use crate::ledger::orders::OrderDesks;
 use crate::ledger::{LedgerService, Parts};
 use crate::levels::record::Levels;
 use crate::levels::report;
 use crate::limits::service::{self as limits, Limits};
 use crate::metrics::Metrics;
+use crate::path::model::gate::Gate;
+use crate::path::model::router::Router;
 use crate::path::service::Services;
 use crate::peers::{PeerHandler, Peers, ReplySender};
 use crate::settings::Settings;
@@ -33,6 +37,9 @@
 use crate::suspects::{self, Suspects};
 use crate::view::View;
 
+/// Requests whose decisions are remembered; the oldest is forgotten first.
+const EXPLAINED_REQUESTS: usize = 256;
+
 /// `Node` is one host of the router.
 pub struct Node {
     /// Its settings.
@@ -63,8 +70,16 @@
     pub services: Arc<Services>,
     /// Its work as an owner of ledger shards.
     pub ledger: LedgerService,
+    /// Its orders to backend servers.
+    pub orders: Arc<OrderDesks>,
     /// Where owners of ledger shards were last found.
     pub owners: OwnerHints,
+    /// What it has learned for its choices.
+    pub router: Router,
+    /// The requests that wait for room.
+    pub gate: Gate,
+    /// The last decisions, for operators.
+    pub explain: Mutex<Explanations>,
     requests: AtomicU64,
     born_ms: u64,
     random: Mutex<StdRng>,
@@ -88,6 +103,7 @@
         let view = Arc::new(View::new(settings.host()));
         let services = Arc::new(Services::new(view.clone(), clock.clone()));
         let mut random = StdRng::from_os_rng();
+        let orders = OrderDesks::new(kv.clone(), clock.clone(), view.clone(), random.random());
         let ledger = LedgerService::start(Parts {
             host: settings.host.clone(),
             kv: kv.clone(),
@@ -97,19 +113,24 @@
             options: Options::default(),
             seed: random.random(),
         });
+        let peers = Peers::new(settings.host.clone());
         let node = Arc::new(Node {
             kv,
             host_list,
             services,
             ledger,
+            orders: Arc::new(orders),
             owners: OwnerHints::default(),
-            peers: Peers::new(settings.host.clone()),
+            metrics: Metrics::new(&settings.host, peers.traffic().clone())?,
+            peers,
             home: HomeService::new(clock.clone(), view.clone()),
             limits: Limits::default(),
             suspects: Suspects::default(),
             levels: Levels::default(),
-            metrics: Metrics::new(&settings.host)?,
             shutdown: Arc::default(),
+            router: Router::default(),
+            gate: Gate::default(),
+            explain: Mutex::new(Explanations::new(EXPLAINED_REQUESTS)),
             requests: AtomicU64::new(0),
             born_ms: unix_millis(clock.wall()),
             random: Mutex::new(random),
--- a/crates/transport/src/mesh/connection.rs
+++ b/crates/transport/src/mesh/connection.rs
@@ -17,7 +17,7 @@
 
 use super::liveness::{CallCount, Liveness};
 use super::options::MeshOptions;
-use super::streams::{broken, next_frame, send_all};
+use super::streams::{End, broken, next_frame, send_all};
 use super::{CONNECTION_WINDOW_BYTES, STREAM_WINDOW_BYTES};
 use crate::http;
 
@@ -105,9 +105,8 @@
         let (response, mut send) = sent.map_err(not_sent)?;
         // The last bytes go with the end of the stream.
         let (most, last) = split_last(data);
-        send_all(&mut send, most).await.map_err(not_sent)?;
-        send_all(&mut send, last).await?;
-        send.send_data(Bytes::new(), true).map_err(broken)?;
+        send_all(&mut send, most, End::Open).await.map_err(not_sent)?;
+        send_all(&mut send, last, End::Closed).await?;
         Ok(RemoteCall { response: Some(response), recv: None, buf: BytesMut::new(), _count: count })
     }
 }
--- a/crates/transport/src/mesh/server.rs
+++ b/crates/transport/src/mesh/server.rs
@@ -19,7 +19,7 @@
 
 use super::liveness::{CallCount, Liveness};
 use super::options::MeshOptions;
-use super::streams::{broken, next_frame, send_all};
+use super::streams::{End, broken, next_frame, send_all};
 use super::{CONNECTION_WINDOW_BYTES, FrameHandler, STREAM_WINDOW_BYTES};
 
 /// Replies that a handler may have ready before it must wait for the peer.
@@ -159,7 +159,7 @@
 async fn pump_replies(rx: Receiver<Bytes>, send: &mut SendStream<Bytes>) -> Result<()> {
     while let Some(first) = next_reply(&rx, send).await? {
         let data = coalesce(first, &rx);
-        send_all(send, data).await?;
+        send_all(send, data, End::Open).await?;
     }
     send.send_data(Bytes::new(), true).map_err(broken)
 }
--- a/crates/transport/src/mesh/streams.rs
+++ b/crates/transport/src/mesh/streams.rs
@@ -10,8 +10,22 @@
 
 use crate::frames;
 
+/// `End` says what follows the bytes that are sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum End {
+    /// More bytes.
+    Open,
+    /// Nothing: the last byte closes the sending side. As a message of its own the
+    /// end could come after a quick peer's whole answer, by when the stream is gone.
+    Closed,
+}
+
 /// Sends `data` as the peer's window allows.
-pub(super) async fn send_all(send: &mut SendStream<Bytes>, mut data: Bytes) -> Result<()> {
+pub(super) async fn send_all(
+    send: &mut SendStream<Bytes>,
+    mut data: Bytes,
+    end: End,
+) -> Result<()> {
     while !data.is_empty() {
         send.reserve_capacity(data.len());
         let capacity = poll_fn(|cx| send.poll_capacity(cx)).await;
@@ -21,7 +35,8 @@
             None => return Err(unavailable("the call's stream is closed")),
         };
         let part = data.split_to(capacity.min(data.len()));
-        send.send_data(part, false).map_err(broken)?;
+        let last = end == End::Closed && data.is_empty();
+        send.send_data(part, last).map_err(broken)?;
     }
     Ok(())
 }
