--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -138,10 +138,6 @@
             let explanation: Explanation = client.get(&path).await?;
             print(json, &explanation, explain::text)
         }
-        Cmd::Order(f) => {
-            let report: OrderReport = order::give(&client, &f).await?;
-            print(json, &report, order::text)
-        }
         Cmd::Drain(_) => {
             let host: HostStatus = client.post(paths::DRAIN, &()).await?;
             print(json, &host, status::drain_text)
@@ -154,6 +150,10 @@
                 print(json, &report, report::burn_text)
             }
         },
+        Cmd::Order(f) => {
+            let given: OrderReport = client.post(paths::ORDERS, &order::ask(&f)?).await?;
+            print(json, &given, order::order_text)
+        }
         Cmd::Call(_) => Ok(()),
     }
 }
@@ -196,7 +196,7 @@
 
 /// Says what went wrong and, where it is known, what to do.
 fn explain_error(e: &Error) -> (String, i32) {
-    let mut text = format!("aspenloft: {}", e.message);
+    let mut text = format!("aspenloft: {} (execution: {})", e.message, e.execution);
     let code = match e.code {
         ErrorCode::Unavailable | ErrorCode::Timeout => {
             text.push_str("\nDoes a host run there, and is this the right one of its addresses?");
--- a/crates/daemon/src/home/decode.rs
+++ b/crates/daemon/src/home/decode.rs
@@ -1,5 +1,6 @@
 //! The `decode` module runs decodes for entry hosts and relays their tokens.
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use aspenloft_core::errors::{Error, ErrorCode, Result};
@@ -14,7 +15,9 @@
 use futures::StreamExt;
 use futures::future::FutureExt;
 
+use super::deaths;
 use super::service::{ENGINE_HOLD, HomeService, Room, engine};
+use crate::node::Node;
 use crate::peers::ReplySender;
 
 /// The longest decode that a reservation covers.
@@ -38,23 +41,32 @@
 
 impl HomeService {
     /// Runs a decode; the slot is given back when the call ends.
-    pub(super) async fn decode(&self, req: HomeDecode, tx: &ReplySender) -> Result<()> {
+    pub(super) async fn decode(
+        &self,
+        node: &Arc<Node>,
+        req: HomeDecode,
+        tx: &ReplySender,
+    ) -> Result<()> {
         let _room = Room { home: self, backend: &req.backend, id: req.reservation };
         let backend = self.staying(&req.backend)?;
         self.await_slot(&req).await?;
-        let claim = self.claims.claim(&backend, &req.request).await?;
+        let claim = self.claims.claim(&backend, &req.request, req.fingerprint).await?;
+        deaths::prove_alive(node, &backend, req.fingerprint).await?;
         let opened = self.open(&backend, &req).await;
-        let stream = opened.inspect_err(|e| {
+        if let Err(e) = &opened {
             // A transfer that stalls says nothing against the decode server.
             if e.code != ErrorCode::Timeout {
                 self.note_failure(&backend, e);
             }
-        })?;
+            deaths::inquire(node, &backend, e).await;
+        }
+        let stream = opened?;
         self.publish(&backend);
         let mut relay = Relay { home: self, req: &req, tx, batch: Vec::new(), mark: None };
         let relayed = relay.run(stream).await;
-        if relayed.is_ok() {
-            claim.done();
+        match &relayed {
+            Ok(()) => claim.done(),
+            Err(e) => deaths::inquire(node, &backend, e).await,
         }
         relayed
     }
--- a/crates/daemon/src/home/service.rs
+++ b/crates/daemon/src/home/service.rs
@@ -7,6 +7,7 @@
 
 use aspenloft_core::errors::{Error, ErrorCode, Result};
 use aspenloft_core::prelude::{Backend, BackendRole, Name, ReservationId, SharedClock};
+use aspenloft_core::standing::{Fingerprint, Standing};
 use aspenloft_protocol::engine::{EngineClient, HoldState, ModelEngine};
 use aspenloft_protocol::peer::PeerReply;
 use aspenloft_protocol::peer::home::{HomeReply, HomeRequest, ReserveRequest};
@@ -14,7 +15,10 @@
 
 use super::account::Account;
 use super::claims::Claims;
+use super::deaths::Deaths;
+use crate::node::Node;
 use crate::peers::ReplySender;
+use crate::suspects;
 use crate::view::View;
 
 /// How long an engine keeps work without sign of life from its home. It bounds how
@@ -26,6 +30,7 @@
     pub(super) clock: SharedClock,
     pub(super) view: Arc<View>,
     pub(super) claims: Arc<Claims>,
+    pub(super) deaths: Deaths,
     accounts: Mutex<HashMap<Name, Account>>,
     next: AtomicU64,
 }
@@ -37,21 +42,22 @@
             clock,
             view,
             claims: Arc::default(),
+            deaths: Deaths::default(),
             accounts: Mutex::default(),
             next: AtomicU64::new(1),
         }
     }
 
     /// Serves one call.
-    pub async fn handle(&self, req: HomeRequest, tx: ReplySender) {
+    pub async fn handle(&self, node: &Arc<Node>, req: HomeRequest, tx: ReplySender) {
         let served = match req {
-            HomeRequest::Reserve(req) => self.reserve(req, &tx).await,
+            HomeRequest::Reserve(req) => self.reserve(node, req, &tx).await,
             HomeRequest::Release { backend, reservation } => {
                 self.release(&backend, reservation);
                 tx.send(PeerReply::Home(HomeReply::Released)).await
             }
-            HomeRequest::Prefill(req) => self.prefill(req, &tx).await,
-            HomeRequest::Decode(req) => self.decode(req, &tx).await,
+            HomeRequest::Prefill(req) => self.prefill(node, req, &tx).await,
+            HomeRequest::Decode(req) => self.decode(node, req, &tx).await,
         };
         if let Err(e) = served {
             // A peer that no longer listens needs no word of the failure.
@@ -70,14 +76,24 @@
         standing.sum()
     }
 
-    async fn reserve(&self, req: ReserveRequest, tx: &ReplySender) -> Result<()> {
+    async fn reserve(&self, node: &Arc<Node>, req: ReserveRequest, tx: &ReplySender) -> Result<()> {
         let backend = self.staying(&req.backend)?;
+        suspects::check(node, req.fingerprint)?;
         if !self.with(&backend.name, |account| account.known) {
             self.learn(&backend).await?;
         }
         let id = ReservationId(self.next.fetch_add(1, Ordering::Relaxed));
         let now = self.clock.now();
-        let reserved = self.with(&backend.name, |a| a.reserve(backend.role, id, &req, now));
+        let suspect = suspects::standing(node, req.fingerprint) == Standing::Suspect;
+        // Each suspect runs where it is the only one, so that a second death convicts.
+        let reserved = if suspect && self.runs_other_suspect(node, &backend, req.fingerprint) {
+            Err(self.with(&backend.name, |account| account.state(backend.role, now)))
+        } else {
+            self.with(&backend.name, |a| a.reserve(backend.role, id, &req, now))
+        };
+        if suspect && reserved.is_ok() {
+            self.with(&backend.name, |account| account.note_suspect(id, req.fingerprint));
+        }
         let reply = match reserved {
             Ok(()) => HomeReply::Reserved(id),
             Err(state) => HomeReply::Refused(state),
@@ -90,6 +106,16 @@
         sent
     }
 
+    /// Tells whether a suspect other than this one has room on a server or runs there.
+    fn runs_other_suspect(&self, node: &Node, backend: &Backend, than: Fingerprint) -> bool {
+        let now = self.clock.now();
+        let reserved: Vec<Fingerprint> =
+            self.with(&backend.name, |account| account.suspects(now).collect());
+        let running = self.claims.running(&backend.name).into_iter().map(|(_, f)| f);
+        let suspects = running.filter(|f| suspects::standing(node, *f) == Standing::Suspect);
+        reserved.into_iter().chain(suspects).any(|fingerprint| fingerprint != than)
+    }
+
     /// Finds a backend server that takes new work.
     pub(super) fn staying(&self, name: &str) -> Result<Backend> {
         let backend = self.view.backend(name)?;
--- a/crates/daemon/src/home/sweep.rs
+++ b/crates/daemon/src/home/sweep.rs
@@ -102,6 +102,7 @@
         node.home.learn(backend).await?;
     }
     let holds = engine(backend).holds().await?;
+    node.home.deaths.note_alive(&backend.name);
     // The claims are read after the holds, thus a hold without a claim is not new.
     let claimed: HashSet<RequestId> = node.home.claims.of(&backend.name).into_iter().collect();
     let unclaimed = holds.iter().filter(|hold| !claimed.contains(&hold.request));
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -167,7 +167,7 @@
 impl PeerHandler for Dispatch {
     async fn handle(&self, req: PeerRequest, tx: ReplySender) {
         match req {
-            PeerRequest::Home(req) => self.0.home.handle(req, tx).await,
+            PeerRequest::Home(req) => self.0.home.handle(&self.0, req, tx).await,
             PeerRequest::Table(TableRequest::Fetch { have }) => {
                 let reply = newer_table(&self.0, have);
                 let _ = tx.send(PeerReply::Table(reply)).await;
--- a/crates/membership/src/machine.rs
+++ b/crates/membership/src/machine.rs
@@ -250,6 +250,7 @@
                 group.queued_tokens / u64::from(group.servers),
             ),
             free_in: Duration::from_millis(group.free_in_ms.into()),
+            ..BackendState::default()
         };
         Some((state, age))
     }
