--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -20,4 +20,5 @@
 pub mod shutdown;
 pub mod suspects;
 pub mod tasks;
+pub mod traffic;
 pub mod view;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -75,7 +75,8 @@
     tasks::start(&node);
     let guarded =
         Guarded { inner: Arc::new(Dispatch(node.clone())), shutdown: node.shutdown.clone() };
-    task::spawn(mesh::serve(peers, Arc::new(Unpacked(Arc::new(guarded)))));
+    let unpacked = Unpacked { inner: Arc::new(guarded), traffic: node.peers.traffic().clone() };
+    task::spawn(mesh::serve(peers, Arc::new(unpacked)));
     task::spawn(server::serve(admin, Arc::new(AdminFront(node.clone()))));
     let bounds = node.settings.limits.server();
     task::spawn(server::serve_with(callers, Arc::new(CallerFront(node.clone())), bounds));
--- a/crates/daemon/tests/metrics_page.rs
+++ b/crates/daemon/tests/metrics_page.rs
@@ -42,7 +42,8 @@
         "aspenloft_refusals_total{code=\"not_found\",row=\"\"",
         "aspenloft_in_flight{",
         "aspenloft_reservations{",
-        "aspenloft_process_cpu_seconds{",
+        "aspenloft_process_cpu_seconds_total",
+        "aspenloft_control_bytes_total{direction=\"sent\"",
     ];
     for series in promised {
         assert!(first.lines().any(|line| line.starts_with(series)), "{series} in {first}");
--- a/crates/protocol/src/admin/mod.rs
+++ b/crates/protocol/src/admin/mod.rs
@@ -104,6 +104,8 @@
     pub const METRICS: &str = "/metrics";
     /// `GET`: the [`super::BackendStatus`] of each backend server.
     pub const BACKENDS: &str = "/admin/backends";
+    /// `GET`, with a request's id after a slash: the decisions for that request.
+    pub const EXPLAIN: &str = "/admin/explain";
     /// `POST`: starts a graceful shutdown; the answer is the [`super::HostStatus`].
     pub const DRAIN: &str = "/admin/drain";
     /// `GET`: the table in force.
