--- a/crates/daemon/tests/model_failures.rs
+++ b/crates/daemon/tests/model_failures.rs
@@ -361,3 +361,20 @@
     assert_eq!((answer.status, answer.execution()), (503, "run"), "{answer:?}");
     freed(deployment, "engines are free after the overload").await;
 }
+
+#[async_std::test]
+async fn a_prefill_that_ran_for_nothing_is_not_called_not_run() {
+    let options = EngineOptions { prefill_per_token: MS, ..slow_engines() };
+    let deployment = Deployment::start(2, 1, options).await;
+    let prompt = "Describe a door that leads nowhere. ".repeat(30);
+    let refuse = async {
+        eventually("the prefill runs", WITHIN, || async {
+            !deployment.prefill[0].standin.holds().is_empty()
+        })
+        .await;
+        deployment.decode[0].standin.faults.lock().refusing = true;
+    };
+    let (answer, ()) = futures::join!(ask(&deployment, 0, &prompt, 5), refuse);
+    assert_eq!((answer.status, answer.execution()), (503, "run"), "{answer:?}");
+    freed(&deployment, "the unused result is gone").await;
+}
