Spend a row's retry budget on repeated prefills

Cause: the budget was there, but nothing asked it, so the loss of many engines could repeat each prefill three times.

Change: an attempt after one that ran a prefill, or may have, takes a retry before the first token. A resume is free, because without it the answer is lost; so is an attempt that ran nothing. a_stalled_transfer_takes_another_source allows a retry for each request, for it sends six requests of which most need one; the default of 10 percent is meant for more.

--- a/crates/daemon/src/path/model/attempt.rs
+++ b/crates/daemon/src/path/model/attempt.rs
@@ -51,6 +51,7 @@
     pub(super) async fn attempt(&mut self, secured: Secured) -> Result<()> {
         let source = secured.prefill.backend.clone();
         let prefilled = self.prefill(secured.prefill).await;
+        self.worked = !matches!(&prefilled, Err(e) if e.execution == Execution::NotRun);
         let mut prefilled = prefilled.inspect_err(|_| self.avoid.push(source.name.clone()))?;
         let worked = prefilled.result.prompt_tokens.saturating_sub(prefilled.result.cached_tokens);
         let row = self.req.row.name.clone();
--- a/crates/daemon/tests/model_failures.rs
+++ b/crates/daemon/tests/model_failures.rs
@@ -8,7 +8,7 @@
 use aspenloft_standin::engine::{EngineFaults, EngineOptions, expected_text};
 use aspenloft_transport::http;
 use async_std::task;
-use common::{Deployment, Engine, eventually};
+use common::{Deployment, Engine, default_table, eventually};
 use futures::future::join_all;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -73,6 +73,20 @@
     .await;
 }
 
+/// Lets every request be retried, for a test in which most of few requests must be.
+async fn allow_retries(deployment: &Deployment) {
+    let mut table = default_table();
+    table.version += 1;
+    table.rows[0].retry_percent = 100;
+    deployment.put_table(&table).await;
+    for i in 0..deployment.hosts.len() as u16 {
+        eventually("the table is in force", WITHIN, || async {
+            deployment.status(i).await.table_version == table.version
+        })
+        .await;
+    }
+}
+
 /// Returns the host that is the home of a backend server.
 async fn home_of(deployment: &Deployment, backend: &str) -> u16 {
     for i in 0..deployment.hosts.len() as u16 {
@@ -135,6 +149,7 @@
 async fn a_stalled_transfer_takes_another_source() {
     let deployment = Deployment::start(2, 2, slow_engines()).await;
     deployment.prefill[0].standin.faults.lock().stall_exports = true;
+    allow_retries(&deployment).await;
     for i in 0..6 {
         let prompt = format!("Describe stalled door {i}.");
         let answer = ask(&deployment, i % 2, &prompt, 5).await;
