--- a/crates/table/src/lib.rs
+++ b/crates/table/src/lib.rs
@@ -2,10 +2,12 @@
 //! finds its row, and how the table is checked and edited. `docs/TABLE.md`
 //! documents each column, `docs/design/table.md` the way of an edit.
 
+pub mod answer;
 pub mod cell;
 pub mod check;
 pub mod columns;
 pub mod commit;
+pub mod diff;
 pub mod edit;
 pub mod in_force;
 pub mod lookup;
