--- a/crates/load/src/compare/world.rs
+++ b/crates/load/src/compare/world/mod.rs
@@ -1,19 +1,22 @@
 //! The `world` module moves one scenario forward: it carries out a policy's
 //! actions on the fake engines and links and tells the policy what happens.
 
+mod carry;
+mod faults;
+
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
 use aspenloft_core::prelude::BackendRole;
 use aspenloft_standin::engine::link::Link;
 
-use super::engines::{DecodeEngine, PrefillEngine, PrefillJob};
-use super::events::EventQueue;
-use super::fleet::{CALLER_DELAY, EngineId, FAR_DELAY, HostId, RESULT_LIFE};
-use super::policy::{Action, Note, Policy, Reports, Setting};
-use super::scenario::{Fault, Scenario};
-use super::score::{Ledger, Outcome, Score};
-use super::workload::{Request, RequestNo};
+use crate::compare::engines::{DecodeEngine, PrefillEngine, PrefillJob};
+use crate::compare::events::EventQueue;
+use crate::compare::fleet::{CALLER_DELAY, EngineId, FAR_DELAY, HostId, RESULT_LIFE};
+use crate::compare::policy::{Action, Note, Policy, Reports, Setting};
+use crate::compare::scenario::{Fault, Scenario};
+use crate::compare::score::{Ledger, Outcome, Score};
+use crate::compare::workload::{Request, RequestNo};
 
 /// How often engines report.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
@@ -250,152 +253,6 @@
         self.live[no].phase == Phase::Over
     }
 
-    fn send_prefill(&mut self, no: RequestNo, engine: EngineId, priority: u8) {
-        if self.is_over(no) {
-            return;
-        }
-        self.ledger.accounts[no].started.get_or_insert(self.now);
-        let turn = self.enter(no, Phase::Prefill(engine));
-        let delay = self.setting.fleet.to_engine(self.live[no].host, engine);
-        self.events.push(self.now + delay, Event::Join(no, engine, turn, priority));
-    }
-
-    fn join(&mut self, no: RequestNo, engine: EngineId, turn: u64, priority: u8) {
-        if self.live[no].turn != turn {
-            return;
-        }
-        let request = &self.requests[no];
-        let job = PrefillJob {
-            request: no,
-            // A resume works on the tokens that were sent as well.
-            tokens: request.prompt + self.live[no].tokens,
-            pieces: request.pieces.clone(),
-            priority,
-        };
-        let node = &mut self.nodes[engine];
-        match &mut node.work {
-            Work::Prefill(prefill) if node.alive => prefill.join(job),
-            _ => return self.break_off(no),
-        }
-        self.start_prefill(engine);
-    }
-
-    fn start_prefill(&mut self, engine: EngineId) {
-        let node = &mut self.nodes[engine];
-        let Work::Prefill(prefill) = &mut node.work else { return };
-        let Some(ends) = prefill.start(self.now) else { return };
-        let running = prefill.running.as_ref().map(|running| running.job.request);
-        let poisoned = running.is_some_and(|no| self.requests[no].poisoned);
-        self.events.push(ends, Event::PrefillEnd(engine, node.life));
-        if poisoned {
-            let half = self.now + (ends - self.now) / 2;
-            self.ledger.poisoned_deaths += 1;
-            self.events.push(half, Event::Fault(Fault::Crash(engine, POISON_DOWN)));
-        }
-    }
-
-    fn prefill_end(&mut self, engine: EngineId, life: u64) {
-        let at = self.base + self.now;
-        let node = &mut self.nodes[engine];
-        if node.life != life {
-            return;
-        }
-        let Work::Prefill(prefill) = &mut node.work else { return };
-        let Some(done) = prefill.finish(at) else { return };
-        self.ledger.prefill_tokens += done.worked;
-        self.start_prefill(engine);
-        let no = done.job.request;
-        if self.live[no].phase != Phase::Prefill(engine) {
-            return;
-        }
-        let turn = self.enter(no, Phase::Ready(engine));
-        self.live[no].unused = done.worked;
-        self.live[no].evicted_at = self.now + RESULT_LIFE;
-        self.events.push(self.now + RESULT_LIFE, Event::Evict(no, turn));
-        let actions = self.policy.prefilled(no, done.worked, self.now);
-        self.perform(actions);
-    }
-
-    fn evict(&mut self, no: RequestNo, turn: u64) {
-        // A result that was offered and refused keeps its end; turns in between
-        // belong to the same result.
-        let live = &self.live[no];
-        let ready = matches!(live.phase, Phase::Ready(_));
-        if !ready || live.turn < turn || self.now < live.evicted_at {
-            return;
-        }
-        self.enter(no, Phase::Idle);
-        let actions = self.policy.evicted(no, self.now);
-        self.perform(actions);
-    }
-
-    fn send_decode(&mut self, no: RequestNo, engine: EngineId) {
-        let from = match self.live[no].phase {
-            Phase::Ready(from) => from,
-            Phase::Importing(from, to) => {
-                self.drop_stream(no, to);
-                from
-            }
-            _ => return,
-        };
-        let turn = self.enter(no, Phase::Ready(from));
-        let delay = self.setting.fleet.to_engine(self.live[no].host, engine);
-        self.events.push(self.now + delay, Event::Import(no, engine, turn));
-    }
-
-    fn import(&mut self, no: RequestNo, engine: EngineId, turn: u64) {
-        let Phase::Ready(from) = self.live[no].phase else { return };
-        if self.live[no].turn != turn {
-            return;
-        }
-        let node = &mut self.nodes[engine];
-        let taken = match &mut node.work {
-            Work::Decode(decode) if node.alive => decode.import(no),
-            _ => false,
-        };
-        if !taken {
-            return self.refuse_import(no, engine);
-        }
-        let turn = self.enter(no, Phase::Importing(from, engine));
-        let ends = self.transfer(no, from, engine);
-        self.events.push(ends, Event::Imported(no, turn));
-    }
-
-    /// Tells the policy that an engine does not take a result, and evicts the
-    /// result when its time is up.
-    fn refuse_import(&mut self, no: RequestNo, engine: EngineId) {
-        let evicted_at = self.live[no].evicted_at.max(self.now);
-        let turn = self.live[no].turn;
-        self.events.push(evicted_at, Event::Evict(no, turn));
-        let actions = self.policy.decode_refused(no, engine, self.now);
-        self.perform(actions);
-    }
-
-    /// Puts a transfer on its link; returns when it ends.
-    fn transfer(&mut self, no: RequestNo, from: EngineId, to: EngineId) -> Duration {
-        let fleet = &self.setting.fleet;
-        let (a, b) = (fleet.engines[from].centre, fleet.engines[to].centre);
-        let tokens = self.requests[no].prompt + self.live[no].tokens;
-        let length = fleet.transfer_per_token(a, b) * tokens as u32;
-        let stalled = self.stalled.get(&(a, b)).copied().unwrap_or_default();
-        let starts = self.now.max(stalled);
-        let ends = self.links.entry((a, b)).or_default().take(length, self.base + starts);
-        ends - self.base + fleet.delay(a, b)
-    }
-
-    fn imported(&mut self, no: RequestNo, turn: u64) {
-        let Phase::Importing(_, engine) = self.live[no].phase else { return };
-        if self.live[no].turn != turn {
-            return;
-        }
-        self.enter(no, Phase::Decoding(engine));
-        self.ledger.used_tokens += std::mem::take(&mut self.live[no].unused);
-        if let Work::Decode(decode) = &mut self.nodes[engine].work {
-            decode.streams.insert(no, true);
-        }
-        self.start_step(engine);
-    }
-
     fn start_step(&mut self, engine: EngineId) {
         let node = &mut self.nodes[engine];
         let Work::Decode(decode) = &mut node.work else { return };
@@ -476,99 +333,6 @@
         self.perform(actions);
     }
 
-    fn fault(&mut self, fault: Fault) {
-        match fault {
-            Fault::Crash(engine, down) => {
-                self.crash(engine);
-                self.events.push(self.now + down, Event::Back(engine));
-            }
-            Fault::LoseCentre(centre) => self.lose_centre(centre),
-            Fault::StallLink(from, to, length) => {
-                self.stalled.insert((from, to), self.now + length);
-                self.stall_transfers(from, to, length);
-            }
-        }
-    }
-
-    /// Delays the transfers that are on a link.
-    fn stall_transfers(&mut self, from: usize, to: usize, length: Duration) {
-        let engines = &self.setting.fleet.engines;
-        let on_link: Vec<RequestNo> = (0..self.live.len())
-            .filter(|no| match self.live[*no].phase {
-                Phase::Importing(a, b) => (engines[a].centre, engines[b].centre) == (from, to),
-                _ => false,
-            })
-            .collect();
-        for no in on_link {
-            let phase = self.live[no].phase;
-            let turn = self.enter(no, phase);
-            self.events.push(self.now + length, Event::Imported(no, turn));
-        }
-    }
-
-    fn crash(&mut self, engine: EngineId) {
-        let node = &mut self.nodes[engine];
-        if !node.alive {
-            return;
-        }
-        node.alive = false;
-        node.life += 1;
-        node.seen_events = 0;
-        let mut running = Vec::new();
-        match &mut node.work {
-            Work::Prefill(prefill) => {
-                if let Some(run) = &prefill.running {
-                    let share = (self.now - run.began).as_secs_f64()
-                        / (run.ends - run.began).as_secs_f64().max(1e-9);
-                    self.ledger.prefill_tokens += (run.worked as f64 * share) as u64;
-                    running.push(run.job.request);
-                }
-                **prefill = PrefillEngine::default();
-            }
-            Work::Decode(decode) => {
-                running.extend(decode.streams.keys().copied());
-                *decode = DecodeEngine::default();
-            }
-        }
-        let actions = self.policy.engine_lost(engine, &running, self.now);
-        self.perform(actions);
-        for no in 0..self.live.len() {
-            match self.live[no].phase {
-                Phase::Prefill(on) | Phase::Ready(on) | Phase::Decoding(on) if on == engine => {
-                    self.break_off(no);
-                }
-                Phase::Importing(from, to) if from == engine => {
-                    self.drop_stream(no, to);
-                    self.break_off(no);
-                }
-                Phase::Importing(from, to) if to == engine => {
-                    self.enter(no, Phase::Ready(from));
-                    self.refuse_import(no, engine);
-                }
-                _ => (),
-            }
-        }
-    }
-
-    fn lose_centre(&mut self, centre: usize) {
-        let fleet = &self.setting.fleet;
-        if fleet.hosts.len() > 1 {
-            for (host, at) in fleet.hosts.iter().enumerate() {
-                self.hosts_alive[host] &= *at != centre;
-            }
-        }
-        for no in 0..self.live.len() {
-            let here = !self.hosts_alive[self.live[no].host];
-            if here && self.requests[no].comes + CALLER_DELAY <= self.now {
-                self.end(no, Outcome::Failed);
-            }
-        }
-        let engines = 0..self.setting.fleet.engines.len();
-        for engine in engines.filter(|engine| fleet.engines[*engine].centre == centre) {
-            self.crash(engine);
-        }
-    }
-
     /// Takes the engines' reports, which policies see later.
     fn report(&mut self) {
         let at = self.base + self.now;
