Admit one suspect to a server in one step

The log showed two deaths 63 ms apart with 4 and 3 requests running and nobody convicted: the suspects of the first death came back at the same moment, and two of them passed the look for another suspect before either was noted.

Ruled out: a verdict that arrived late (it had reached all three hosts before the retries), and two homes of one server (the hosts agreed throughout).

Change: the look, the reservation and the note are one step under one lock.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -49,7 +49,6 @@
             /// Shows a host, its peers, its homes and its table version.
             cmd status {
             }
-            /// Gives a model engine an order: one of load, unload, or a new role.
             /// Reads, checks and edits the operators' table; see docs/TABLE.md.
             ///
             /// Exit codes: 0 done, 1 failed, 2 findings in the table or wrong use,
--- a/crates/daemon/src/home/account.rs
+++ b/crates/daemon/src/home/account.rs
@@ -127,10 +127,15 @@
         self.suspects.insert(id, fingerprint);
     }
 
-    /// Returns the suspects that have room here.
-    pub fn suspects(&mut self, now: Instant) -> impl Iterator<Item = Fingerprint> {
+    /// Tells whether a suspect other than `than` has room here or is among `running`.
+    pub fn has_other_suspect(
+        &mut self,
+        running: &[Fingerprint],
+        than: Fingerprint,
+        now: Instant,
+    ) -> bool {
         self.expire(now);
-        self.suspects.values().copied()
+        self.suspects.values().chain(running).any(|fingerprint| *fingerprint != than)
     }
 
     /// Gives room back, of whichever kind.
--- a/crates/daemon/src/home/service.rs
+++ b/crates/daemon/src/home/service.rs
@@ -85,15 +85,20 @@
         let id = ReservationId(self.next.fetch_add(1, Ordering::Relaxed));
         let now = self.clock.now();
         let suspect = suspects::standing(node, req.fingerprint) == Standing::Suspect;
-        // Each suspect runs where it is the only one, so that a second death convicts.
-        let reserved = if suspect && self.runs_other_suspect(node, &backend, req.fingerprint) {
-            Err(self.with(&backend.name, |account| account.state(backend.role, now)))
-        } else {
-            self.with(&backend.name, |a| a.reserve(backend.role, id, &req, now))
-        };
-        if suspect && reserved.is_ok() {
-            self.with(&backend.name, |account| account.note_suspect(id, req.fingerprint));
-        }
+        let running = if suspect { self.running_suspects(node, &backend) } else { Vec::new() };
+        let reserved = self.with(&backend.name, |account| {
+            // Each suspect runs where it is the only one, so that a second death
+            // convicts. The look and the note are one step, because the suspects of
+            // one death all come at the same moment.
+            if suspect && account.has_other_suspect(&running, req.fingerprint, now) {
+                return Err(account.state(backend.role, now));
+            }
+            account.reserve(backend.role, id, &req, now)?;
+            if suspect {
+                account.note_suspect(id, req.fingerprint);
+            }
+            Ok(())
+        });
         let reply = match reserved {
             Ok(()) => HomeReply::Reserved(id),
             Err(state) => HomeReply::Refused(state),
@@ -106,14 +111,10 @@
         sent
     }
 
-    /// Tells whether a suspect other than this one has room on a server or runs there.
-    fn runs_other_suspect(&self, node: &Node, backend: &Backend, than: Fingerprint) -> bool {
-        let now = self.clock.now();
-        let reserved: Vec<Fingerprint> =
-            self.with(&backend.name, |account| account.suspects(now).collect());
+    /// Returns the suspects that run on a server.
+    fn running_suspects(&self, node: &Node, backend: &Backend) -> Vec<Fingerprint> {
         let running = self.claims.running(&backend.name).into_iter().map(|(_, f)| f);
-        let suspects = running.filter(|f| suspects::standing(node, *f) == Standing::Suspect);
-        reserved.into_iter().chain(suspects).any(|fingerprint| fingerprint != than)
+        running.filter(|f| suspects::standing(node, *f) == Standing::Suspect).collect()
     }
 
     /// Finds a backend server that takes new work.
