--- a/crates/membership/src/machine.rs
+++ b/crates/membership/src/machine.rs
@@ -260,6 +260,11 @@
         &self.live
     }
 
+    /// Returns the backend servers as the platform last listed them.
+    pub fn backends(&self) -> Vec<Backend> {
+        self.backends.values().cloned().collect()
+    }
+
     /// Returns this host.
     pub fn me(&self) -> &Host {
         &self.me
