--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -117,6 +117,7 @@
             options: Options::default(),
             seed: random.random(),
         });
+        let peers = Peers::new(settings.host.clone());
         let node = Arc::new(Node {
             kv,
             host_list,
@@ -124,12 +125,12 @@
             ledger,
             orders: Arc::new(orders),
             owners: OwnerHints::default(),
-            peers: Peers::new(settings.host.clone()),
+            metrics: Metrics::new(&settings.host, peers.traffic().clone())?,
+            peers,
             home: HomeService::new(clock.clone(), view.clone()),
             limits: Limits::default(),
             suspects: Suspects::default(),
             levels: Levels::default(),
-            metrics: Metrics::new(&settings.host)?,
             shutdown: Arc::default(),
             router: Router::default(),
             gate: Gate::default(),
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -17,6 +17,8 @@
 use futures::future::{AbortHandle, abortable};
 use parking_lot::Mutex;
 
+use crate::traffic::{self, Traffic};
+
 /// Replies that a local handler may have ready before it must wait.
 const LOCAL_BUFFER: usize = 64;
 
@@ -32,7 +34,7 @@
 #[derive(Debug, Clone)]
 enum Out {
     Local(Sender<PeerReply>),
-    Remote(Sender<Bytes>),
+    Remote(Sender<Bytes>, Option<Arc<Traffic>>),
 }
 
 impl ReplySender {
@@ -40,9 +42,12 @@
     pub async fn send(&self, reply: PeerReply) -> Result<()> {
         let sent = match &self.out {
             Out::Local(tx) => tx.send(reply).await.is_ok(),
-            Out::Remote(tx) => {
+            Out::Remote(tx, traffic) => {
                 let mut buf = BytesMut::new();
                 frames::encode(&reply, &mut buf)?;
+                if let Some(traffic) = traffic {
+                    traffic.sent(buf.len());
+                }
                 tx.send(buf.freeze()).await.is_ok()
             }
         };
@@ -63,12 +68,19 @@
     local: OnceLock<Arc<dyn PeerHandler>>,
     options: Arc<MeshOptions>,
     links: Mutex<HashMap<Name, Arc<PeerLink>>>,
+    traffic: Arc<Traffic>,
 }
 
 impl Peers {
     /// Creates the peers of the host named `me`.
     pub fn new(me: Name) -> Peers {
-        Peers { me, local: OnceLock::new(), options: Arc::default(), links: Mutex::default() }
+        let (options, traffic) = Default::default();
+        Peers { me, local: OnceLock::new(), options, links: Mutex::default(), traffic }
+    }
+
+    /// Returns the count of control bytes, both ways.
+    pub fn traffic(&self) -> &Arc<Traffic> {
+        &self.traffic
     }
 
     /// Sets who serves this host's calls to itself. Only the first call counts.
@@ -84,6 +96,10 @@
         let mut buf = BytesMut::new();
         frames::encode(&req, &mut buf)?;
         let data = buf.freeze();
+        let traffic = traffic::is_control(&req).then(|| self.traffic.clone());
+        if let Some(traffic) = &traffic {
+            traffic.sent(data.len());
+        }
         let link = self.link(host);
         let call = match link.connection().await?.call(data.clone()).await {
             // The connection ended before the call was sent, so that it can be sent
@@ -91,7 +107,7 @@
             Err(e) if e.execution == Execution::NotRun => link.connection().await?.call(data).await,
             called => called,
         };
-        Ok(Call::Remote(Box::new(call?)))
+        Ok(Call::Remote(Box::new(call?), traffic))
     }
 
     /// Calls `host` and returns the only reply.
@@ -131,7 +147,7 @@
     /// A call to this host itself.
     Local(LocalCall),
     /// A call to another host.
-    Remote(Box<RemoteCall>),
+    Remote(Box<RemoteCall>, Option<Arc<Traffic>>),
 }
 
 /// `LocalCall` is a call to this host itself.
@@ -151,10 +167,13 @@
     pub async fn next(&mut self) -> Result<Option<PeerReply>> {
         match self {
             Call::Local(call) => Ok(call.rx.recv().await.ok()),
-            Call::Remote(call) => match call.next().await? {
-                Some(body) => frames::decode(&body).map(Some),
-                None => Ok(None),
-            },
+            Call::Remote(call, traffic) => {
+                let Some(body) = call.next().await? else { return Ok(None) };
+                if let Some(traffic) = traffic {
+                    traffic.received(body.len());
+                }
+                frames::decode(&body).map(Some)
+            }
         }
     }
 
@@ -175,17 +194,28 @@
 }
 
 /// `Unpacked` serves frames of other hosts with a [`PeerHandler`].
-pub struct Unpacked(pub Arc<dyn PeerHandler>);
+pub struct Unpacked {
+    /// Who serves the calls.
+    pub inner: Arc<dyn PeerHandler>,
+    /// Counts the bytes of control calls.
+    pub traffic: Arc<Traffic>,
+}
 
 #[async_trait]
 impl FrameHandler for Unpacked {
     async fn handle(&self, body: Bytes, tx: Sender<Bytes>) {
-        let tx = ReplySender { out: Out::Remote(tx) };
-        match frames::decode(&body) {
-            Ok(req) => self.0.handle(req, tx).await,
+        let req = match frames::decode(&body) {
+            Ok(req) => req,
             Err(e) => {
+                let tx = ReplySender { out: Out::Remote(tx, None) };
                 let _ = tx.send(PeerReply::Failed(e)).await;
+                return;
             }
+        };
+        let traffic = traffic::is_control(&req).then(|| self.traffic.clone());
+        if let Some(traffic) = &traffic {
+            traffic.received(body.len());
         }
+        self.inner.handle(req, ReplySender { out: Out::Remote(tx, traffic) }).await;
     }
 }
--- a/crates/daemon/tests/at_most_once.rs
+++ b/crates/daemon/tests/at_most_once.rs
@@ -42,7 +42,8 @@
         while key.starts_with("slow") && !*self.open.lock() {
             task::sleep(Duration::from_millis(10)).await;
         }
-        server::json(&json!({"booked": key}))
+        let media_type = req.header("content-type").map_or("", |values| values.as_str());
+        server::json(&json!({"booked": key, "media_type": media_type}))
     }
 }
 
@@ -144,6 +145,19 @@
     }
 }
 
+#[async_std::test]
+async fn a_call_keeps_its_media_type() {
+    let scene = Scene::start().await;
+    for path in ["/bookings", "/trails"] {
+        let mut req = scene.deployment.post(0, path, &json!({}));
+        req.insert_header("idempotency-key", "form");
+        req.insert_header("content-type", "application/x-www-form-urlencoded");
+        let answer = http::send(scene.deployment.callers(0), req, LIMIT).await;
+        let body: Value = answer.expect("an answer").body_json().await.expect("JSON");
+        assert_eq!(body["media_type"], "application/x-www-form-urlencoded", "{path}");
+    }
+}
+
 #[async_std::test]
 async fn an_owner_killed_mid_call_leaves_no_second_execution() {
     let mut scene = Scene::start().await;
@@ -182,3 +196,21 @@
     assert_eq!(scene.service.count(&scene.slow), 1);
     assert_eq!(scene.service.count(&scene.second), 1);
 }
+
+#[async_std::test]
+async fn a_planned_stop_hands_the_shard_over_before_its_lease_ends() {
+    let scene = Scene::start().await;
+    assert_eq!(scene.book(scene.others[0], &scene.second).await, (200, "run".into()));
+    let owner = Some(format!("h{}", scene.owner));
+    assert_eq!(scene.listed_owner().await, owner);
+    scene.deployment.signal_host(scene.owner, "TERM");
+    let released = || async { scene.listed_owner().await != owner };
+    eventually("the shard is given back", LEASE_TTL / 2, released).await;
+    for i in scene.others {
+        assert_eq!(scene.book(i, &scene.second).await, (200, "run".into()));
+    }
+    let fresh = (0..).map(|n| format!("fresh-{n}")).find(|k| shard_of(k) == shard_of(&scene.slow));
+    let fresh = fresh.expect("a key of the shard");
+    assert_eq!(scene.book(scene.others[1], &fresh).await, (200, "run".into()));
+    assert_eq!(scene.service.count(&scene.second), 1);
+}
