--- a/crates/daemon/tests/callers_contract.rs
+++ b/crates/daemon/tests/callers_contract.rs
@@ -434,6 +434,33 @@
     }
 }
 
+#[async_std::test]
+async fn a_booking_outlives_its_caller() {
+    let deployment = Deployment::start(1, 1, EngineOptions::default()).await;
+    let addr = deployment.callers(0);
+    for (slot, half) in [("slot-1", true), ("slot-2", false)] {
+        let headers = format!("idempotency-key: {slot}\r\n");
+        let sent = request("POST /bookings", &headers, "{}");
+        let mut first = open(addr, sent.as_bytes()).await;
+        if half {
+            first.shutdown(std::net::Shutdown::Write).expect("a half close");
+            let mut answer = String::new();
+            timeout(WITHIN, first.read_to_string(&mut answer))
+                .await
+                .expect("in time")
+                .expect("text");
+            assert_eq!(status(&answer), 200, "{answer}");
+        }
+        drop(first);
+        // The same key finds the outcome of the first call, which ran to its end.
+        let again = request("POST /bookings", &format!("connection: close\r\n{headers}"), "{}");
+        let answer = exchange(addr, again.as_bytes()).await;
+        assert_eq!(status(&answer), 200, "{answer}");
+        let receipt: Value = serde_json::from_str(body(&answer)).expect("JSON");
+        assert_eq!(receipt["executions"], 1, "{answer}");
+    }
+}
+
 #[async_std::test]
 async fn bounds_connections_and_idleness() {
     let limits = Limits { max_connections: 4, ..short_limits() };
