--- a/crates/policy/src/route.rs
+++ b/crates/policy/src/route/mod.rs
@@ -6,16 +6,19 @@
 //! cost term by term, in seconds; the lowest wins. Named filters with a verdict for
 //! every candidate follow the paper "Placing players".
 
+mod cost;
+mod pairs;
+
 use std::time::Duration;
 
 use aspenloft_core::prelude::{BackendRole, BackendState, Name, Tokens};
 use serde::{Deserialize, Serialize};
 
-/// Servers of each role and data centre that are paired with others.
-const SHORTLIST: usize = 3;
+pub use cost::Terms;
+pub use pairs::Pair;
 
-/// Pairs that a decision returns.
-const MAX_PAIRS: usize = 8;
+use cost::{Alone, alone};
+use pairs::{MAX_PAIRS, Shortlist, pair_up};
 
 /// `Filter` is the reason for which a candidate is not scored.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -166,67 +169,6 @@
     }
 }
 
-/// `Terms` is the cost of a pair, term by term, in seconds.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
-pub struct Terms {
-    /// The wait for the prefill server.
-    pub queue: f64,
-    /// The prefill of what is not cached.
-    pub prefill: f64,
-    /// The transfer of the result.
-    pub transfer: f64,
-    /// The wait for a decode slot after the transfer.
-    pub slot: f64,
-    /// The network's delay.
-    pub network: f64,
-    /// The first decode step.
-    pub step: f64,
-    /// Weighed lateness against both targets.
-    pub late: f64,
-    /// Weighed risk that the prefill is wasted.
-    pub waste: f64,
-    /// The preference for part-filled servers.
-    pub fill: f64,
-    /// The random part.
-    pub spread: f64,
-}
-
-impl Terms {
-    /// Returns the cost.
-    pub fn total(&self) -> f64 {
-        self.first_token() + self.late + self.waste + self.fill + self.spread
-    }
-
-    /// Returns the estimated time to the first token, in seconds.
-    pub fn first_token(&self) -> f64 {
-        self.queue + self.prefill + self.transfer + self.slot + self.network + self.step
-    }
-}
-
-/// `Pair` is a prefill and a decode server with their cost.
-#[derive(Debug, Clone, PartialEq)]
-pub struct Pair {
-    /// The place of the prefill server among the candidates.
-    pub prefill: usize,
-    /// The place of the decode server among the candidates.
-    pub decode: usize,
-    /// The cost.
-    pub terms: Terms,
-}
-
-impl Pair {
-    /// Returns when the decode slot is needed, counted from now.
-    pub fn decode_starts_in(&self) -> Duration {
-        let seconds = self.terms.queue + self.terms.prefill + self.terms.transfer;
-        Duration::from_secs_f64(seconds.max(0.0))
-    }
-
-    /// Returns the estimated time to the first token.
-    pub fn first_token(&self) -> Duration {
-        Duration::from_secs_f64(self.terms.first_token().max(0.0))
-    }
-}
-
 /// `Decision` is the outcome of a choice.
 #[derive(Debug, Clone, Default)]
 pub struct Decision {
@@ -238,29 +180,6 @@
     pub free_in: Option<Duration>,
 }
 
-/// A candidate with what it costs without regard to its partner, in seconds.
-#[derive(Debug, Clone, Copy)]
-struct Alone {
-    at: usize,
-    centre: usize,
-    /// The cost by which it is put on the shortlist.
-    cost: f64,
-    /// The wait for the server.
-    wait: f64,
-    /// A prefill server's work.
-    prefill: f64,
-    /// A decode server's step.
-    step: f64,
-    /// The weighed cost of a step over its target.
-    slow: f64,
-    /// The share of slots taken.
-    fill: f64,
-    /// How old the state is.
-    age: f64,
-    /// The random part.
-    spread: f64,
-}
-
 /// Ranks the pairs of prefill and decode servers for `req`.
 pub fn route(
     req: &RouteRequest,
@@ -332,153 +251,3 @@
     let free_in = candidate.state.free_in.saturating_sub(candidate.age);
     (free_in > req.deadline).then_some(Filter::Full)
 }
-
-/// Returns what a candidate costs without regard to its partner.
-fn alone(req: &RouteRequest, at: usize, candidate: &Candidate, options: &RouteOptions) -> Alone {
-    let state = &candidate.state;
-    let age = candidate.age.as_secs_f64();
-    let over = state.step.saturating_sub(req.tbt).as_secs_f64() * 1_000.0;
-    let mut alone = Alone {
-        at,
-        centre: candidate.centre,
-        cost: 0.0,
-        wait: (state.free_in.as_secs_f64() - age).max(0.0),
-        prefill: 0.0,
-        step: 0.0,
-        slow: 0.0,
-        fill: 0.0,
-        age,
-        spread: jitter(req, at, options),
-    };
-    if candidate.role == BackendRole::Prefill {
-        alone.prefill = prefill_time(req, candidate, options);
-        alone.cost = alone.wait + alone.prefill + alone.spread;
-    } else {
-        alone.step = state.step.as_secs_f64();
-        alone.slow = req.goodput_weight * options.slow_step * over;
-        alone.fill = f64::from(state.taken) / f64::from(state.slots.max(1));
-        alone.cost =
-            alone.wait + alone.step + alone.slow + fill_cost(&alone, options) + alone.spread;
-    }
-    alone
-}
-
-fn prefill_time(req: &RouteRequest, candidate: &Candidate, options: &RouteOptions) -> f64 {
-    let measured = candidate.state.prefill_per_token;
-    let per_token = if measured.is_zero() { options.start_prefill } else { measured };
-    per_token.as_secs_f64() * req.prompt.saturating_sub(candidate.cached).0 as f64
-}
-
-/// Costs an idle server more than one that is in use, so that emptier servers can
-/// drain.
-fn fill_cost(alone: &Alone, options: &RouteOptions) -> f64 {
-    options.part_filled * (1.0 - alone.fill).clamp(0.0, 1.0)
-}
-
-/// Returns a small cost that differs between requests and candidates.
-fn jitter(req: &RouteRequest, at: usize, options: &RouteOptions) -> f64 {
-    let mixed = (req.seed ^ (at as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15))
-        .wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    (mixed >> 40) as f64 / (1_u64 << 24) as f64 * options.spread
-}
-
-fn pair_up(
-    req: &RouteRequest,
-    links: &Links,
-    options: &RouteOptions,
-    prefills: &Shortlist,
-    decodes: &Shortlist,
-    decision: &mut Decision,
-) {
-    let deadline = req.deadline.as_secs_f64();
-    let mut best: Vec<(f64, Pair)> = Vec::with_capacity(MAX_PAIRS + 1);
-    for prefill in prefills.entries() {
-        let there = links.get(req.centre, prefill.centre).delay.as_secs_f64();
-        for decode in decodes.entries() {
-            let link = links.get(prefill.centre, decode.centre);
-            let back = links.get(decode.centre, req.centre).delay.as_secs_f64();
-            let moved = link.per_token.as_secs_f64() * (link.queued + req.prompt).0 as f64;
-            if moved > deadline && link.queued > Tokens(0) {
-                decision.verdicts[decode.at] = Verdict::Excluded(Filter::Link);
-                continue;
-            }
-            let transfer = link.delay.as_secs_f64() + moved;
-            let network = 2.0 * (there + back);
-            let terms = terms(req, prefill, decode, transfer, network, options);
-            let pair = Pair { prefill: prefill.at, decode: decode.at, terms };
-            keep_best(&mut best, terms.total(), pair);
-        }
-    }
-    decision.pairs = best.into_iter().map(|(_, pair)| pair).collect();
-    for pair in &decision.pairs {
-        decision.verdicts[pair.prefill] = Verdict::Ranked;
-        decision.verdicts[pair.decode] = Verdict::Ranked;
-    }
-}
-
-fn keep_best(best: &mut Vec<(f64, Pair)>, cost: f64, pair: Pair) {
-    if best.len() >= MAX_PAIRS && best.last().is_some_and(|(worst, _)| *worst <= cost) {
-        return;
-    }
-    let place = best.partition_point(|(known, _)| *known <= cost);
-    best.insert(place, (cost, pair));
-    best.truncate(MAX_PAIRS);
-}
-
-fn terms(
-    req: &RouteRequest,
-    p: &Alone,
-    d: &Alone,
-    transfer: f64,
-    network: f64,
-    options: &RouteOptions,
-) -> Terms {
-    let slot = (d.wait - p.wait - p.prefill - transfer).max(0.0);
-    let mut terms = Terms {
-        queue: p.wait,
-        prefill: p.prefill,
-        transfer,
-        slot,
-        network,
-        step: d.step,
-        fill: fill_cost(d, options),
-        spread: p.spread + d.spread,
-        ..Terms::default()
-    };
-    let late = (terms.first_token() - req.deadline.as_secs_f64()).max(0.0);
-    terms.late = req.goodput_weight * options.lateness * late + d.slow;
-    let doubt = d.age * d.fill + slot;
-    terms.waste = req.waste_weight * options.risk * doubt.min(1.0) * p.prefill;
-    terms
-}
-
-/// `Shortlist` keeps the best few of each data centre, so that a near pair is not
-/// lost behind far servers that are better alone.
-#[derive(Debug)]
-struct Shortlist {
-    best: Vec<[Option<Alone>; SHORTLIST]>,
-}
-
-impl Shortlist {
-    fn new(centres: usize) -> Shortlist {
-        Shortlist { best: vec![[None; SHORTLIST]; centres] }
-    }
-
-    fn offer(&mut self, mut offered: Alone) {
-        let Some(best) = self.best.get_mut(offered.centre) else { return };
-        for place in best.iter_mut() {
-            match place {
-                Some(known) if known.cost <= offered.cost => (),
-                Some(known) => std::mem::swap(known, &mut offered),
-                None => {
-                    *place = Some(offered);
-                    return;
-                }
-            }
-        }
-    }
-
-    fn entries(&self) -> impl Iterator<Item = &Alone> {
-        self.best.iter().flatten().flatten()
-    }
-}
--- /dev/null
+++ b/crates/policy/src/route/pairs.rs
@@ -0,0 +1,135 @@
+//! The `pairs` module joins the best servers of each role to pairs.
+
+use std::time::Duration;
+
+use aspenloft_core::prelude::Tokens;
+
+use super::cost::{Alone, Terms, terms};
+use super::{Decision, Filter, Links, RouteOptions, RouteRequest, Verdict};
+
+/// Servers of each role and data centre that are paired with others.
+const SHORTLIST: usize = 3;
+
+/// Pairs that a decision returns.
+pub(super) const MAX_PAIRS: usize = 8;
+
+/// `Pair` is a prefill and a decode server with their cost.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Pair {
+    /// The place of the prefill server among the candidates.
+    pub prefill: usize,
+    /// The place of the decode server among the candidates.
+    pub decode: usize,
+    /// The cost.
+    pub terms: Terms,
+}
+
+impl Pair {
+    /// Returns when the decode slot is needed, counted from now.
+    pub fn decode_starts_in(&self) -> Duration {
+        let seconds = self.terms.queue + self.terms.prefill + self.terms.transfer;
+        Duration::from_secs_f64(seconds.max(0.0))
+    }
+
+    /// Returns the estimated time to the first token.
+    pub fn first_token(&self) -> Duration {
+        Duration::from_secs_f64(self.terms.first_token().max(0.0))
+    }
+}
+
+pub(super) fn pair_up(
+    req: &RouteRequest,
+    links: &Links,
+    options: &RouteOptions,
+    prefills: &Shortlist,
+    decodes: &Shortlist,
+    decision: &mut Decision,
+) {
+    let mut best: Vec<(f64, Pair)> = Vec::with_capacity(MAX_PAIRS + 1);
+    for (from, prefills) in prefills.by_centre() {
+        for (to, decodes) in decodes.by_centre() {
+            let way = Way::new(req, links, from, to);
+            if way.blocked {
+                let blocked = Verdict::Excluded(Filter::Link);
+                decodes.iter().flatten().for_each(|d| decision.verdicts[d.at] = blocked);
+                continue;
+            }
+            for prefill in prefills.iter().flatten() {
+                for decode in decodes.iter().flatten() {
+                    let terms = terms(req, prefill, decode, way.transfer, way.network, options);
+                    let pair = Pair { prefill: prefill.at, decode: decode.at, terms };
+                    keep_best(&mut best, terms.total(), pair);
+                }
+            }
+        }
+    }
+    decision.pairs = best.into_iter().map(|(_, pair)| pair).collect();
+    for pair in &decision.pairs {
+        decision.verdicts[pair.prefill] = Verdict::Ranked;
+        decision.verdicts[pair.decode] = Verdict::Ranked;
+    }
+}
+
+fn keep_best(best: &mut Vec<(f64, Pair)>, cost: f64, pair: Pair) {
+    if best.len() >= MAX_PAIRS && best.last().is_some_and(|(worst, _)| *worst <= cost) {
+        return;
+    }
+    let place = best.partition_point(|(known, _)| *known <= cost);
+    best.insert(place, (cost, pair));
+    best.truncate(MAX_PAIRS);
+}
+
+/// `Way` is what all pairs between two data centres have in common, in seconds.
+#[derive(Debug)]
+struct Way {
+    transfer: f64,
+    network: f64,
+    /// Whether the link cannot carry the result in time for what is on it already.
+    blocked: bool,
+}
+
+impl Way {
+    fn new(req: &RouteRequest, links: &Links, from: usize, to: usize) -> Way {
+        let link = links.get(from, to);
+        let there = links.get(req.centre, from).delay.as_secs_f64();
+        let back = links.get(to, req.centre).delay.as_secs_f64();
+        let moved = link.per_token.as_secs_f64() * (link.queued + req.prompt).0 as f64;
+        Way {
+            transfer: link.delay.as_secs_f64() + moved,
+            network: 2.0 * (there + back),
+            blocked: moved > req.deadline.as_secs_f64() && link.queued > Tokens(0),
+        }
+    }
+}
+
+/// `Shortlist` keeps the best few of each data centre, so that a near pair is not
+/// lost behind far servers that are better alone.
+#[derive(Debug)]
+pub(super) struct Shortlist {
+    best: Vec<[Option<Alone>; SHORTLIST]>,
+}
+
+impl Shortlist {
+    pub fn new(centres: usize) -> Shortlist {
+        Shortlist { best: vec![[None; SHORTLIST]; centres] }
+    }
+
+    pub fn offer(&mut self, mut offered: Alone) {
+        let Some(best) = self.best.get_mut(offered.centre) else { return };
+        for place in best.iter_mut() {
+            match place {
+                Some(known) if known.cost <= offered.cost => (),
+                Some(known) => std::mem::swap(known, &mut offered),
+                None => {
+                    *place = Some(offered);
+                    return;
+                }
+            }
+        }
+    }
+
+    /// Returns the data centres that have any, with their best.
+    pub fn by_centre(&self) -> impl Iterator<Item = (usize, &[Option<Alone>; SHORTLIST])> {
+        self.best.iter().enumerate().filter(|(_, best)| best[0].is_some())
+    }
+}
