Let the load tool end quietly when its reader has gone

Printing into a closed pipe panicked. The text is now written in one go and a closed pipe is ignored.

--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -1,5 +1,6 @@
 //! `aspenloft-load` sends load and compares policies; see `docs/LOAD.md`.
 
+use std::io::Write;
 use std::time::Duration;
 
 use aspenloft_core::prelude::Findings;
@@ -150,12 +151,14 @@
 }
 
 fn print(report: &(impl Serialize + std::fmt::Display), json: bool) {
-    if !json {
-        print!("{report}");
-        return;
-    }
-    match serde_json::to_string_pretty(report) {
-        Ok(text) => println!("{text}"),
+    let text = if json {
+        serde_json::to_string_pretty(report).map(|text| text + "\n")
+    } else {
+        Ok(report.to_string())
+    };
+    match text {
+        // A reader that has gone, such as a pager, is no fault of the run.
+        Ok(text) => drop(std::io::stdout().write_all(text.as_bytes())),
         Err(e) => eprintln!("aspenloft-load: {e}"),
     }
 }
