Watch a stream's silence with one alarm

Cause: each wait for a token set a timer of its own, at the home and at the entry host. Each new timer wakes the reactor, so a token cost two wake-ups more than its bytes need.

Change: one alarm for each stream, set anew only when it goes off.

--- a/crates/daemon/src/home/decode.rs
+++ b/crates/daemon/src/home/decode.rs
@@ -10,7 +10,7 @@
 use aspenloft_protocol::engine::{DecodeCommand, DecodeEvent, DecodeStream, ModelEngine, Token};
 use aspenloft_protocol::peer::PeerReply;
 use aspenloft_protocol::peer::home::{HomeDecode, HomeReply};
-use async_std::future::timeout;
+use aspenloft_transport::silence::Silence;
 use async_std::task;
 use futures::StreamExt;
 use futures::future::FutureExt;
@@ -133,8 +133,9 @@
 impl Relay<'_> {
     /// Relays a stream, joining the tokens that are ready together.
     async fn run(&mut self, mut stream: DecodeStream) -> Result<()> {
+        let mut silence = Silence::new(STREAM_SILENCE);
         loop {
-            let event = match next_event(&mut stream, self.batch.is_empty()).await {
+            let event = match next_event(&mut stream, &mut silence, self.batch.is_empty()).await {
                 Some(event) => event?,
                 None => {
                     self.flush().await?;
@@ -184,14 +185,18 @@
 }
 
 /// Returns the next event; when not told to wait, `None` if none is ready.
-async fn next_event(stream: &mut DecodeStream, wait: bool) -> Option<Result<DecodeEvent>> {
+async fn next_event(
+    stream: &mut DecodeStream,
+    silence: &mut Silence,
+    wait: bool,
+) -> Option<Result<DecodeEvent>> {
     if !wait {
         return stream.next().now_or_never().map(ended_early);
     }
-    let silence = Error::new(ErrorCode::Timeout, "the decode stream went silent");
-    match timeout(STREAM_SILENCE, stream.next()).await {
-        Ok(event) => Some(ended_early(event)),
-        Err(_) => Some(Err(silence.execution(Execution::Unknown))),
+    let silent = || Error::new(ErrorCode::Timeout, "the decode stream went silent");
+    match silence.wait(stream.next()).await {
+        Some(event) => Some(ended_early(event)),
+        None => Some(Err(silent().execution(Execution::Unknown))),
     }
 }
 
--- a/crates/daemon/src/path/model/attempt.rs
+++ b/crates/daemon/src/path/model/attempt.rs
@@ -13,6 +13,7 @@
 use aspenloft_protocol::engine::{FinishReason, PrefillResult, Token};
 use aspenloft_protocol::peer::home::{HomeDecode, HomePrefill, HomeReply, HomeRequest};
 use aspenloft_protocol::peer::{PeerReply, PeerRequest};
+use aspenloft_transport::silence::Silence;
 use async_std::future::timeout;
 
 use super::ModelEvent;
@@ -172,13 +173,15 @@
         // The first token proves that the import is done, so the source may forget.
         prefilled.call = None;
         prefilled.waste.used = true;
+        let mut silence = Silence::new(STREAM_SILENCE + HOME_SLACK);
         loop {
             match reply {
                 PeerReply::Home(HomeReply::Tokens(tokens)) => self.pass_on(tokens).await?,
                 PeerReply::Home(HomeReply::Finished(reason)) => return self.ended(reason).await,
                 other => return Err(unexpected(&other)),
             }
-            reply = within(STREAM_SILENCE + HOME_SLACK, call.expect()).await?;
+            let next = silence.wait(call.expect()).await;
+            reply = next.unwrap_or_else(|| Err(no_word()))?;
         }
     }
 
@@ -223,10 +226,11 @@
     limit: Duration,
     reply: impl Future<Output = Result<PeerReply>>,
 ) -> Result<PeerReply> {
-    timeout(limit, reply).await.unwrap_or_else(|_| {
-        Err(Error::new(ErrorCode::Timeout, "no word from the home in time")
-            .execution(Execution::Unknown))
-    })
+    timeout(limit, reply).await.unwrap_or_else(|_| Err(no_word()))
+}
+
+fn no_word() -> Error {
+    Error::new(ErrorCode::Timeout, "no word from the home in time").execution(Execution::Unknown)
 }
 
 /// `OnLink` books a transfer on its link until dropped.
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -7,3 +7,4 @@
 pub mod http;
 pub mod mesh;
 pub mod server;
+pub mod silence;
