--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -18,6 +18,7 @@
 use aspenloft_daemon::shutdown::Guarded;
 use aspenloft_daemon::tasks;
 use aspenloft_transport::{mesh, server};
+use async_global_executor::GlobalExecutorConfig;
 use async_std::net::TcpListener;
 use async_std::task;
 use futures::StreamExt;
@@ -102,6 +103,12 @@
     }
 }
 
+/// Starts the threads that run all tasks, before the first task is spawned.
+fn start_workers(count: usize) {
+    let config = GlobalExecutorConfig::default().with_min_threads(count).with_max_threads(count);
+    async_global_executor::init_with_config(config);
+}
+
 fn main() {
     let flags = flags::Aspenloftd::from_env_or_exit();
     let settings = match Settings::load(&flags.settings) {
@@ -116,6 +123,7 @@
         return;
     }
     logging::start();
+    start_workers(settings.limits.workers);
     match task::block_on(run(settings)) {
         Ok(Left::Whole) => (),
         Ok(Left::Cut { .. }) => exit(EXIT_CUT),
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -45,6 +45,9 @@
 #[serde_as]
 #[derive(Debug, Clone, PartialEq, Serialize)]
 pub struct Limits {
+    /// Threads that run the host's tasks. More than the host has cores to spare only
+    /// adds wake-ups between them, see `docs/MEASUREMENTS.md`.
+    pub workers: usize,
     /// The most connections of callers at once.
     pub max_connections: usize,
     /// The longest wait between a caller's requests on one connection.
@@ -78,6 +81,7 @@
     fn default() -> Self {
         let server = ServerOptions::default();
         Limits {
+            workers: 2,
             max_connections: server.max_connections,
             idle: server.idle,
             head: server.head,
@@ -105,6 +109,9 @@
         if self.max_connections == 0 {
             findings.add("limits.max_connections", "must be at least 1");
         }
+        if self.workers == 0 {
+            findings.add("limits.workers", "must be at least 1");
+        }
         let bounds = [
             ("limits.idle_ms", self.idle),
             ("limits.head_ms", self.head),
--- a/crates/daemon/src/settings/read.rs
+++ b/crates/daemon/src/settings/read.rs
@@ -60,6 +60,7 @@
 fn read_limits(mut section: Section, findings: &mut Findings) -> Limits {
     let default = Limits::default();
     let limits = Limits {
+        workers: section.optional("workers", default.workers, findings),
         max_connections: section.optional("max_connections", default.max_connections, findings),
         idle: section.millis("idle_ms", default.idle, findings),
         head: section.millis("head_ms", default.head, findings),
