Reserve between the mean and the longest answer, by the row's weights

Cause: a slot counted as free when the mean answer would have ended, but half of all streams are past their mean. Finished prefills waited for such slots and were evicted, most of all under overload, where the lost requests cost goodput as well.

Change: Estimates::reserved_tokens, used by the hosts and by the comparison.

--- a/crates/daemon/src/path/model/attempt.rs
+++ b/crates/daemon/src/path/model/attempt.rs
@@ -159,7 +159,7 @@
             from_token: self.progress.next(),
             sent: self.progress.text().into(),
             max_tokens: self.req.max_tokens,
-            expected_tokens: Tokens(self.expected_tokens().0 + self.progress.next()),
+            expected_tokens: Tokens(self.reserved_tokens().0 + self.progress.next()),
             priority: self.req.row.priority,
             limit,
         });
--- a/crates/daemon/src/path/model/work.rs
+++ b/crates/daemon/src/path/model/work.rs
@@ -10,6 +10,7 @@
 use aspenloft_core::standing::{Fingerprint, Standing};
 use aspenloft_core::units::estimate_tokens;
 use aspenloft_policy::admission::Arrival;
+use aspenloft_policy::estimate::Weights;
 use aspenloft_policy::fair_queue::Flow;
 use aspenloft_policy::progress::Progress;
 use aspenloft_protocol::engine::FinishReason;
@@ -237,7 +238,7 @@
             row: self.req.row.name.clone(),
             fingerprint: self.fingerprint,
             prompt_tokens: work,
-            expected_tokens: self.expected_tokens(),
+            expected_tokens: self.reserved_tokens(),
             priority: self.req.row.priority,
             starts_in,
         };
@@ -256,6 +257,15 @@
         }
     }
 
+    /// Returns for how many tokens more a decode slot is reserved.
+    pub(super) fn reserved_tokens(&self) -> Tokens {
+        let row = &self.req.row;
+        let weights = Weights { goodput: row.goodput_weight, waste: row.waste_weight };
+        let estimates = self.node.router.estimates.lock();
+        let all = estimates.reserved_tokens(&row.name, self.req.max_tokens, weights);
+        Tokens(all.0.saturating_sub(self.progress.next()).max(1))
+    }
+
     /// Returns the tokens that the answer likely has yet to get.
     pub(super) fn expected_tokens(&self) -> Tokens {
         let estimates = self.node.router.estimates.lock();
--- a/crates/load/src/compare/policy.rs
+++ b/crates/load/src/compare/policy.rs
@@ -65,8 +65,9 @@
 /// `Forecast` is the length of an answer with which a decode slot is reserved.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Forecast {
-    /// The mean of past answers, as hosts reserve.
-    Mean,
+    /// Between the mean of past answers and the longest, by the row's weights, as
+    /// hosts reserve.
+    Weighted,
     /// The longest that the caller allows, so that no slot is promised before it is
     /// free.
     Longest,
--- a/crates/load/src/compare/product/reserve.rs
+++ b/crates/load/src/compare/product/reserve.rs
@@ -1,5 +1,7 @@
 //! The `reserve` module asks homes for room, pair by pair.
 
+use aspenloft_policy::estimate::Weights;
+
 use super::*;
 
 impl Product {
@@ -58,8 +60,13 @@
         let starts_in = live.pairs.last().map_or(Duration::ZERO, Pair::decode_starts_in);
         let row = format!("priority-{}", live.request.priority);
         let answer = match self.setting.forecast {
-            Forecast::Mean => {
-                self.hosts[live.host].estimates.answer_tokens(&row, Tokens(MAX_ANSWER))
+            Forecast::Weighted => {
+                let weights = Weights {
+                    goodput: self.setting.goodput_weight,
+                    waste: self.setting.waste_weight,
+                };
+                let estimates = &self.hosts[live.host].estimates;
+                estimates.reserved_tokens(&row, Tokens(MAX_ANSWER), weights)
             }
             Forecast::Longest => Tokens(MAX_ANSWER),
         };
--- a/crates/load/src/compare/report.rs
+++ b/crates/load/src/compare/report.rs
@@ -157,7 +157,7 @@
         tbt: TBT,
         goodput_weight: weights.goodput,
         waste_weight: weights.waste,
-        forecast: Forecast::Mean,
+        forecast: Forecast::Weighted,
         seed: policy_seed(seed),
     }
 }
--- a/crates/policy/src/estimate.rs
+++ b/crates/policy/src/estimate.rs
@@ -221,6 +221,32 @@
     }
 }
 
+/// `Weights` is what a row's goodput and wasted prefill count.
+#[derive(Debug, Clone, Copy)]
+pub struct Weights {
+    /// What goodput counts.
+    pub goodput: f64,
+    /// What wasted prefill counts.
+    pub waste: f64,
+}
+
+impl Weights {
+    /// Returns where between the mean and the longest answer a slot is reserved.
+    fn caution(self) -> f64 {
+        let sum = self.goodput + self.waste;
+        let waste = if sum > 0.0 { (self.waste / sum).clamp(0.0, 1.0) } else { 0.5 };
+        LEAST_CAUTION + CAUTION_SPAN * waste
+    }
+}
+
+/// Where between the mean (0) and the longest answer (1) a row reserves that counts
+/// no wasted prefill at all: half of all answers are longer than the mean, and a
+/// result that waits for one of those is often lost together with its request.
+const LEAST_CAUTION: f64 = 0.375;
+
+/// What full weight on wasted prefill adds to that.
+const CAUTION_SPAN: f64 = 0.5;
+
 impl Estimates {
     /// Returns how many tokens an answer of `row` likely has.
     pub fn answer_tokens(&self, row: &str, max_tokens: Tokens) -> Tokens {
@@ -228,6 +254,18 @@
         Tokens((mean.or(max_tokens.0 as f64).ceil() as u64).clamp(1, max_tokens.0.max(1)))
     }
 
+    /// Returns for how many tokens a decode slot is reserved.
+    ///
+    /// A slot that is promised too early makes a finished prefill wait and be
+    /// evicted; one that is promised too late stands idle. The row's weights decide
+    /// between the mean answer, which wastes prefill, and the longest allowed, which
+    /// wastes slots; see `docs/design/reservations.md`.
+    pub fn reserved_tokens(&self, row: &str, max_tokens: Tokens, weights: Weights) -> Tokens {
+        let mean = self.answer_tokens(row, max_tokens);
+        let rest = max_tokens.saturating_sub(mean).0 as f64;
+        Tokens(mean.0 + (rest * weights.caution()).ceil() as u64)
+    }
+
     /// Names the link between two data centres.
     pub fn link_name(from: &str, to: &str) -> Name {
         format!("{from}>{to}").into()
