Merge the twins in the scripts and in the table's JSON

Both scripts started and stopped their processes with the same lines, and the table was read and written in two places; each has one place now.

--- a/crates/table/src/stored.rs
+++ b/crates/table/src/stored.rs
@@ -1,13 +1,13 @@
 //! The `stored` module is the table as the platform's key-value service holds it:
 //! the table and the bounded history of its edits, one value.
 
-use aspenloft_core::errors::{Result, invalid};
+use aspenloft_core::errors::Result;
 use aspenloft_core::prelude::Name;
 use serde::{Deserialize, Serialize};
 
 use crate::cell::{Cell, CellPlace};
 use crate::row::{Caller, Row};
-use crate::table::{Table, drop_table_defaults};
+use crate::table::{Table, read_json, write_json};
 
 /// The most edits kept in the history; the oldest is forgotten first.
 pub const MAX_HISTORY: usize = 256;
@@ -65,16 +65,12 @@
 
     /// Reads the value from its JSON text.
     pub fn from_json(text: &str) -> Result<Stored> {
-        let mut de = serde_json::Deserializer::from_str(text);
-        serde_path_to_error::deserialize(&mut de)
-            .map_err(|e| invalid(format!("table: {}: {}", e.path(), e.inner())))
+        read_json(text)
     }
 
     /// Writes the value as JSON text.
     pub fn to_json(&self) -> Result<String> {
-        let mut value = serde_json::to_value(self).map_err(|e| invalid(e.to_string()))?;
-        drop_table_defaults(&mut value);
-        serde_json::to_string(&value).map_err(|e| invalid(e.to_string()))
+        write_json(self)
     }
 
     /// Returns the table without its history.
--- a/crates/table/src/table.rs
+++ b/crates/table/src/table.rs
@@ -1,6 +1,7 @@
 //! The `table` module defines the table as a whole.
 
 use aspenloft_core::errors::{Result, invalid};
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
@@ -26,19 +27,30 @@
 impl Table {
     /// Reads a table from its JSON text.
     pub fn from_json(text: &str) -> Result<Table> {
-        let mut de = serde_json::Deserializer::from_str(text);
-        serde_path_to_error::deserialize(&mut de)
-            .map_err(|e| invalid(format!("table: {}: {}", e.path(), e.inner())))
+        read_json(text)
     }
 
     /// Writes the table as JSON text, without the cells that hold their default.
     pub fn to_json(&self) -> Result<String> {
-        let mut value = serde_json::to_value(self).map_err(|e| invalid(e.to_string()))?;
-        drop_table_defaults(&mut value);
-        serde_json::to_string(&value).map_err(|e| invalid(e.to_string()))
+        write_json(self)
     }
 }
 
+/// Reads a table, with or without its history, and names the place of what is wrong.
+pub(crate) fn read_json<T: DeserializeOwned>(text: &str) -> Result<T> {
+    let mut de = serde_json::Deserializer::from_str(text);
+    serde_path_to_error::deserialize(&mut de)
+        .map_err(|e| invalid(format!("table: {}: {}", e.path(), e.inner())))
+}
+
+/// Writes a table, with or without its history, without the cells that hold their
+/// default.
+pub(crate) fn write_json(table: &impl Serialize) -> Result<String> {
+    let mut value = serde_json::to_value(table).map_err(|e| invalid(e.to_string()))?;
+    drop_table_defaults(&mut value);
+    serde_json::to_string(&value).map_err(|e| invalid(e.to_string()))
+}
+
 /// Drops the cells that hold their default from a table as JSON.
 pub fn drop_table_defaults(table: &mut Value) {
     for sheet in [Sheet::Rows, Sheet::Callers] {
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -9,20 +9,7 @@
 
 cargo build --workspace --locked
 bin=target/debug
-work=$(mktemp -d)
-pids=()
-stop() {
-  for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
-  for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
-  rm -rf "$work"
-}
-trap stop EXIT
-start() {
-  local log=$1
-  shift
-  "$@" >"$work/$log.log" 2>&1 &
-  pids+=($!)
-}
+. scripts/processes.sh
 
 base=${DEMO_PORT:-21000}
 ip=127.0.0.1
--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -5,20 +5,7 @@
 cd "$(dirname "$0")/.."
 cargo build --release --locked -p aspenloft-daemon -p aspenloft-standin -p aspenloft-load
 bin=${CARGO_TARGET_DIR:-target}/release
-work=$(mktemp -d)
-pids=()
-stop() {
-  for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
-  for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
-  rm -rf "$work"
-}
-trap stop EXIT
-start() {
-  local log=$1
-  shift
-  "$@" >"$work/$log.log" 2>&1 &
-  pids+=($!)
-}
+. scripts/processes.sh
 
 ip=127.0.0.1
 base=${MEASURE_PORT:-22000}
