Issue a limit's rate by the share of hosts that are live

Cause: the list that limits were counted over holds live hosts only since the heartbeats feed it. A host cut off from all others was its own home for every limit and issued the full rate, so each group of a partition had the whole limit; the fallback share was counted over live hosts too.

Ruled out: counting over the platform's list at each draw (it is read under the membership's lock; once a second suffices).

Change: a home issues live / known of the rate, and the fallback is a known host's share; the counts are taken once a second.

--- a/crates/daemon/src/limits/service.rs
+++ b/crates/daemon/src/limits/service.rs
@@ -8,7 +8,7 @@
 use aspenloft_core::prelude::{Host, Name};
 use aspenloft_membership::homes::weight;
 use aspenloft_policy::concurrency::RENEW_INTERVAL;
-use aspenloft_policy::limits::{Draw, Spend, fallback_rate};
+use aspenloft_policy::limits::{Draw, Spend};
 use aspenloft_protocol::peer::control::{ControlReply, ControlRequest, DrawRequest, LimitKey};
 use aspenloft_protocol::peer::{PeerReply, PeerRequest};
 use aspenloft_table::row::{Caller, Row};
@@ -16,7 +16,7 @@
 use async_std::task;
 use parking_lot::Mutex;
 
-use super::state::LimitState;
+use super::state::{LimitState, Reach};
 use crate::node::Node;
 use crate::peers::unexpected;
 
@@ -75,8 +75,7 @@
         Ok(draw) => draw,
         Err(_) => {
             // The home cannot be reached: only this host's own share is safe.
-            let hosts = node.view.listing().hosts.len();
-            state.fallback_draw(key, fallback_rate(rate, hosts), now)
+            state.fallback_draw(key, rate, now)
         }
     };
     state.drawn(key, draw, now);
@@ -219,12 +218,20 @@
 /// Tells the homes of limits, for ever, what this host holds.
 pub async fn renew_for_ever(node: Arc<Node>) {
     loop {
+        node.limits.state.lock().set_reach(reach(&node));
         task::sleep(RENEW_INTERVAL).await;
         let held = node.limits.state.lock().renewals();
         renew(&node, held).await;
     }
 }
 
+/// Counts the hosts that this one knows and those that it does not hear.
+fn reach(node: &Node) -> Reach {
+    let members = node.view.members(node.clock.now());
+    let silent = members.iter().filter(|member| !member.live).count();
+    Reach { known: members.len().max(1), silent }
+}
+
 async fn renew(node: &Arc<Node>, held: Vec<(LimitKey, u32)>) {
     let mut by_home: std::collections::BTreeMap<Name, (Host, Vec<(LimitKey, u32)>)> =
         std::collections::BTreeMap::new();
--- a/crates/daemon/src/limits/state.rs
+++ b/crates/daemon/src/limits/state.rs
@@ -6,16 +6,33 @@
 
 use aspenloft_core::prelude::Name;
 use aspenloft_policy::concurrency::InFlightHome;
-use aspenloft_policy::limits::{Draw, PermitBucket, PermitPool, Spend};
+use aspenloft_policy::limits::{Draw, PermitBucket, PermitPool, Spend, fallback_rate, issued_rate};
 use aspenloft_protocol::peer::control::LimitKey;
 
 /// The most limits that a host keeps in each of its parts; the longest unused goes
 /// first.
 pub const MAX_LIMITS: usize = 4_096;
 
+/// `Reach` is how much of the deployment a host sees. What is not live may be on the
+/// other side of a partition, with homes of its own.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Reach {
+    /// Hosts that are listed or live, this one among them.
+    pub known: usize,
+    /// Of those, the ones that are not live.
+    pub silent: usize,
+}
+
+impl Default for Reach {
+    fn default() -> Self {
+        Reach { known: 1, silent: 0 }
+    }
+}
+
 /// `LimitState` is a host's part of all limits.
 #[derive(Debug, Default)]
 pub struct LimitState {
+    reach: Reach,
     own: HashMap<LimitKey, PermitPool>,
     agent: HashMap<LimitKey, PermitPool>,
     homes: HashMap<LimitKey, PermitBucket>,
@@ -62,13 +79,21 @@
         }
     }
 
-    /// Draws from the bucket of a limit whose home this host is.
+    /// Takes in how much of the deployment the host sees now.
+    pub fn set_reach(&mut self, reach: Reach) {
+        self.reach = reach;
+    }
+
+    /// Draws from the bucket of a limit whose home this host is. The shares of hosts
+    /// that are not live are not issued, because they may be issued elsewhere.
     pub fn home_draw(&mut self, key: &LimitKey, rate: f64, wanted: u32, now: Instant) -> Draw {
+        let rate = issued_rate(rate, self.reach.known, self.reach.silent);
         draw(&mut self.homes, key, rate, wanted, now)
     }
 
     /// Draws from this host's own share, while the home cannot be reached.
     pub fn fallback_draw(&mut self, key: &LimitKey, rate: f64, now: Instant) -> Draw {
+        let rate = fallback_rate(rate, self.reach.known);
         draw(&mut self.fallback, key, rate, 1, now)
     }
 
--- a/crates/daemon/tests/limits_hosts.rs
+++ b/crates/daemon/tests/limits_hosts.rs
@@ -4,6 +4,8 @@
 
 use std::time::{Duration, Instant};
 
+use aspenloft_daemon::limits::state::{LimitState, Reach};
+use aspenloft_protocol::peer::control::LimitKey;
 use aspenloft_standin::engine::EngineOptions;
 use aspenloft_transport::http;
 use common::{Deployment, default_table};
@@ -15,6 +17,31 @@
 const HOSTS: u16 = 3;
 const LIMIT: Duration = Duration::from_secs(10);
 
+#[test]
+fn groups_that_do_not_see_each_other_issue_the_limit_together_and_no_more() {
+    const HOSTS: usize = 7;
+    let key = LimitKey { row: "scribe".into(), caller: "tester".into() };
+    let start = Instant::now();
+    for groups in [vec![7], vec![4, 3], vec![5, 1, 1], vec![1; HOSTS]] {
+        let mut states: Vec<LimitState> = Vec::new();
+        for live in &groups {
+            let mut state = LimitState::default();
+            state.set_reach(Reach { known: HOSTS, silent: HOSTS - live });
+            states.push(state);
+        }
+        let mut passed = 0;
+        for ms in (0..10_000).step_by(10) {
+            let now = start + Duration::from_millis(ms);
+            for state in &mut states {
+                passed += state.home_draw(&key, f64::from(RATE), 100, now).permits;
+            }
+        }
+        let limit = RATE * 10;
+        assert!(passed <= limit, "{groups:?}: {passed} of {limit}");
+        assert!(passed >= limit * 9 / 10, "{groups:?}: only {passed} of {limit}");
+    }
+}
+
 #[async_std::test]
 async fn a_rate_holds_over_all_hosts_and_refusals_say_when_to_come_back() {
     let deployment = Deployment::start(HOSTS, 1, EngineOptions::default()).await;
