Ask other hosts about control matters in one place

Limits, suspects and the burn report each wrapped the same call with a timeout and told a reply of the wrong kind; Peers::ask_control serves all three.

--- a/crates/daemon/src/levels/report.rs
+++ b/crates/daemon/src/levels/report.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use aspenloft_core::errors::{Error, ErrorCode, Result, internal};
+use aspenloft_core::errors::{Result, internal};
 use aspenloft_core::prelude::{Host, Name};
 use aspenloft_policy::burn::rollup::Rollup;
 use aspenloft_policy::burn::servers::{Cause, SlowServer};
@@ -13,14 +13,14 @@
 use aspenloft_protocol::admin::burn::{
     AlarmState, BurnReport, HistoryPoint, RowBurn, SlowServerReport, WindowBurn,
 };
+use aspenloft_protocol::peer::PeerReply;
 use aspenloft_protocol::peer::control::{ControlReply, ControlRequest};
-use aspenloft_protocol::peer::{PeerReply, PeerRequest};
-use async_std::future::timeout;
 use futures::stream::{self, StreamExt};
 use serde::{Deserialize, Serialize};
 
 use super::history::{self, Grain};
 use crate::node::Node;
+use crate::peers::unexpected;
 use crate::suspects::others;
 
 /// The longest wait for the counts of one host.
@@ -99,13 +99,11 @@
 }
 
 async fn ask(node: &Arc<Node>, host: &Host) -> Result<HostTallies> {
-    let req = PeerRequest::Control(ControlRequest::Tallies);
-    let late = |_| Error::new(ErrorCode::Timeout, "the host did not answer");
-    match timeout(ASK_TIMEOUT, node.peers.ask(host, req)).await.map_err(late)?? {
-        PeerReply::Control(ControlReply::Tallies(text)) => {
+    match node.peers.ask_control(host, ControlRequest::Tallies, ASK_TIMEOUT).await? {
+        ControlReply::Tallies(text) => {
             serde_json::from_str(&text).map_err(|e| internal(e.to_string()))
         }
-        other => Err(crate::peers::unexpected(&other)),
+        other => Err(unexpected(&PeerReply::Control(other))),
     }
 }
 
--- a/crates/daemon/src/limits/service.rs
+++ b/crates/daemon/src/limits/service.rs
@@ -9,10 +9,9 @@
 use aspenloft_membership::homes::weight;
 use aspenloft_policy::concurrency::RENEW_INTERVAL;
 use aspenloft_policy::limits::{Draw, Spend};
+use aspenloft_protocol::peer::PeerReply;
 use aspenloft_protocol::peer::control::{ControlReply, ControlRequest, DrawRequest, LimitKey};
-use aspenloft_protocol::peer::{PeerReply, PeerRequest};
 use aspenloft_table::row::{Caller, Row};
-use async_std::future::timeout;
 use async_std::task;
 use parking_lot::Mutex;
 
@@ -136,21 +135,12 @@
 }
 
 async fn ask_draw(node: &Arc<Node>, host: &Host, req: ControlRequest) -> Result<Draw> {
-    match ask(node, host, req).await? {
+    match node.peers.ask_control(host, req, DRAW_TIMEOUT).await? {
         ControlReply::Drawn { permits, retry_after } => Ok(Draw { permits, retry_after }),
         other => Err(unexpected(&PeerReply::Control(other))),
     }
 }
 
-async fn ask(node: &Arc<Node>, host: &Host, req: ControlRequest) -> Result<ControlReply> {
-    let asked = timeout(DRAW_TIMEOUT, node.peers.ask(host, PeerRequest::Control(req))).await;
-    let late = |_| Error::new(ErrorCode::Timeout, "the home of the limit did not answer");
-    match asked.map_err(late)?? {
-        PeerReply::Control(reply) => Ok(reply),
-        other => Err(unexpected(&other)),
-    }
-}
-
 async fn acquire(node: &Arc<Node>, key: &LimitKey, limit: u32) -> Result<()> {
     let home = home_of_key(node, key)?;
     let host = node.settings.host.clone();
@@ -158,7 +148,11 @@
         let now = node.clock.now();
         node.limits.state.lock().acquire(key, &host, limit, now)
     } else {
-        match ask(node, &home, ControlRequest::Acquire { key: key.clone(), host }).await {
+        match node
+            .peers
+            .ask_control(&home, ControlRequest::Acquire { key: key.clone(), host }, DRAW_TIMEOUT)
+            .await
+        {
             Ok(ControlReply::Acquired(admitted)) => admitted,
             // Without its home a host may hold its own share.
             _ => {
@@ -243,7 +237,7 @@
     for (home, held) in by_home.into_values() {
         let req = ControlRequest::Renew { host: node.settings.host.clone(), held };
         // A lost renewal is made good by the next one.
-        let _ = ask(node, &home, req).await;
+        let _ = node.peers.ask_control(&home, req, DRAW_TIMEOUT).await;
     }
 }
 
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -3,14 +3,17 @@
 
 use std::collections::HashMap;
 use std::sync::{Arc, OnceLock};
+use std::time::Duration;
 
 use aspenloft_core::errors::{Error, ErrorCode, Result, internal};
 use aspenloft_core::execution::Execution;
 use aspenloft_core::prelude::{Host, Name};
+use aspenloft_protocol::peer::control::{ControlReply, ControlRequest};
 use aspenloft_protocol::peer::{PeerReply, PeerRequest};
 use aspenloft_transport::frames;
 use aspenloft_transport::mesh::{FrameHandler, MeshOptions, PeerLink, RemoteCall};
 use async_std::channel::{Receiver, Sender, bounded};
+use async_std::future::timeout;
 use async_std::task;
 use async_trait::async_trait;
 use bytes::{Bytes, BytesMut};
@@ -110,6 +113,21 @@
         Ok(Call::Remote(Box::new(call?), traffic))
     }
 
+    /// Asks `host` about limits, suspects or service levels, waiting up to `limit`.
+    pub async fn ask_control(
+        &self,
+        host: &Host,
+        req: ControlRequest,
+        limit: Duration,
+    ) -> Result<ControlReply> {
+        let asked = timeout(limit, self.ask(host, PeerRequest::Control(req))).await;
+        let late = |_| Error::new(ErrorCode::Timeout, "the host did not answer");
+        match asked.map_err(late)?? {
+            PeerReply::Control(reply) => Ok(reply),
+            other => Err(unexpected(&other)),
+        }
+    }
+
     /// Calls `host` and returns the only reply.
     pub async fn ask(&self, host: &Host, req: PeerRequest) -> Result<PeerReply> {
         let mut call = self.call(host, req).await?;
--- a/crates/daemon/src/suspects.rs
+++ b/crates/daemon/src/suspects.rs
@@ -11,8 +11,6 @@
 use aspenloft_core::standing::{Fingerprint, Standing, Verdict};
 use aspenloft_policy::suspects::SuspectBook;
 use aspenloft_protocol::peer::control::{ControlReply, ControlRequest};
-use aspenloft_protocol::peer::{PeerReply, PeerRequest};
-use async_std::future::timeout;
 use futures::future::join_all;
 use parking_lot::Mutex;
 
@@ -86,7 +84,7 @@
 /// Learns from one other host what all know; for a host that has just started.
 pub async fn learn_at_start(node: &Arc<Node>) {
     for host in others(node) {
-        let reply = ask(node, &host, ControlRequest::AllVerdicts).await;
+        let reply = node.peers.ask_control(&host, ControlRequest::AllVerdicts, TELL_TIMEOUT).await;
         if let Ok(ControlReply::Verdicts(verdicts)) = reply {
             node.suspects.book.lock().learn(&verdicts, node.clock.now());
             return;
@@ -128,7 +126,7 @@
 async fn tell(node: &Arc<Node>, host: &Host, verdicts: &[Verdict], pass_on: bool) -> bool {
     for _ in 0..TELL_TRIES {
         let req = ControlRequest::Verdicts { verdicts: verdicts.to_vec(), pass_on };
-        if ask(node, host, req).await.is_ok() {
+        if node.peers.ask_control(host, req, TELL_TIMEOUT).await.is_ok() {
             return true;
         }
     }
@@ -136,14 +134,6 @@
     false
 }
 
-async fn ask(node: &Arc<Node>, host: &Host, req: ControlRequest) -> Result<ControlReply> {
-    let asked = timeout(TELL_TIMEOUT, node.peers.ask(host, PeerRequest::Control(req))).await;
-    match asked.map_err(|_| Error::new(ErrorCode::Timeout, "the peer did not answer"))?? {
-        PeerReply::Control(reply) => Ok(reply),
-        other => Err(crate::peers::unexpected(&other)),
-    }
-}
-
 /// Returns all hosts but this one.
 pub fn others(node: &Node) -> Vec<Host> {
     let listing = node.view.listing();
