Try an engine that fell silent by one request first

Cause: when the streams of a dead engine ended (their callers left after 2 s), nothing showed any more that it was silent.

Ruled out: the pause after a failed connection (it had ended before), and the reports of other hosts (their pauses had ended as well).

An engine whose stream ends in silence is left out like one that cannot be reached, and the first request after a pause is alone for 500 ms.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -229,6 +229,9 @@
     fn try_place(&self, service: &Name, size: RunSize, now: Instant) -> Option<Placement> {
         let decode = self.decode_engine(service, size, now, &[])?;
         let prefill = self.prefill_engine(service, &decode, now, &[]);
+        for server in prefill.iter().chain([&decode]) {
+            server.state.health(|h| h.given_work(now));
+        }
         let run = self.loads.begin_run(decode.key, size);
         Some(Placement { decode, prefill, run })
     }
--- a/crates/gateway/src/generation/relay.rs
+++ b/crates/gateway/src/generation/relay.rs
@@ -145,6 +145,7 @@
     /// the budget or the time does not allow it.
     async fn resume(&mut self) -> bool {
         let Some(broken) = self.upstream.take() else { return false };
+        self.note_silence(&broken.server);
         let Upstream { answer, server, runs, .. } = broken;
         // The first engine must have stopped before the second starts.
         drop(answer);
@@ -199,6 +200,18 @@
         }
     }
 
+    /// Leaves out an engine that has fallen silent, for nothing else shows it once its
+    /// streams have ended.
+    fn note_silence(&self, server: &Server) {
+        let now = self.generations.clock.now();
+        if !server.state.is_silent(now) {
+            return;
+        }
+        let pause = server.state.health(|h| h.unreachable(now));
+        let (at, pause_ms) = (&*server.entry.instance, pause.as_millis() as u64);
+        log::info!(event = "engine_silent", request = self.inbound.id(), server = at, pause_ms; "");
+    }
+
     fn log_broken(&self, server: &Server, resumable: bool) {
         log::info!(
             event = "stream_broken", request = self.inbound.id(),
@@ -215,6 +228,9 @@
             Some(End::Expired) => "expired",
             None => "caller_gone",
         };
+        if let Some(upstream) = &self.upstream {
+            self.note_silence(&upstream.server);
+        }
         let metrics = &self.generations.metrics;
         metrics.stream_ended(outcome);
         let events = self.splitter.events();
--- a/crates/gateway/tests/generations.rs
+++ b/crates/gateway/tests/generations.rs
@@ -231,3 +231,28 @@
     assert_eq!((dark.count(), sound.count()), (1, 4));
     held.join().expect("caller");
 }
+
+/// Callers leave an engine that has gone dark before its connections break. It has no
+/// requests then, and looks better than any other engine.
+#[test]
+fn an_engine_that_callers_left_in_silence_is_tried_by_one_request_at_a_time() {
+    let dark = Scripted::serve(|_, req, stream| {
+        let _ = stream.write_all(format!("{}{}", stream_head(req), chunk(&event(1))).as_bytes());
+        std::thread::sleep(Duration::from_secs(3));
+        false
+    });
+    let sound = Scripted::start(|_, req| whole_stream(req, 1, 1));
+    let host = TestHost::before(&[entry("d1", dark.addr, Decode)]);
+    let mut caller = TcpStream::connect(host.callers).expect("connect");
+    caller.write_all(request("/stream/", "a").as_bytes()).expect("send");
+    wait_for("the stream to begin", || dark.count() == 1);
+    let far = ServerEntry { data_centre: "dc-b".into(), ..entry("d2", sound.addr, Decode) };
+    host.store.write("servers/d2", &far);
+    std::thread::sleep(Duration::from_millis(900));
+    drop(caller);
+    std::thread::sleep(Duration::from_millis(100));
+    for n in 0..4 {
+        assert_eq!(status(&host.send(&request("/stream/", &format!("b{n}")))), "200");
+    }
+    assert_eq!((dark.count(), sound.count()), (1, 4));
+}
--- a/crates/policy/src/server_health.rs
+++ b/crates/policy/src/server_health.rs
@@ -3,6 +3,10 @@
 //! Health checks cost a call each and may be wrong either way, therefore what
 //! callers' own requests met decides: failures are a decaying average, and a
 //! server that does not answer at all is left out for a pause that doubles.
+//!
+//! The load pattern it answers is a line of requests that waits while a server is
+//! dead. The server looks idle when its pause ends, and would draw the whole line;
+//! therefore one request tries it first.
 
 use std::time::{Duration, Instant};
 
@@ -19,6 +23,10 @@
 /// that a crashed server takes to come back.
 const LONGEST_PAUSE: Duration = Duration::from_secs(2);
 
+/// How long the first request after a pause is alone: reading a usual prompt and its
+/// first token take 100 to 400 ms.
+const TRIAL: Duration = Duration::from_millis(500);
+
 /// `ServerHealth` is one host's view of one backend server.
 #[derive(Debug, Clone, Default)]
 pub struct ServerHealth {
@@ -26,6 +34,7 @@
     updated: Option<Instant>,
     paused_until: Option<Instant>,
     pause: Duration,
+    on_trial: bool,
 }
 
 impl ServerHealth {
@@ -34,6 +43,7 @@
         self.average(0.0, now);
         self.paused_until = None;
         self.pause = Duration::ZERO;
+        self.on_trial = false;
     }
 
     /// Takes in an answer that was refused, broken or missing.
@@ -44,14 +54,26 @@
     /// Takes in that the server cannot be reached; returns how long it is left out.
     pub fn unreachable(&mut self, now: Instant) -> Duration {
         self.average(1.0, now);
-        if self.paused_until.is_some_and(|until| now < until) {
+        if self.is_paused(now) && !self.on_trial {
             return self.pause;
         }
+        self.on_trial = false;
         self.pause = (self.pause * 2).clamp(FIRST_PAUSE, LONGEST_PAUSE);
         self.paused_until = Some(now + self.pause);
         self.pause
     }
 
+    /// Notes that the server is given work. One that has not answered since its pause
+    /// gets nothing else for a moment, in which the first request shows whether it is
+    /// back.
+    pub fn given_work(&mut self, now: Instant) {
+        if self.pause.is_zero() || self.is_paused(now) {
+            return;
+        }
+        self.on_trial = true;
+        self.paused_until = Some(now + TRIAL);
+    }
+
     /// Tells whether the server is left out at `now`.
     pub fn is_paused(&self, now: Instant) -> bool {
         self.paused_until.is_some_and(|until| now < until)
--- a/crates/policy/tests/overload.rs
+++ b/crates/policy/tests/overload.rs
@@ -166,3 +166,30 @@
     health.succeeded(now);
     assert!(!health.is_paused(now));
 }
+
+/// A line of requests that waits while an engine is dead must not all go there when
+/// its pause ends.
+#[test]
+fn a_server_whose_pause_has_ended_is_tried_by_one_request_first() {
+    let start = Instant::now();
+    let mut health = ServerHealth::default();
+    let mut now = start + health.unreachable(start);
+    for round in 0..4 {
+        let mut given = 0;
+        for _ in 0..16 {
+            if !health.is_paused(now) {
+                health.given_work(now);
+                given += 1;
+            }
+        }
+        assert_eq!(given, 1, "round {round}");
+        let pause = health.unreachable(now + Duration::from_millis(200));
+        assert!(health.is_paused(now + Duration::from_millis(600)), "round {round}");
+        now += Duration::from_millis(200) + pause;
+    }
+    health.given_work(now);
+    health.succeeded(now);
+    assert!(!health.is_paused(now), "an answer ends the trial");
+    health.given_work(now);
+    assert!(!health.is_paused(now), "a server that answers is not on trial");
+}
