Leave out the engine that refuses, not the one that read the prompt

Cause: an engine that changes its role refuses all, and a host that has just started does not know of the change.

Ruled out: handles that end at once (two of the three engines in question were not hit), and full engines (they held 2 to 3 requests).

The memory is kept until the second send tells which it was.

--- a/crates/gateway/src/generation/mod.rs
+++ b/crates/gateway/src/generation/mod.rs
@@ -144,6 +144,9 @@
     ) -> Result<Accepted, Error> {
         let mut server = placement.decode.clone();
         let mut refused_by: Vec<Name> = Vec::new();
+        // Memory with which an engine refused the request although it has room: either
+        // the memory is gone, or the engine takes no work. The next send tells.
+        let mut doubted: Option<HeldMemory> = None;
         let mut runs = 0;
         for sends in 0..MAX_SENDS {
             let now = self.clock.now();
@@ -168,6 +171,9 @@
                     if let Some(used) = used {
                         used.taken(self.clock.now());
                     }
+                    if let Some(gone) = doubted {
+                        gone.lost(self.clock.now());
+                    }
                     server.state.health(|h| h.succeeded(self.clock.now()));
                     return Ok(Accepted { answer, server, runs: runs + 1 });
                 }
@@ -178,7 +184,11 @@
                     match used {
                         // The engine is full, and the memory waits for another one.
                         Some(used) if full && !used.is_stale(now) => memory = Some(used),
-                        Some(used) if !full => used.lost(now),
+                        Some(used) if !full => doubted = Some(used),
+                        None if !full => {
+                            self.note_closed(&server, now);
+                            memory = doubted.take().filter(|held| !held.is_stale(now));
+                        }
                         _ => {}
                     }
                     None
@@ -276,6 +286,14 @@
         let _ = self.exchange.read_body(refusal, MAX_ANSWER_BYTES, DISCARD_LIMIT).await;
     }
 
+    /// Leaves out an engine that refuses work with room to spare, as one does that
+    /// changes its role.
+    fn note_closed(&self, server: &Server, now: Instant) {
+        let pause = server.state.health(|h| h.unreachable(now));
+        let (at, pause_ms) = (&*server.entry.instance, pause.as_millis() as u64);
+        log::info!(event = "engine_closed", server = at, pause_ms; "");
+    }
+
     fn note_failure(&self, server: &Server, failure: SendFailure, now: Instant) {
         match failure.cause {
             FailureCause::Connect => {
--- a/crates/gateway/tests/generations.rs
+++ b/crates/gateway/tests/generations.rs
@@ -256,3 +256,26 @@
     }
     assert_eq!((dark.count(), sound.count()), (1, 4));
 }
+
+/// Engines refuse all while they change their role, which a host that has just started
+/// does not know.
+#[test]
+fn an_engine_that_refuses_with_room_to_spare_is_left_out_and_the_memory_kept() {
+    let prefill = prefill_engine();
+    let closed = Scripted::start(|_, req| not_run(req));
+    let sound = Scripted::start(|_, req| whole_stream(req, 1, 1));
+    let far = ServerEntry { data_centre: "dc-b".into(), ..entry("d2", sound.addr, Decode) };
+    let host = TestHost::before(&[
+        entry("p1", prefill.addr, Prefill),
+        entry("d1", closed.addr, Decode),
+        far,
+    ]);
+    for n in 0..4 {
+        assert_eq!(status(&host.send(&request("/stream/", &format!("c{n}")))), "200");
+    }
+    assert_eq!(closed.count(), 2, "once with the memory and once without");
+    let phase = |req: &String| header(req, "phase").as_deref() == Some("prefill");
+    assert_eq!(prefill.seen.lock().iter().filter(|req| phase(req)).count(), 4);
+    let with_memory = sound.seen.lock().iter().filter(|r| header(r, "memory").is_some()).count();
+    assert_eq!(with_memory, 4, "no prompt was read in vain");
+}
