Read what an engine has to read before its role changes

Cause: an engine that gets an order refuses all that it has not begun.

Ruled out: a crash of that engine (it was listed and answered the order with 202).

The hosts are told 300 ms before, and the order waits for the prompts placed there.

--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -18,7 +18,7 @@
 
 use crate::configuration::EngineProfile;
 use crate::demand::DemandBook;
-use crate::dialect::{Dialect, EngineCall, RoleOrder};
+use crate::dialect::{Dialect, EngineCall, EngineReport, RoleOrder};
 use crate::generation::engine_request;
 use crate::http::Exchange;
 use crate::loads::Loads;
@@ -53,6 +53,17 @@
 /// The longest wait for an engine's answer.
 const CALL_LIMIT: Duration = Duration::from_millis(800);
 
+/// How long before an order the hosts are told to place nothing on the engine: what
+/// was placed before has been sent by then, for digests take up to 250 ms.
+const NOTICE: Duration = Duration::from_millis(300);
+
+/// The longest wait for the prompts that an engine has yet to read before an order: a
+/// queue that is longer would outlast the holder's lease.
+const CLEAR_LIMIT: Duration = Duration::from_millis(1_500);
+
+/// How often the engine's queue is looked at meanwhile.
+const CLEAR_INTERVAL: Duration = Duration::from_millis(50);
+
 /// The largest answer to an order or report, in bytes.
 const ANSWER_BYTES: usize = 64 * 1024;
 
@@ -291,21 +302,13 @@
         pending: &mut HashMap<u64, (ServerRole, Instant)>,
     ) -> bool {
         let server = &change.server;
-        let report = match self.ask(server, self.dialect.ask_report(&server.entry.instance)).await {
-            Ok((_, body)) => self.dialect.read_report(&body),
-            Err(e) => Err(e),
-        };
-        let report = match report {
-            Ok(report) if !report.busy => report,
-            Ok(_) => return true,
-            Err(e) => {
-                log::info!(event = "report_failed", server = &*server.entry.instance, error = e.to_string().as_str(); "");
-                return true;
-            }
-        };
-        if !self.may_order(held) {
+        let until = self.clock.now() + SWITCH_LIMIT;
+        self.loads.begin_switch(server.key, until);
+        self.clear(server).await;
+        let Some(report) = self.report(server).await.filter(|_| self.may_order(held)) else {
+            self.end_switch(server);
             return true;
-        }
+        };
         let order = RoleOrder {
             instance: server.entry.instance.clone(),
             role: change.role,
@@ -313,8 +316,6 @@
             fencing_token: held.token,
             expected_orders: report.orders,
         };
-        let until = self.clock.now() + SWITCH_LIMIT;
-        self.loads.begin_switch(server.key, until);
         let sent = self.ask(server, self.dialect.order_role(&order)).await;
         let status = sent.as_ref().map_or(0, |(status, _)| *status);
         log::info!(
@@ -323,18 +324,50 @@
         );
         match status {
             FENCED => {
-                self.loads.end_switches(self.clock.now(), |key| key != server.key);
+                self.end_switch(server);
                 return false;
             }
             // No answer: the order may be carried out yet.
             0 | 200..300 => {
                 pending.insert(server.key, (change.role, until));
             }
-            _ => self.loads.end_switches(self.clock.now(), |key| key != server.key),
+            _ => self.end_switch(server),
         }
         true
     }
 
+    /// Waits until the engine has begun what was placed on it, for it refuses the rest
+    /// as soon as it has an order.
+    async fn clear(&self, server: &Server) {
+        task::sleep(NOTICE).await;
+        let last = self.clock.now() + CLEAR_LIMIT;
+        loop {
+            let now = self.clock.now();
+            let reads = self.loads.prefill_tokens(now).contains_key(&server.key);
+            if !reads || now >= last {
+                return;
+            }
+            task::sleep(CLEAR_INTERVAL).await;
+        }
+    }
+
+    /// Asks the engine about its orders; `None` when it carries one out or does not say.
+    async fn report(&self, server: &Server) -> Option<EngineReport> {
+        let asked = self.ask(server, self.dialect.ask_report(&server.entry.instance)).await;
+        match asked.and_then(|(_, body)| self.dialect.read_report(&body)) {
+            Ok(report) => Some(report).filter(|report| !report.busy),
+            Err(e) => {
+                let at = &*server.entry.instance;
+                log::info!(event = "report_failed", server = at, error = e.to_string().as_str(); "");
+                None
+            }
+        }
+    }
+
+    fn end_switch(&self, server: &Server) {
+        self.loads.end_switches(self.clock.now(), |key| key != server.key);
+    }
+
     async fn ask(&self, server: &Server, call: EngineCall) -> Result<(u16, bytes::Bytes)> {
         let failed = |f: crate::http::SendFailure| unavailable(f.cause.to_string());
         let sent = self.exchange.send(server, None, engine_request(call), CALL_LIMIT).await;
