Share an engine's room among the hosts that wait

Ruled out: the order in which hosts take room that comes free, which holds for one place at a time.

A host counts for each other host that waits as many requests as it has placed on the engine within the last 60 ms itself.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -7,7 +7,8 @@
 use aspenloft_core::errors::{Error, ErrorCode};
 use aspenloft_core::prelude::{Arc, Name, SharedClock};
 use aspenloft_policy::engine_choice::{
-    DecodeLoad, MEMORY_SHARE, PrefillLoad, choose_decode, choose_prefill, preference, turn,
+    DecodeLoad, MEMORY_SHARE, PrefillLoad, choose_decode, choose_prefill, placed_before,
+    preference, turn,
 };
 use aspenloft_policy::waiting::{self, Arrival, WaitOptions, Waiter};
 use async_std::task;
@@ -41,6 +42,10 @@
 /// the time in which a host's choice reaches all others.
 const TURN_MS: u64 = 120;
 
+/// How long a host's choices are unknown to hosts of other data centres in a small
+/// deployment: the time between digests, and the way.
+const NEWS_DELAY: Duration = Duration::from_millis(60);
+
 /// Spreads consecutive numbers over all bits, so that each order is unlike the last.
 const TURN_MIX: u64 = 0x9e37_79b9_7f4a_7c15;
 
@@ -232,7 +237,7 @@
         for server in prefill.iter().chain([&decode]) {
             server.state.health(|h| h.given_work(now));
         }
-        let run = self.loads.begin_run(decode.key, size);
+        let run = self.loads.begin_run(decode.key, size, now);
         Some(Placement { decode, prefill, run })
     }
 
@@ -250,6 +255,7 @@
         servers.retain(|server| !server.state.is_full(now));
         let mut runs = self.loads.runs(now);
         let waiting_hosts = self.loads.waiting_hosts(now);
+        let heard = now.checked_sub(NEWS_DELAY).unwrap_or(now);
         let loads: Vec<DecodeLoad> = servers
             .iter()
             .map(|server| DecodeLoad {
@@ -259,7 +265,11 @@
                 local: server.entry.data_centre == self.peers.me().data_centre,
                 slowdown: 1.0 + server.state.health(|h| h.failures(now)),
                 preference: self.preference(server),
-                turn: self.turn(server, &waiting_hosts),
+                placed_before: placed_before(
+                    self.turn(server, &waiting_hosts),
+                    waiting_hosts.len(),
+                    self.loads.begun_since(server.key, heard),
+                ),
             })
             .collect();
         choose_decode(&loads, size.forecast()).map(|index| servers[index].clone())
--- a/crates/gateway/src/loads.rs
+++ b/crates/gateway/src/loads.rs
@@ -67,6 +67,8 @@
 #[derive(Debug, Clone, Copy)]
 struct OwnRun {
     server: u64,
+    /// When it was placed on the server.
+    began: Instant,
     prompt: u64,
     made: u64,
     expected: u64,
@@ -124,11 +126,11 @@
     }
 
     /// Counts a request on a decode engine until the guard is dropped.
-    pub fn begin_run(self: &Arc<Self>, server: u64, size: RunSize) -> RunGuard {
+    pub fn begin_run(self: &Arc<Self>, server: u64, size: RunSize, now: Instant) -> RunGuard {
         let RunSize { prompt, expected, most } = size;
         let mut state = self.state.lock();
         let id = state.take_id();
-        state.runs.insert(id, OwnRun { server, prompt, made: 0, expected, most });
+        state.runs.insert(id, OwnRun { server, began: now, prompt, made: 0, expected, most });
         drop(state);
         self.tell();
         RunGuard { loads: self.clone(), id }
@@ -162,6 +164,12 @@
         runs
     }
 
+    /// Returns how many requests this host has placed on the engine since `since`.
+    pub fn begun_since(&self, server: u64, since: Instant) -> usize {
+        let state = self.state.lock();
+        state.runs.values().filter(|run| run.server == server && run.began > since).count()
+    }
+
     /// Returns the prompt tokens at the prefill engines, by engine.
     pub fn prefill_tokens(&self, now: Instant) -> HashMap<u64, u64> {
         let state = self.state.lock();
--- a/crates/policy/src/engine_choice.rs
+++ b/crates/policy/src/engine_choice.rs
@@ -44,8 +44,8 @@
     pub slowdown: f64,
     /// How little the deciding host prefers it among its peers, from 0 to 1.
     pub preference: f64,
-    /// How many of the hosts that wait for room go before the deciding host here.
-    pub turn: usize,
+    /// How many requests other hosts place here first, as [`placed_before`] has it.
+    pub placed_before: usize,
 }
 
 impl DecodeLoad {
@@ -94,12 +94,22 @@
     others.into_iter().filter(|other| *other < own).count()
 }
 
+/// Returns how many requests count as placed before the next one on an engine where
+/// this host goes after `turn` of the `waiting` other hosts and has placed `own` just
+/// now: those hosts have placed about as many, of which nothing was heard yet.
+///
+/// The load pattern is an engine that comes back empty while many wait on all hosts.
+pub fn placed_before(turn: usize, waiting: usize, own: usize) -> usize {
+    turn + waiting * own
+}
+
 /// Returns the index of the decode engine that takes `run` at the least cost, or
 /// `None` when it fits on none of them now.
 ///
 /// An engine on which other hosts go first is taken when it has room for them too.
 pub fn choose_decode(engines: &[DecodeLoad], run: RunForecast) -> Option<usize> {
-    let free = |engine: &DecodeLoad| engine.room_for(run, engine.turn + 1) > engine.turn;
+    let free =
+        |engine: &DecodeLoad| engine.room_for(run, engine.placed_before + 1) > engine.placed_before;
     let fitting = engines.iter().enumerate().filter(|(_, engine)| free(engine));
     let best = fitting.min_by(|(_, a), (_, b)| a.cost().total_cmp(&b.cost()));
     best.map(|(index, _)| index)
--- a/crates/policy/tests/engine_placement.rs
+++ b/crates/policy/tests/engine_placement.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use aspenloft_policy::engine_choice::{
-    DecodeLoad, MEMORY_SHARE, PrefillLoad, choose_decode, choose_prefill, preference, turn,
+    DecodeLoad, MEMORY_SHARE, PrefillLoad, choose_decode, choose_prefill, placed_before,
+    preference, turn,
 };
 use aspenloft_policy::engine_memory::{RunForecast, peak_tokens};
 use aspenloft_policy::role_split::{Demand, EngineSpeed, prefill_engines};
@@ -47,7 +48,15 @@
 }
 
 fn decode(runs: Vec<RunForecast>, local: bool) -> DecodeLoad {
-    DecodeLoad { slots: 64, capacity: 40_000, runs, local, slowdown: 1.0, preference: 0.0, turn: 0 }
+    DecodeLoad {
+        slots: 64,
+        capacity: 40_000,
+        runs,
+        local,
+        slowdown: 1.0,
+        preference: 0.0,
+        placed_before: 0,
+    }
 }
 
 #[test]
@@ -132,15 +141,49 @@
     let takers = (0..hosts).filter(|host| {
         let hash = |host: u64| xxh3_64_with_seed(b"engine", host);
         let others = (0..hosts).filter(|other| other != host).map(hash);
-        let engine = DecodeLoad { turn: turn(hash(*host), others), ..decode(full.clone(), true) };
+        let engine =
+            DecodeLoad { placed_before: turn(hash(*host), others), ..decode(full.clone(), true) };
         choose_decode(&[engine], new).is_some()
     });
     assert_eq!(takers.count(), 1);
 }
 
+/// An engine comes back empty while requests wait on seven hosts, which hear of each
+/// other's choices too late to go by them.
+#[test]
+fn hosts_that_wait_share_the_room_of_an_engine_that_comes_back() {
+    let (hosts, waiting) = (7, 5);
+    let new = run(3_000, 500);
+    let mut empty = decode(Vec::new(), true);
+    let mut room = 0;
+    while empty.fits(new) {
+        empty.runs.push(new);
+        room += 1;
+    }
+    for engine_seed in 0..20_u64 {
+        let hash = |host: u64| xxh3_64_with_seed(&engine_seed.to_le_bytes(), host);
+        let mut placed = 0;
+        for host in 0..hosts {
+            let others = (0..hosts).filter(|other| *other != host).map(hash);
+            let turn = turn(hash(host), others);
+            let mut own = decode(Vec::new(), true);
+            for _ in 0..waiting {
+                own.placed_before = placed_before(turn, hosts as usize - 1, own.runs.len());
+                if choose_decode(std::slice::from_ref(&own), new).is_none() {
+                    break;
+                }
+                own.runs.push(new);
+            }
+            placed += own.runs.len();
+        }
+        assert!(placed <= room, "{placed} placed where {room} have room");
+        assert!(placed * 10 >= room * 7, "only {placed} placed where {room} have room");
+    }
+}
+
 #[test]
 fn an_engine_with_room_for_all_is_open_to_those_whose_turn_comes_later() {
-    let late = DecodeLoad { turn: 4, ..decode(Vec::new(), true) };
+    let late = DecodeLoad { placed_before: 4, ..decode(Vec::new(), true) };
     assert_eq!(choose_decode(&[late], run(3_000, 500)), Some(0));
 }
 
