Divide hosts into groups that know each other's work well

Cause: each host told all others of its work.

A data centre of more than 32 hosts is divided into groups; engines belong to a group of their data centre. Smaller data centres are one group as before.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -255,6 +255,7 @@
         servers.retain(|server| !server.state.is_full(now));
         let mut runs = self.loads.runs(now);
         let waiting_hosts = self.loads.waiting_hosts(now);
+        let group = self.peers.group();
         let heard = now.checked_sub(NEWS_DELAY).unwrap_or(now);
         let loads: Vec<DecodeLoad> = servers
             .iter()
@@ -262,7 +263,7 @@
                 slots: profile.slots,
                 capacity: profile.memory_tokens,
                 runs: runs.remove(&server.key).unwrap_or_default(),
-                local: server.entry.data_centre == self.peers.me().data_centre,
+                local: group.has_engine(server.key, &server.entry.data_centre),
                 slowdown: 1.0 + server.state.health(|h| h.failures(now)),
                 preference: self.preference(server),
                 placed_before: placed_before(
@@ -300,11 +301,16 @@
     ) -> Option<Arc<Server>> {
         let servers = self.open(service, ServerRole::Prefill, now, tried);
         let queued = self.loads.prefill_tokens(now);
+        let group = self.peers.group();
+        let near = |server: &Server| {
+            server.entry.data_centre == decode.entry.data_centre
+                && group.joins(server.key, decode.key)
+        };
         let loads: Vec<PrefillLoad> = servers
             .iter()
             .map(|server| PrefillLoad {
                 queued: queued.get(&server.key).copied().unwrap_or_default(),
-                near_decode: server.entry.data_centre == decode.entry.data_centre,
+                near_decode: near(server),
                 preference: self.preference(server),
             })
             .collect();
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -6,6 +6,7 @@
 
 use aspenloft_core::errors::{Result, invalid, unavailable};
 use aspenloft_core::prelude::{Arc, Host};
+use aspenloft_policy::host_groups::{far_interval, near_interval};
 use aspenloft_transport::frames;
 use aspenloft_transport::mesh::{FrameHandler, PeerLink};
 use async_std::channel::{Receiver, Sender};
@@ -22,14 +23,7 @@
 /// The shortest time between two digests; requests that start together share one.
 const MIN_INTERVAL: Duration = Duration::from_millis(8);
 
-/// What each host of the own data centre adds to the time between digests to them,
-/// so that the cost of hearing all of them stays the same as they grow in number.
-const NEAR_SPACING: Duration = Duration::from_millis(1);
-
-/// The same for hosts of other data centres, to which bytes are paid for.
-const FAR_SPACING: Duration = Duration::from_millis(10);
-
-/// The longest time between two digests.
+/// The longest time between two digests to hosts of the own group.
 const MAX_INTERVAL: Duration = Duration::from_millis(250);
 
 /// The largest digest, in bytes: one unfragmented datagram.
@@ -78,9 +72,9 @@
             let (near, far) = self.addresses();
             let now = self.clock.now();
             let mut to = near;
-            let near_pause = MIN_INTERVAL + NEAR_SPACING * count(&to);
+            let near_pause = near_interval(MIN_INTERVAL, to.len());
             if now >= far_due {
-                far_due = now + MAX_INTERVAL.min(FAR_SPACING * count(&far));
+                far_due = now + far_interval(far.len());
                 to.extend(far);
             }
             if let Ok(datagram) = self.encode_digest() {
@@ -94,11 +88,12 @@
         }
     }
 
-    /// Returns the other hosts' addresses: of the own data centre, and of the others.
+    /// Returns the other hosts' addresses: of the own group, and of the others.
     fn addresses(&self) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
         let peers = self.peers.lock();
+        let group = self.group_among(&peers);
         let (near, far): (Vec<&Peer>, Vec<&Peer>) =
-            peers.values().partition(|p| p.host.data_centre == self.me.data_centre);
+            peers.values().partition(|p| group.has_host(&p.host.name, &p.host.data_centre));
         let addresses = |peers: Vec<&Peer>| peers.iter().map(|p| p.host.addr).collect();
         let mut near: Vec<SocketAddr> = addresses(near);
         if peers.values().all(|p| p.heard.is_none()) {
@@ -169,10 +164,6 @@
     }
 }
 
-fn count(addresses: &[SocketAddr]) -> u32 {
-    u32::try_from(addresses.len()).unwrap_or(u32::MAX)
-}
-
 /// `ViewServer` answers other hosts that ask for this host's view.
 pub struct ViewServer(pub Arc<Peers>);
 
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -16,6 +16,7 @@
 use aspenloft_core::prelude::{Arc, Host, Name, SharedClock};
 use aspenloft_core::standing::Fingerprint;
 use aspenloft_policy::crash_book::CrashBook;
+use aspenloft_policy::host_groups::HostGroup;
 use aspenloft_transport::mesh::{MeshOptions, PeerLink};
 use parking_lot::Mutex;
 
@@ -104,6 +105,17 @@
         &self.me
     }
 
+    /// Returns this host's group.
+    pub fn group(&self) -> HostGroup {
+        self.group_among(&self.peers.lock())
+    }
+
+    fn group_among(&self, peers: &HashMap<Name, Peer>) -> HostGroup {
+        let here = &self.me.data_centre;
+        let others = peers.values().filter(|p| p.host.data_centre == *here).count();
+        HostGroup::of(&self.me.name, here, 1 + others)
+    }
+
     /// Returns how many hosts share the deployment's budgets, this one included.
     pub fn live_hosts(&self) -> usize {
         let now = self.clock.now();
@@ -207,12 +219,13 @@
         self.follows.store(follows, Ordering::SeqCst);
     }
 
-    /// Returns how many hosts of this one's data centre that come before it in the
+    /// Returns how many hosts of this one's group that come before it in the
     /// order of their names follow the key-value service and were heard of lately.
     pub fn followers_before(&self) -> usize {
         let now = self.clock.now();
         let peers = self.peers.lock();
-        let near = peers.values().filter(|p| p.host.data_centre == self.me.data_centre);
+        let group = self.group_among(&peers);
+        let near = peers.values().filter(|p| group.has_host(&p.host.name, &p.host.data_centre));
         let following = near.filter(|p| p.follows && heard_within(p, now, FOLLOWER_HEARD));
         following.filter(|p| p.host.name < self.me.name).count()
     }
--- a/crates/policy/src/engine_choice.rs
+++ b/crates/policy/src/engine_choice.rs
@@ -12,11 +12,11 @@
 /// partly filled blocks and answers longer than expected.
 pub const MEMORY_SHARE: f64 = 0.88;
 
-/// How many running requests in the own data centre weigh as much as one step to
-/// another data centre: the way costs little next to a slower decode step.
+/// How many running requests on an engine of the own group weigh as much as taking
+/// one of another group: the way costs little next to a slower decode step.
 const REMOTE_DECODE_PENALTY: f64 = 1.5;
 
-/// How much prefill queue an engine in the decode engine's own data centre may
+/// How much prefill queue an engine in the decode engine's own group may
 /// have more than one elsewhere, in tokens: moving memory between data centres
 /// takes twice as long and is paid for by the byte.
 const REMOTE_PREFILL_PENALTY: u64 = 6_000;
@@ -38,7 +38,7 @@
     pub capacity: u64,
     /// The requests on it, from all hosts.
     pub runs: Vec<RunForecast>,
-    /// Whether it stands in the deciding host's data centre.
+    /// Whether it is of the deciding host's group, whose work that host knows best.
     pub local: bool,
     /// How much slower than its peers it was lately; 1 is usual.
     pub slowdown: f64,
@@ -125,7 +125,7 @@
 pub struct PrefillLoad {
     /// Prompt tokens that wait or are being read there, from all hosts.
     pub queued: u64,
-    /// Whether it stands in the chosen decode engine's data centre.
+    /// Whether it is of the chosen decode engine's group.
     pub near_decode: bool,
     /// How little the deciding host prefers it among its peers, from 0 to 1.
     pub preference: f64,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod estimate;
 pub mod explain;
 pub mod fair_queue;
+pub mod host_groups;
 pub mod limits;
 pub mod progress;
 pub mod queue;
--- /dev/null
+++ b/crates/policy/tests/host_groups.rs
@@ -0,0 +1,58 @@
+//! Groups of hosts at the full size.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use aspenloft_core::prelude::Name;
+use aspenloft_policy::host_groups::{HostGroup, far_interval, near_interval};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+fn name(host: usize) -> String {
+    format!("frontend-dk-vest-a-{host}")
+}
+
+#[test]
+fn every_engine_belongs_to_one_group_of_its_data_centre_and_each_group_has_its_part() {
+    let here: Name = "dk-vest-a".into();
+    let away: Name = "dk-vest-b".into();
+    for hosts in [1, 7, 32, 33, 75, 340] {
+        let groups: Vec<HostGroup> =
+            (0..hosts).map(|host| HostGroup::of(&name(host), &here, hosts)).collect();
+        let mut owners = HashMap::<usize, usize>::new();
+        for engine in 0..1_000_u64 {
+            let key = xxh3_64_with_seed(b"engine", engine);
+            let own = groups.iter().position(|g| g.has_engine(key, &here)).expect("a group");
+            *owners.entry(own).or_default() += 1;
+            assert!(groups.iter().all(|g| !g.has_engine(key, &away)));
+        }
+        for (host, group) in groups.iter().enumerate() {
+            let members = (0..hosts).filter(|other| group.has_host(&name(*other), &here)).count();
+            assert!(group.has_host(&name(host), &here));
+            assert!(!group.has_host(&name(host), &away));
+            assert!(members <= 48, "{members} of {hosts} hosts in one group");
+        }
+        if hosts <= 32 {
+            assert_eq!(owners.len(), 1, "a small data centre is not divided");
+        }
+    }
+}
+
+/// The full size: 340 hosts in seven data centres, 4.2 model requests a second and host,
+/// each of which changes what is told three times.
+#[test]
+fn what_a_host_hears_does_not_grow_with_the_square_of_the_deployment() {
+    let changes = 3.0 * 4.2_f64;
+    let heard = |hosts: usize, data_centres: usize| {
+        let here = hosts / data_centres;
+        let group = HostGroup::of(&name(0), &"dk-vest-a".into(), here);
+        let near =
+            (1..here).filter(|host| group.has_host(&name(*host), &"dk-vest-a".into())).count();
+        let far = hosts - 1 - near;
+        let near_rate =
+            changes.min(1.0 / near_interval(Duration::from_millis(8), near).as_secs_f64());
+        near as f64 * near_rate + far as f64 / far_interval(far).as_secs_f64()
+    };
+    assert!(heard(7, 3) <= 150.0, "{}", heard(7, 3));
+    assert!(heard(340, 7) <= 800.0, "{}", heard(340, 7));
+    assert!(heard(340, 7) <= heard(74, 3) * 340.0 / 74.0, "less than in proportion");
+}
