Tell of silent hosts, callers that go, denied sends and wasted prompts

Each kind of failure now has a test that reads its cause from the fields of its lines. Roles that are wanted are told of by the host that takes the change up, once, instead of by each host each second. New metrics: failures by code, time of prefill and of the start of decode, longest pauses, second sends, prompt tokens used or not, resident memory.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -77,10 +77,10 @@
                 break;
             }
             let Some(server) = self.choose(inbound, &tried) else { break };
+            let hosts = self.peers.live_hosts();
             if !tried.is_empty()
-                && !self.retries.try_extra(&inbound.service, now, self.peers.live_hosts())
+                && !self.retries.try_extra(inbound.id(), &inbound.service, now, hosts)
             {
-                log::info!(event = "retry_refused", request = inbound.id(), cause = "budget"; "");
                 break;
             }
             tried.push(server.entry.instance.clone());
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -134,6 +134,7 @@
         let (head, body) = req.into_parts();
         let terms = self.dialect.read_request(&head);
         let id = terms.as_ref().ok().and_then(|terms| terms.id.clone());
+        let mut unanswered = Unanswered { front: &self, id: id.clone(), arrived, open: true };
         let mut route = "-".to_string();
         let served = match terms {
             Ok(terms) => self.route(head, body, terms, arrived, &mut route).await,
@@ -146,6 +147,7 @@
                 answers::own(&error, id.as_ref(), &*self.dialect)
             }
         };
+        unanswered.open = false;
         let took = self.clock.now().saturating_duration_since(arrived);
         self.metrics.answered(&route, answer.status().as_u16(), took);
         if self.shutdown.is_leaving() || answer.status() == StatusCode::BAD_REQUEST {
@@ -229,6 +231,7 @@
         let request = id.map_or("-", |id| &**id);
         let after_ms = self.clock.now().saturating_duration_since(arrived).as_millis() as u64;
         let (code, execution) = (error.code.to_string(), error.execution.to_string());
+        self.metrics.failed(&code);
         log::warn!(
             event = "failed", request, code = code.as_str(), execution = execution.as_str(),
             after_ms, cause = error.message.as_str(); ""
@@ -236,6 +239,27 @@
     }
 }
 
+/// `Unanswered` tells of a request whose caller goes before it has an answer, when
+/// the connection drops the work on it.
+struct Unanswered<'a> {
+    front: &'a Front,
+    id: Option<Name>,
+    arrived: Instant,
+    open: bool,
+}
+
+impl Drop for Unanswered<'_> {
+    fn drop(&mut self) {
+        if !self.open {
+            return;
+        }
+        let request = self.id.as_deref().unwrap_or("-");
+        let waited = self.front.clock.now().saturating_duration_since(self.arrived);
+        self.front.metrics.failed("caller_gone");
+        log::info!(event = "caller_gone", request, after_ms = waited.as_millis() as u64; "");
+    }
+}
+
 /// How long bytes to a caller may be unacknowledged before the connection is ended.
 const CALLER_SILENCE: Duration = Duration::from_secs(5);
 
--- a/crates/gateway/src/generation/memory.rs
+++ b/crates/gateway/src/generation/memory.rs
@@ -8,8 +8,10 @@
 use http::Request;
 use http_body_util::Full;
 
+use super::Generations;
 use crate::dialect::{Dialect, EngineCall, MemoryRef};
 use crate::http::Exchange;
+use crate::metrics::Metrics;
 use crate::roster::Server;
 
 /// How long an engine is waited for that is told to free memory.
@@ -20,21 +22,32 @@
 pub(super) struct HeldMemory {
     server: Arc<Server>,
     handle: Option<String>,
+    tokens: u64,
     stale_at: Instant,
     exchange: Exchange,
     dialect: Arc<dyn Dialect>,
+    metrics: Arc<Metrics>,
 }
 
 impl HeldMemory {
-    /// Owns the memory that `server` keeps under `handle` until `stale_at`.
+    /// Owns the memory of `tokens` that `server` keeps under `handle` until `stale_at`.
     pub(super) fn new(
+        generations: &Generations,
         server: Arc<Server>,
         handle: String,
+        tokens: u64,
         stale_at: Instant,
-        exchange: Exchange,
-        dialect: Arc<dyn Dialect>,
     ) -> HeldMemory {
-        HeldMemory { server, handle: Some(handle), stale_at, exchange, dialect }
+        let Generations { exchange, dialect, metrics, .. } = generations;
+        HeldMemory {
+            server,
+            handle: Some(handle),
+            tokens,
+            stale_at,
+            exchange: exchange.clone(),
+            dialect: dialect.clone(),
+            metrics: metrics.clone(),
+        }
     }
 
     /// Tells whether the engine may have dropped the memory by `now`.
@@ -51,6 +64,7 @@
     /// Notes that a decode engine has taken the memory.
     pub(super) fn taken(mut self, now: Instant) {
         self.handle = None;
+        self.metrics.prompt_read(self.tokens, true);
         self.server.state.health(|h| h.succeeded(now));
     }
 
@@ -66,6 +80,7 @@
 impl Drop for HeldMemory {
     fn drop(&mut self) {
         let Some(handle) = self.handle.take() else { return };
+        self.metrics.prompt_read(self.tokens, false);
         let call = self.dialect.free_memory(&handle);
         let (exchange, server) = (self.exchange.clone(), self.server.clone());
         task::spawn(async move {
--- a/crates/gateway/src/generation/mod.rs
+++ b/crates/gateway/src/generation/mod.rs
@@ -125,7 +125,9 @@
 
     fn log_first_event(&self, inbound: &Inbound, server: &Server, placed: Instant, read: Instant) {
         let now = self.clock.now();
-        let ms = |from: Instant, to: Instant| to.saturating_duration_since(from).as_millis() as u64;
+        let span = |from: Instant, to: Instant| to.saturating_duration_since(from);
+        let ms = |from: Instant, to: Instant| span(from, to).as_millis() as u64;
+        self.metrics.begun(span(placed, read), span(read, now));
         log::info!(
             event = "first_event", request = inbound.id(), server = &*server.entry.instance,
             total_ms = ms(inbound.arrived, now), prefill_ms = ms(placed, read),
@@ -243,7 +245,7 @@
 
     fn may_send_again(&self, inbound: &Inbound, now: Instant) -> bool {
         !inbound.left(now).is_zero()
-            && self.retries.try_extra(&inbound.service, now, self.peers.live_hosts())
+            && self.retries.try_extra(inbound.id(), &inbound.service, now, self.peers.live_hosts())
     }
 
     async fn send_decode(
--- a/crates/gateway/src/generation/prefill.rs
+++ b/crates/gateway/src/generation/prefill.rs
@@ -69,6 +69,9 @@
             }
             let at = &*server.entry.instance;
             log::info!(event = "prefill_failed", request = inbound.id(), server = at, cause = cause.as_str(); "");
+            if accepted {
+                self.metrics.prompt_read(tokens, false);
+            }
             // A second prefill that may run counts as an attempt of the request.
             if accepted && inbound.route.max_attempts < 2 {
                 return None;
@@ -114,8 +117,7 @@
         let handle = self.dialect.read_prefill(&body).map_err(|_| Unusable::Unreadable)?;
         let took = self.clock.now().saturating_duration_since(began);
         self.demand.prefilled(&inbound.service, tokens, took);
-        let (exchange, dialect) = (self.exchange.clone(), self.dialect.clone());
         let stale_at = self.clock.now() + engine.handle_life.mul_f64(USABLE_LIFE);
-        Ok(HeldMemory::new(server.clone(), handle, stale_at, exchange, dialect))
+        Ok(HeldMemory::new(self, server.clone(), handle, tokens, stale_at))
     }
 }
--- a/crates/gateway/src/generation/relay.rs
+++ b/crates/gateway/src/generation/relay.rs
@@ -55,6 +55,8 @@
     tokens_per_event: u64,
     splitter: EventSplitter,
     began: Instant,
+    heard: Instant,
+    longest_pause: Duration,
     end: Option<End>,
 }
 
@@ -82,6 +84,8 @@
             tokens_per_event,
             splitter,
             began,
+            heard: began,
+            longest_pause: Duration::ZERO,
             end,
         }
     }
@@ -123,7 +127,11 @@
         let frame = frame.map_err(|_| End::Expired)?;
         match frame {
             Some(Ok(frame)) => {
-                upstream.server.state.heard(self.generations.clock.now());
+                let now = self.generations.clock.now();
+                upstream.server.state.heard(now);
+                let pause = now.saturating_duration_since(self.heard);
+                self.longest_pause = self.longest_pause.max(pause);
+                self.heard = now;
                 let whole = frame.data_ref().map(|data| self.splitter.push(data));
                 self.run.progress(self.splitter.events() * self.tokens_per_event);
                 if self.splitter.is_overlong() {
@@ -232,8 +240,8 @@
             self.note_silence(&upstream.server);
         }
         let metrics = &self.generations.metrics;
-        metrics.stream_ended(outcome);
-        let events = self.splitter.events();
-        log::info!(event = "stream_ended", request = self.inbound.id(), outcome, events; "");
+        metrics.stream_ended(outcome, self.longest_pause);
+        let (events, pause_ms) = (self.splitter.events(), self.longest_pause.as_millis() as u64);
+        log::info!(event = "stream_ended", request = self.inbound.id(), outcome, events, pause_ms; "");
     }
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -22,6 +22,12 @@
     duration: Histogram<f64>,
     first_event: Histogram<f64>,
     wait: Histogram<f64>,
+    prefill: Histogram<f64>,
+    decode_start: Histogram<f64>,
+    longest_pause: Histogram<f64>,
+    failures: Counter<u64>,
+    extra_sends: Counter<u64>,
+    prompt_tokens: Counter<u64>,
     streams: Counter<u64>,
     connections: Counter<u64>,
     store_calls: Counter<u64>,
@@ -40,6 +46,12 @@
             duration: seconds("aspenloft_gateway_duration"),
             first_event: seconds("aspenloft_gateway_first_event"),
             wait: seconds("aspenloft_gateway_wait"),
+            prefill: seconds("aspenloft_gateway_prefill"),
+            decode_start: seconds("aspenloft_gateway_decode_start"),
+            longest_pause: seconds("aspenloft_gateway_longest_pause"),
+            failures: m.u64_counter("aspenloft_gateway_failures").build(),
+            extra_sends: m.u64_counter("aspenloft_gateway_extra_sends").build(),
+            prompt_tokens: m.u64_counter("aspenloft_gateway_prompt_tokens").build(),
             streams: m.u64_counter("aspenloft_gateway_streams").build(),
             connections: m.u64_counter("aspenloft_gateway_connections_opened").build(),
             store_calls: m.u64_counter("aspenloft_gateway_store_calls").build(),
@@ -65,9 +77,33 @@
         self.wait.record(wait.as_secs_f64(), &[]);
     }
 
-    /// Counts the end of a stream.
-    pub fn stream_ended(&self, outcome: &'static str) {
+    /// Counts the time in which a prompt was read for a placed request, and that from
+    /// then to the first event, in which memory is moved and the first step made.
+    pub fn begun(&self, prefill: Duration, decode_start: Duration) {
+        self.prefill.record(prefill.as_secs_f64(), &[]);
+        self.decode_start.record(decode_start.as_secs_f64(), &[]);
+    }
+
+    /// Counts the end of a stream and the longest pause between its events.
+    pub fn stream_ended(&self, outcome: &'static str, longest_pause: Duration) {
         self.streams.add(1, &[KeyValue::new("outcome", outcome)]);
+        self.longest_pause.record(longest_pause.as_secs_f64(), &[]);
+    }
+
+    /// Counts a request that the host refused or that failed, by the cause.
+    pub fn failed(&self, code: &str) {
+        self.failures.add(1, &[KeyValue::new("code", code.to_string())]);
+    }
+
+    /// Counts a second send that the budget granted or denied.
+    pub fn extra_send(&self, granted: bool) {
+        self.extra_sends.add(1, &[KeyValue::new("granted", granted)]);
+    }
+
+    /// Counts prompt tokens that a prefill engine read, by whether a decode engine used
+    /// the result.
+    pub fn prompt_read(&self, tokens: u64, used: bool) {
+        self.prompt_tokens.add(tokens, &[KeyValue::new("used", used)]);
     }
 
     /// Counts a new connection to a backend server.
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -12,7 +12,7 @@
 use aspenloft_core::execution::Execution;
 use aspenloft_core::prelude::{Arc, Name, SharedClock};
 use aspenloft_policy::engine_choice::MEMORY_SHARE;
-use aspenloft_policy::role_split::{EngineSpeed, prefill_engines};
+use aspenloft_policy::role_split::{Demand, EngineSpeed, prefill_engines};
 use aspenloft_protocol::platform::{KeyValue, LeaseId, Put, Swap, Version};
 use async_std::task;
 
@@ -108,6 +108,26 @@
 struct Change {
     server: Arc<Server>,
     role: ServerRole,
+    reason: ChangeReason,
+}
+
+/// What a change of roles was decided on.
+struct ChangeReason {
+    engines: usize,
+    prefill: usize,
+    best: usize,
+    demand: Demand,
+}
+
+impl Change {
+    fn log_taken_up(&self) {
+        let ChangeReason { engines, prefill, best, demand } = &self.reason;
+        log::info!(
+            event = "role_wanted", service = &*self.server.entry.service,
+            server = &*self.server.entry.instance, engines, prefill, best,
+            prompt = demand.prompt as u64, answer = demand.answer as u64; ""
+        );
+    }
 }
 
 impl Orders {
@@ -200,11 +220,8 @@
         if pending.contains_key(&server.key) {
             return None;
         }
-        log::info!(
-            event = "role_wanted", service = &**service, engines = engines.len(), prefill, best,
-            prompt = demand.prompt as u64, answer = demand.answer as u64; ""
-        );
-        Some(Change { server: (*server).clone(), role: to })
+        let reason = ChangeReason { engines: engines.len(), prefill, best, demand };
+        Some(Change { server: (*server).clone(), role: to, reason })
     }
 
     fn forget_done(&self, pending: &mut HashMap<u64, (ServerRole, Instant)>, now: Instant) {
@@ -301,6 +318,7 @@
         change: &Change,
         pending: &mut HashMap<u64, (ServerRole, Instant)>,
     ) -> bool {
+        change.log_taken_up();
         let server = &change.server;
         let until = self.clock.now() + SWITCH_LIMIT;
         self.loads.begin_switch(server.key, until);
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -69,6 +69,7 @@
         loop {
             // Either end of the wait leads to a digest.
             let _ = timeout(MAX_INTERVAL, changed.recv()).await;
+            self.log_silence();
             let (near, far) = self.addresses();
             let now = self.clock.now();
             let mut to = near;
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -50,6 +50,8 @@
     follows: bool,
     unreachable: Vec<u64>,
     heard: Option<Instant>,
+    /// Whether its silence has been told of since it was last heard.
+    silence_told: bool,
 }
 
 /// `Peers` is what the host knows of the others.
@@ -186,6 +188,7 @@
                 follows: false,
                 unreachable,
                 heard: None,
+                silence_told: false,
             };
             peers.insert(peer.host.name.clone(), peer);
         }
@@ -240,6 +243,20 @@
         ahead.max_by_key(|p| (p.revision, near(p))).map(|p| (p.host.clone(), p.revision))
     }
 
+    /// Tells of the hosts that have fallen silent, once each.
+    fn log_silence(&self) {
+        let now = self.clock.now();
+        for peer in self.peers.lock().values_mut() {
+            let Some(heard) = peer.heard else { continue };
+            let silent = now.saturating_duration_since(heard);
+            if silent >= LIVE_FOR && !peer.silence_told {
+                peer.silence_told = true;
+                let (name, silent_ms) = (&*peer.host.name, silent.as_millis() as u64);
+                log::info!(event = "peer_silent", peer = name, silent_ms, revision = peer.revision; "");
+            }
+        }
+    }
+
     /// Takes in what another host says, unless something newer is known of it.
     pub fn take_digest(&self, digest: Digest) {
         if digest.host.name == self.me.name {
@@ -263,6 +280,7 @@
                 follows: digest.follows,
                 unreachable: digest.unreachable,
                 heard: Some(now),
+                silence_told: false,
             };
             peers.insert(digest.host.name.clone(), peer);
         }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -119,11 +119,12 @@
     let pool = Pool::new(PoolOptions::default(), clock.clone(), metrics.clone());
     task::spawn(sweep(pool.clone()));
     let exchange = Exchange::new(pool, platform.dialect.clone());
-    let retries = Arc::new(Retries::new(RetryAllowance {
+    let allowance = RetryAllowance {
         ratio: settings.retries.ratio,
         slack: settings.retries.slack,
         window: settings.retries.window_s,
-    }));
+    };
+    let retries = Arc::new(Retries::new(allowance, metrics.clone()));
     let dispatcher =
         Dispatcher::new(view.clone(), loads.clone(), peers.clone(), clock.clone(), metrics.clone());
     let orders = Orders {
--- /dev/null
+++ b/crates/gateway/tests/causes.rs
@@ -0,0 +1,278 @@
+//! From a request's id to its cause: each kind of failure leaves lines whose fields say
+//! what happened, and is counted.
+
+mod common;
+
+use std::io::Write;
+use std::net::{TcpStream, UdpSocket};
+use std::sync::{Mutex, Once};
+use std::time::Duration;
+
+use aspenloft_core::prelude::Host;
+use aspenloft_gateway::loads::LoadDigest;
+use aspenloft_gateway::peers::Digest;
+use aspenloft_gateway::roster::ServerEntry;
+use aspenloft_gateway::roster::ServerRole::{Decode, Plain, Prefill};
+use aspenloft_telemetry::line::line;
+use aspenloft_transport::frames;
+use bytes::BytesMut;
+use common::{Scripted, TestHost, entry, exchange, free_addr, header, not_run, sealed, wait_for};
+
+static LINES: Mutex<Vec<String>> = Mutex::new(Vec::new());
+
+struct Capture;
+
+impl log::Log for Capture {
+    fn enabled(&self, _: &log::Metadata<'_>) -> bool {
+        true
+    }
+
+    fn log(&self, record: &log::Record<'_>) {
+        LINES.lock().expect("lines").push(line(0, record));
+    }
+
+    fn flush(&self) {}
+}
+
+fn capture() {
+    static START: Once = Once::new();
+    START.call_once(|| {
+        log::set_logger(&Capture).expect("the only logger");
+        log::set_max_level(log::LevelFilter::Info);
+    });
+}
+
+/// Tells whether a line of the request `id` has all of `fields`.
+fn has_line(id: &str, fields: &[&str]) -> bool {
+    let id = format!(" request={id}");
+    let of_request = |line: &&String| line.contains(&format!("{id} ")) || line.ends_with(&id);
+    let lines = LINES.lock().expect("lines");
+    lines.iter().filter(of_request).any(|line| fields.iter().all(|f| line.contains(f)))
+}
+
+fn assert_line(id: &str, fields: &[&str]) {
+    wait_for(&format!("a line of {id} with {fields:?}"), || has_line(id, fields));
+}
+
+fn request(path: &str, id: &str, tokens: Option<&str>) -> String {
+    let tokens = tokens.map(|tokens| format!("tokens: {tokens}\r\n")).unwrap_or_default();
+    format!(
+        "POST {path} HTTP/1.1\r\nhost: app.test\r\nid: {id}\r\n{tokens}content-length: 1\r\n\r\nx"
+    )
+}
+
+fn stream(req: &str, events: &str, end: &str) -> Vec<u8> {
+    let id = header(req, "id").unwrap_or_default();
+    let head =
+        format!("HTTP/1.1 200 OK\r\nid: {id}\r\nseal: s\r\ntransfer-encoding: chunked\r\n\r\n");
+    format!("{head}{:x}\r\n{events}\r\n{end}", events.len()).into_bytes()
+}
+
+const EVENT: &str = "id: 1\ndata: token\n\n";
+
+type Script = fn(usize, &str) -> Vec<u8>;
+
+#[test]
+fn failures_of_calls_name_the_server_and_what_it_did() {
+    capture();
+    type Fields = &'static [&'static str];
+    let cases: [(&str, &str, Script, Fields, Fields); 5] = [
+        (
+            "refuses",
+            "/once/",
+            |_, req| not_run(req),
+            &["send_failed", "outcome=refused"],
+            &["event=failed", "code=overloaded", "execution=not_run"],
+        ),
+        (
+            "breaks",
+            "/once/",
+            |_, _| Vec::new(),
+            &["send_failed", "outcome="],
+            &["event=failed", "code=unavailable", "execution=unknown"],
+        ),
+        (
+            "fails",
+            "/once/",
+            |_, req| sealed(req, "500 Broken", "why"),
+            &["send_failed", "outcome=server_error"],
+            &["server=fails"],
+        ),
+        (
+            "late",
+            "/once/",
+            |_, _| {
+                std::thread::sleep(Duration::from_millis(2_500));
+                Vec::new()
+            },
+            &["event=failed", "code=timeout"],
+            &["execution=unknown"],
+        ),
+        (
+            "lost",
+            "/nowhere/",
+            |_, _| Vec::new(),
+            &["event=failed", "code=not_found"],
+            &["cause=\"no route"],
+        ),
+    ];
+    for (name, path, script, first, second) in cases {
+        let server = Scripted::start(script);
+        let host = TestHost::before(&[entry(name, server.addr, Plain)]);
+        let id = format!("call-{name}");
+        host.send(&request(path, &id, None));
+        assert_line(&id, first);
+        assert_line(&id, second);
+    }
+}
+
+#[test]
+fn a_server_that_cannot_be_reached_leaves_a_line() {
+    capture();
+    let host = TestHost::before(&[entry("away", free_addr(), Plain)]);
+    host.send(&request("/once/", "call-away", None));
+    assert_line("call-away", &["send_failed", "server=away", "outcome="]);
+    assert_line("call-away", &["event=failed", "execution=not_run"]);
+}
+
+#[test]
+fn the_way_of_a_model_request_can_be_followed() {
+    capture();
+    let prefill = Scripted::start(|_, req| sealed(req, "200 OK", "handle"));
+    let decode = Scripted::start(|_, req| stream(req, EVENT, "0\r\n\r\n"));
+    let host =
+        TestHost::before(&[entry("p1", prefill.addr, Prefill), entry("d1", decode.addr, Decode)]);
+    host.send(&request("/stream/", "way", Some("1000,200")));
+    assert_line("way", &["event=placed", "decode=d1", "prefill=p1", "waited_ms=", "prompt=1000"]);
+    assert_line("way", &["event=first_event", "server=d1", "prefill_ms=", "decode_ms="]);
+    assert_line("way", &["event=stream_ended", "outcome=complete", "events=1", "pause_ms="]);
+    let scrape = "GET /metrics HTTP/1.1\r\nhost: x\r\n\r\n";
+    let page = exchange(host.settings.listen.metrics, scrape.as_bytes());
+    for series in [
+        "aspenloft_gateway_prefill_seconds_count",
+        "aspenloft_gateway_decode_start_seconds_count",
+        "aspenloft_gateway_longest_pause_seconds_count",
+        "aspenloft_gateway_prompt_tokens_total{used=\"true\"",
+        "aspenloft_process_resident_memory_bytes",
+    ] {
+        assert!(page.contains(series), "{series} in {page}");
+    }
+}
+
+#[test]
+fn failures_of_model_requests_name_the_engine_and_what_it_did() {
+    capture();
+    let prefill = Scripted::start(|_, req| sealed(req, "200 OK", "handle"));
+    let broken = Scripted::start(|_, _| Vec::new());
+    let cut = Scripted::serve(|_, req, connection| {
+        let _ = connection.write_all(&stream(req, EVENT, ""));
+        false
+    });
+    let closed = Scripted::start(|_, req| not_run(req));
+    let engine = |name: &str, server: &Scripted| vec![entry(name, server.addr, Decode)];
+    let with = |mut engines: Vec<ServerEntry>, prefill: &Scripted| {
+        engines.push(entry("p1", prefill.addr, Prefill));
+        engines
+    };
+    type Case<'a> = (&'a str, Vec<ServerEntry>, &'a str, Vec<Vec<&'a str>>);
+    let cases: [Case<'_>; 5] = [
+        (
+            "gen-prefill",
+            with(engine("d1", &cut), &broken),
+            "1000,200",
+            vec![vec!["event=prefill_failed", "server=p1", "cause="]],
+        ),
+        (
+            "gen-broken",
+            with(engine("d2", &broken), &prefill),
+            "1000,200",
+            vec![
+                vec!["event=decode_failed", "server=d2", "outcome=", "with_memory=true"],
+                vec!["event=failed", "execution=unknown"],
+            ],
+        ),
+        (
+            "gen-cut",
+            engine("d3", &cut),
+            "1000,200",
+            vec![
+                vec!["event=stream_broken", "server=d3", "events=1", "resumable=false"],
+                vec!["event=stream_ended", "outcome=broken"],
+            ],
+        ),
+        (
+            "gen-closed",
+            engine("d4", &closed),
+            "1000,200",
+            vec![
+                vec!["event=decode_failed", "server=d4", "outcome=refused"],
+                vec!["event=failed", "code=overloaded", "execution=not_run"],
+            ],
+        ),
+        (
+            "gen-large",
+            engine("d5", &cut),
+            "50000,200",
+            vec![vec!["event=failed", "code=overloaded", "cause=\"the prompt exceeds"]],
+        ),
+    ];
+    for (id, servers, tokens, lines) in cases {
+        let host = TestHost::before(&servers);
+        let mut caller = TcpStream::connect(host.callers).expect("connect");
+        caller.write_all(request("/stream/", id, Some(tokens)).as_bytes()).expect("send");
+        for fields in lines {
+            assert_line(id, &fields);
+        }
+    }
+}
+
+#[test]
+fn a_caller_that_goes_before_its_answer_leaves_a_line() {
+    capture();
+    let slow = Scripted::start(|_, req| {
+        std::thread::sleep(Duration::from_millis(900));
+        sealed(req, "200 OK", "late")
+    });
+    let host = TestHost::before(&[entry("s1", slow.addr, Plain)]);
+    let mut caller = TcpStream::connect(host.callers).expect("connect");
+    caller.write_all(request("/once/", "gone", None).as_bytes()).expect("send");
+    wait_for("the call to arrive", || slow.count() == 1);
+    drop(caller);
+    assert_line("gone", &["event=caller_gone", "after_ms="]);
+}
+
+fn digest_of(name: &str) -> Digest {
+    let host =
+        Host { name: name.into(), addr: free_addr(), data_centre: "dc-a".into(), leaving: false };
+    Digest {
+        host,
+        seq: 1,
+        born_ms: 1,
+        revision: 1,
+        follows: false,
+        configuration: 1,
+        loads: LoadDigest::default(),
+        demand: Vec::new(),
+        unreachable: Vec::new(),
+        breaks: Vec::new(),
+    }
+}
+
+#[test]
+fn a_host_that_falls_silent_is_told_of_once() {
+    capture();
+    let good = Scripted::start(|_, req| sealed(req, "200 OK", "done"));
+    let host = TestHost::before(&[entry("s1", good.addr, Plain)]);
+    let told = |event: &str| {
+        let lines = LINES.lock().expect("lines");
+        lines.iter().filter(|l| l.contains(event) && l.contains("peer=quiet")).count()
+    };
+    let mut buf = BytesMut::new();
+    frames::encode(&digest_of("quiet"), &mut buf).expect("a digest");
+    let socket = UdpSocket::bind("127.0.0.1:0").expect("bind");
+    socket.send_to(&buf, host.settings.listen.peers).expect("send");
+    wait_for("the other host to be heard", || told("event=peer_live") == 1);
+    wait_for("its silence to be told", || told("event=peer_silent") == 1);
+    std::thread::sleep(Duration::from_millis(600));
+    assert_eq!(told("event=peer_silent"), 1);
+}
--- a/crates/telemetry/src/meters.rs
+++ b/crates/telemetry/src/meters.rs
@@ -22,7 +22,7 @@
 
 impl Meters {
     /// Creates the meters of the program `service` on the host named `host`, which
-    /// count the process's time on the processor already.
+    /// count the process's time on the processor and its memory already.
     pub fn new(service: &'static str, host: &str) -> Result<Meters> {
         let registry = Registry::new();
         let exporter = opentelemetry_prometheus::exporter()
@@ -46,6 +46,16 @@
                 }
             })
             .build();
+        meters
+            .meter()
+            .u64_observable_gauge("aspenloft_process_resident_memory")
+            .with_unit("By")
+            .with_callback(|observer| {
+                if let Some(bytes) = process_memory() {
+                    observer.observe(bytes, &[]);
+                }
+            })
+            .build();
         Ok(meters)
     }
 
@@ -65,6 +75,17 @@
     }
 }
 
+/// The size of a page of memory on the machines that are supported, in bytes.
+const PAGE_BYTES: u64 = 4_096;
+
+/// Returns the resident memory of this process in bytes, from the kernel's table; see
+/// proc_pid_statm(5), field 2.
+pub fn process_memory() -> Option<u64> {
+    let statm = std::fs::read_to_string("/proc/self/statm").ok()?;
+    let pages: u64 = statm.split_whitespace().nth(1)?.parse().ok()?;
+    Some(pages * PAGE_BYTES)
+}
+
 /// Returns the processor time that this process has used, from the kernel's table;
 /// see proc_pid_stat(5), fields 14 and 15.
 pub fn process_cpu() -> Option<Duration> {
