Keep one deadline timer for a stream

Cause: each event set and dropped a timer for the request's deadline, which changes the reactor's set of timers twice.

--- a/crates/gateway/src/generation/relay.rs
+++ b/crates/gateway/src/generation/relay.rs
@@ -1,13 +1,15 @@
 //! The `relay` module passes a model's events to the caller as they arrive, and
 //! goes on at another engine where the route allows it.
 
+use std::pin::pin;
 use std::time::{Duration, Instant};
 
 use aspenloft_core::prelude::{Arc, Name};
-use async_std::future::timeout;
+use async_std::task;
 use bytes::Bytes;
-use futures::Stream;
+use futures::future::{BoxFuture, Either, select};
 use futures::stream::unfold;
+use futures::{FutureExt, Stream};
 use http_body_util::BodyExt;
 use hyper::body::Frame;
 
@@ -57,6 +59,9 @@
     began: Instant,
     heard: Instant,
     longest_pause: Duration,
+    /// Ends with the request's time. One timer serves all events: setting one for each
+    /// cost more than passing the event on.
+    deadline: BoxFuture<'static, ()>,
     end: Option<End>,
 }
 
@@ -75,6 +80,7 @@
         let upstream = Some(upstream);
         let began = generations.clock.now();
         let end = None;
+        let deadline = task::sleep(inbound.left(began)).boxed();
         EventRelay {
             generations,
             inbound,
@@ -86,6 +92,7 @@
             began,
             heard: began,
             longest_pause: Duration::ZERO,
+            deadline,
             end,
         }
     }
@@ -121,10 +128,12 @@
 
     /// Reads what the engine has sent; returns the whole events in it.
     async fn read(&mut self) -> Result<Bytes, End> {
-        let left = self.left();
         let Some(upstream) = self.upstream.as_mut() else { return Err(End::Broken) };
-        let frame = timeout(left, upstream.answer.body.frame()).await;
-        let frame = frame.map_err(|_| End::Expired)?;
+        let frame = upstream.answer.body.frame();
+        let frame = match select(pin!(frame), &mut self.deadline).await {
+            Either::Left((frame, _)) => frame,
+            Either::Right(_) => return Err(End::Expired),
+        };
         match frame {
             Some(Ok(frame)) => {
                 let now = self.generations.clock.now();
@@ -145,10 +154,6 @@
         }
     }
 
-    fn left(&self) -> Duration {
-        self.inbound.left(self.generations.clock.now())
-    }
-
     /// Goes on at another engine after the last whole event; false when the route,
     /// the budget or the time does not allow it.
     async fn resume(&mut self) -> bool {
--- a/crates/gateway/tests/generations.rs
+++ b/crates/gateway/tests/generations.rs
@@ -279,3 +279,21 @@
     let with_memory = sound.seen.lock().iter().filter(|r| header(r, "memory").is_some()).count();
     assert_eq!(with_memory, 4, "no prompt was read in vain");
 }
+
+#[test]
+fn a_stream_ends_with_its_requests_time_and_does_not_look_whole() {
+    let endless = Scripted::serve(|_, req, stream| {
+        let _ = stream.write_all(stream_head(req).as_bytes());
+        (1..40).all(|n| {
+            std::thread::sleep(Duration::from_millis(100));
+            stream.write_all(chunk(&event(n)).as_bytes()).is_ok()
+        })
+    });
+    let host = TestHost::before(&[entry("d1", endless.addr, Decode)]);
+    let began = Instant::now();
+    let answer = host.send(&request("/stream/", "a"));
+    let took = began.elapsed();
+    assert!((1_900..2_500).contains(&took.as_millis()), "{took:?}");
+    assert!(event_ids(&answer).len() >= 15, "{answer}");
+    assert!(!answer.ends_with("0\r\n\r\n"));
+}
