Count prompts that were not read against the budget of extra sends

Cause: a prefill call that an engine refuses or resets counts as an arrival, and what follows it as an extra one; only a second prefill call took from the budget.

Sends that never arrived no longer take from the budget. Digests to hosts of other groups come every 250 ms again up to 83 hosts.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -63,11 +63,20 @@
     Failed(SendFailure),
 }
 
+impl Sent {
+    /// Tells whether the call may have reached the server.
+    fn arrived(&self) -> bool {
+        !matches!(self, Sent::Failed(failure) if failure.execution == Execution::NotRun)
+    }
+}
+
 impl Calls {
     /// Serves the call; the error says what is known of its fate.
     pub async fn serve(&self, inbound: &Inbound) -> Result<Response<AnswerBody>, Error> {
         let mut tried: Vec<Name> = Vec::new();
         let mut runs = 0;
+        // Whether a server has had the call: what never arrived is not sent again.
+        let mut arrived = false;
         let mut last = Error::new(ErrorCode::NoBackend, "no server of the service is open")
             .retry_after(SERVER_EXPECTED_IN);
         let mut kept: Option<(response::Parts, Bytes)> = None;
@@ -78,14 +87,13 @@
             }
             let Some(server) = self.choose(inbound, &tried) else { break };
             let hosts = self.peers.live_hosts();
-            if !tried.is_empty()
-                && !self.retries.try_extra(inbound.id(), &inbound.service, now, hosts)
-            {
+            if arrived && !self.retries.try_extra(inbound.id(), &inbound.service, now, hosts) {
                 break;
             }
             tried.push(server.entry.instance.clone());
             let spare = runs + 1 < inbound.route.max_attempts;
             let sent = self.send(inbound, &server, spare).await;
+            arrived |= sent.arrived();
             match sent {
                 Sent::Whole(head, body) if !head.status.is_server_error() => {
                     return Ok(relayed(&head, whole(body)));
--- a/crates/gateway/src/generation/mod.rs
+++ b/crates/gateway/src/generation/mod.rs
@@ -7,7 +7,7 @@
 mod prefill;
 mod relay;
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use aspenloft_core::errors::{Error, ErrorCode};
 use aspenloft_core::execution::Execution;
@@ -85,7 +85,7 @@
         let placement = self.dispatcher.place(&inbound, engine, size).await?;
         self.log_placed(&inbound, &placement, size);
         let placed = self.clock.now();
-        let memory = self.prefill(&inbound, &placement, need.prompt, engine).await;
+        let memory = self.prefill(&inbound, &placement, need.prompt, engine).await?;
         let read = self.clock.now();
         let accepted = self.decode(&inbound, &placement, memory, size, engine).await?;
         let Accepted { answer, server, runs } = accepted;
@@ -150,9 +150,11 @@
         // the memory is gone, or the engine takes no work. The next send tells.
         let mut doubted: Option<HeldMemory> = None;
         let mut runs = 0;
-        for sends in 0..MAX_SENDS {
+        // Whether an engine has had the request: what never arrived is not sent again.
+        let mut arrived = false;
+        for _ in 0..MAX_SENDS {
             let now = self.clock.now();
-            if sends > 0 && !self.may_send_again(inbound, now) {
+            if inbound.left(now).is_zero() || (arrived && !self.may_send_again(inbound, now)) {
                 break;
             }
             if self.has_left(&server) {
@@ -202,6 +204,7 @@
                 }
             };
             let now = self.clock.now();
+            arrived |= failure.is_none_or(|f| f.execution != Execution::NotRun);
             self.log_not_decoded(inbound, &server, failure, with_memory);
             if let Some(failure) = failure {
                 self.note_failure(&server, failure, now);
@@ -233,9 +236,8 @@
                 memory = memory.filter(|memory| !memory.is_stale(self.clock.now()));
             }
         }
-        let error = Error::new(ErrorCode::Overloaded, "no decode engine took the request");
         let execution = if runs > 0 { Execution::Unknown } else { Execution::NotRun };
-        Err(error.execution(execution).retry_after(std::time::Duration::from_millis(500)))
+        Err(no_more_sends().execution(execution))
     }
 
     fn has_left(&self, server: &Server) -> bool {
@@ -320,11 +322,21 @@
     }
 }
 
+/// When a caller should come back whose request may not be sent again: engines that
+/// come back do so within a few seconds, and others have room sooner.
+const ENGINE_EXPECTED_IN: Duration = Duration::from_millis(500);
+
+/// Returns the failure of a request that no engine took in the sends that it had.
+fn no_more_sends() -> Error {
+    let error = Error::new(ErrorCode::Overloaded, "no engine took the request in its sends");
+    error.execution(Execution::NotRun).retry_after(ENGINE_EXPECTED_IN)
+}
+
 /// No server has this short name; a run under it counts on none.
 const NO_SERVER: u64 = 0;
 
 /// How long the rest of a refusal is waited for.
-const DISCARD_LIMIT: std::time::Duration = std::time::Duration::from_millis(200);
+const DISCARD_LIMIT: Duration = Duration::from_millis(200);
 
 /// Returns what the request is expected to need: the caller's estimate is right at
 /// the median, and half of what is allowed where there is none.
--- a/crates/gateway/src/generation/prefill.rs
+++ b/crates/gateway/src/generation/prefill.rs
@@ -2,11 +2,12 @@
 
 use std::time::Duration;
 
+use aspenloft_core::errors::Error;
 use aspenloft_core::execution::Execution;
 use aspenloft_core::prelude::{Arc, Name};
 
-use super::Generations;
 use super::memory::HeldMemory;
+use super::{Generations, no_more_sends};
 use crate::configuration::EngineProfile;
 use crate::dialect::Phase;
 use crate::dispatch::Placement;
@@ -38,29 +39,30 @@
 
 impl Generations {
     /// Returns the memory of the prompt that was read, or `None` when the decode
-    /// engine has to read the prompt itself.
+    /// engine has to read the prompt itself. It fails when an engine had the request
+    /// and the budget allows no further send.
     pub(super) async fn prefill(
         &self,
         inbound: &Inbound,
         placement: &Placement,
         tokens: u64,
         engine: &EngineProfile,
-    ) -> Option<HeldMemory> {
-        let mut server = placement.prefill.clone()?;
+    ) -> Result<Option<HeldMemory>, Error> {
+        let Some(mut server) = placement.prefill.clone() else { return Ok(None) };
         let mut tried: Vec<Name> = Vec::new();
-        for sends in 0..MAX_SENDS {
-            if sends > 0 && !self.may_send_again(inbound, self.clock.now()) {
-                return None;
-            }
+        for _ in 0..MAX_SENDS {
             let unusable = match self.prefill_at(inbound, &server, tokens, engine).await {
-                Ok(memory) => return Some(memory),
+                Ok(memory) => return Ok(Some(memory)),
                 Err(unusable) => unusable,
             };
             let now = self.clock.now();
-            let (accepted, cause) = match &unusable {
-                Unusable::Refused => (false, "refused".to_string()),
-                Unusable::Failed(f) => (f.execution != Execution::NotRun, f.cause.to_string()),
-                Unusable::Unreadable => (true, "unreadable".to_string()),
+            let (arrived, accepted, cause) = match &unusable {
+                Unusable::Refused => (true, false, "refused".to_string()),
+                Unusable::Failed(f) => {
+                    let arrived = f.execution != Execution::NotRun;
+                    (arrived, arrived, f.cause.to_string())
+                }
+                Unusable::Unreadable => (true, true, "unreadable".to_string()),
             };
             if let Unusable::Failed(failure) = unusable {
                 self.note_failure(&server, failure, now);
@@ -72,15 +74,22 @@
             if accepted {
                 self.metrics.prompt_read(tokens, false);
             }
+            // Whatever follows is an extra send, unless the engine had begun to read,
+            // which a broken connection does not tell.
+            if arrived && !self.may_send_again(inbound, now) {
+                return Err(no_more_sends());
+            }
             // A second prefill that may run counts as an attempt of the request.
             if accepted && inbound.route.max_attempts < 2 {
-                return None;
+                return Ok(None);
             }
             tried.push(server.entry.instance.clone());
             let decode = &placement.decode;
-            server = self.dispatcher.prefill_engine(&inbound.service, decode, now, &tried)?;
+            let next = self.dispatcher.prefill_engine(&inbound.service, decode, now, &tried);
+            let Some(next) = next else { return Ok(None) };
+            server = next;
         }
-        None
+        Ok(None)
     }
 
     async fn prefill_at(
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -301,11 +301,16 @@
 impl TestHost {
     /// Starts a host named `name` that follows `store`.
     pub fn start(name: &str, store: Arc<MemoryStore>) -> TestHost {
+        TestHost::start_with(name, store, 50)
+    }
+
+    /// Starts a host whose budget of extra sends has `slack`.
+    pub fn start_with(name: &str, store: Arc<MemoryStore>, slack: u32) -> TestHost {
         let settings = format!(
             r#"{{"host": "{name}", "data_centre": "dc-a", "memory_mb": 110,
                "listen": {{"callers": "{}", "readiness": "{}", "peers": "{}", "metrics": "{}"}},
                "key_value": "127.0.0.1:1",
-               "retries": {{"ratio": 0.2, "slack": 50, "window_s": 10}},
+               "retries": {{"ratio": 0.2, "slack": {slack}, "window_s": 10}},
                "shutdown": {{"grace_s": 3}}}}"#,
             free_addr(),
             free_addr(),
@@ -329,12 +334,17 @@
 
     /// Starts a host before `servers` with the usual routes.
     pub fn before(servers: &[ServerEntry]) -> TestHost {
+        TestHost::before_with(servers, 50)
+    }
+
+    /// The same with a budget of extra sends of `slack`.
+    pub fn before_with(servers: &[ServerEntry], slack: u32) -> TestHost {
         let store = Arc::new(MemoryStore::default());
         store.write("configuration", &configuration(1));
         for server in servers {
             store.write(&format!("servers/{}", server.instance), server);
         }
-        let host = TestHost::start("h1", store);
+        let host = TestHost::start_with("h1", store, slack);
         host.wait_ready();
         host
     }
--- a/crates/gateway/tests/generations.rs
+++ b/crates/gateway/tests/generations.rs
@@ -297,3 +297,43 @@
     assert!(event_ids(&answer).len() >= 15, "{answer}");
     assert!(!answer.ends_with("0\r\n\r\n"));
 }
+
+/// Servers go down and up in turn, and each refusal or reset is an arrival that counts.
+#[test]
+fn prompts_that_are_not_read_count_against_the_budget_of_extra_sends() {
+    for script in [not_run as fn(&str) -> Vec<u8>, |_: &str| Vec::new()] {
+        count_arrivals(script);
+    }
+}
+
+/// Sends requests before prefill engines that answer with `script`.
+fn count_arrivals(script: fn(&str) -> Vec<u8>) {
+    const REQUESTS: usize = 10;
+    let decode = Scripted::start(|_, req| whole_stream(req, 1, 1));
+    let prefills: Vec<Scripted> =
+        (0..2 * REQUESTS).map(|_| Scripted::start(move |_, req| script(req))).collect();
+    let named = |(n, engine): (usize, &Scripted)| entry(&format!("p{n}"), engine.addr, Prefill);
+    let mut servers: Vec<ServerEntry> = prefills.iter().enumerate().map(named).collect();
+    servers.push(entry("d1", decode.addr, Decode));
+    let host = TestHost::before_with(&servers, 4);
+    for n in 0..REQUESTS {
+        let answer = host.send(&request("/stream/", &format!("a{n}")));
+        assert!(["200", "503"].contains(&status(&answer).as_str()), "{answer}");
+    }
+    let arrivals = decode.count() + prefills.iter().map(Scripted::count).sum::<usize>();
+    let allowed = REQUESTS + REQUESTS / 5 + 4;
+    assert!(arrivals <= allowed, "{arrivals} arrivals, {allowed} allowed");
+}
+
+/// What never arrived is no extra send: engines that are gone must not use up what is
+/// needed when one refuses.
+#[test]
+fn engines_that_cannot_be_reached_take_nothing_from_the_budget() {
+    let decode = Scripted::start(|_, req| whole_stream(req, 1, 1));
+    let mut servers: Vec<ServerEntry> =
+        (0..3).map(|n| entry(&format!("d{n}"), free_addr(), Decode)).collect();
+    let far = ServerEntry { data_centre: "dc-b".into(), ..entry("z", decode.addr, Decode) };
+    servers.push(far);
+    let host = TestHost::before_with(&servers, 0);
+    assert_eq!(status(&host.send(&request("/stream/", "a"))), "200");
+}
--- a/crates/policy/src/host_groups.rs
+++ b/crates/policy/src/host_groups.rs
@@ -22,7 +22,14 @@
 /// The same for all other hosts; between data centres bytes are paid for.
 const FAR_SPACING: Duration = Duration::from_millis(10);
 
-/// The longest time between two digests to other hosts: two may be lost before what
+/// The time between two digests to other hosts that a hundred of them come to: later
+/// ones let hosts place on engines that others have filled meanwhile.
+const FAR_USUAL: Duration = Duration::from_millis(250);
+
+/// What each other host adds above that, so that hearing all of them costs the same.
+const FAR_SPACING_ABOVE: Duration = Duration::from_millis(3);
+
+/// The longest time between two digests to other hosts: one may be lost before what
 /// they said is forgotten, after two seconds.
 const FAR_LONGEST: Duration = Duration::from_millis(900);
 
@@ -69,7 +76,8 @@
 
 /// Returns how long a host lets pass between digests to the `far` hosts of other groups.
 pub fn far_interval(far: usize) -> Duration {
-    FAR_LONGEST.min(FAR_SPACING.saturating_mul(count(far)))
+    let above = FAR_SPACING_ABOVE.saturating_mul(count(far));
+    FAR_SPACING.saturating_mul(count(far)).min(FAR_USUAL.max(above)).min(FAR_LONGEST)
 }
 
 fn count(hosts: usize) -> u32 {
