Pass over a host that does not answer when its view was asked for

Cause: of a host that dies just after it has heard of a new version, the others know that it is furthest, and asked it again for the three seconds for which it counts as live.

Ruled out: the followers' turn (the next one had the version 70 ms after it was written) and a cut of the host itself (it served all the while).

A host that did not answer is asked again once it is heard of.

--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -52,6 +52,8 @@
     heard: Option<Instant>,
     /// Whether its silence has been told of since it was last heard.
     silence_told: bool,
+    /// When it last did not answer a call, since which it may be gone.
+    unread: Option<Instant>,
 }
 
 /// `Peers` is what the host knows of the others.
@@ -189,6 +191,7 @@
                 unreachable,
                 heard: None,
                 silence_told: false,
+                unread: None,
             };
             peers.insert(peer.host.name.clone(), peer);
         }
@@ -233,12 +236,24 @@
         following.filter(|p| p.host.name < self.me.name).count()
     }
 
+    /// Notes that the host `name` did not answer a call. It is not asked again before it
+    /// is heard of: of a host that has just died others still know that it was furthest.
+    pub fn unread(&self, name: &str) {
+        let now = self.clock.now();
+        if let Some(peer) = self.peers.lock().get_mut(name) {
+            peer.unread = Some(now);
+        }
+    }
+
     /// Returns the live host that has followed the key-value service furthest, when
     /// that is further than this one, and how far; of several one that is near.
     pub fn further(&self) -> Option<(Host, u64)> {
         let (now, own) = (self.clock.now(), self.revision());
         let peers = self.peers.lock();
-        let ahead = peers.values().filter(|p| p.revision > own && heard_within(p, now, LIVE_FOR));
+        let answers = |p: &Peer| p.unread.is_none_or(|at| p.heard.is_some_and(|heard| heard > at));
+        let ahead = peers
+            .values()
+            .filter(|p| p.revision > own && heard_within(p, now, LIVE_FOR) && answers(p));
         let near = |p: &Peer| p.host.data_centre == self.me.data_centre;
         ahead.max_by_key(|p| (p.revision, near(p))).map(|p| (p.host.clone(), p.revision))
     }
@@ -281,6 +296,7 @@
                 unreachable: digest.unreachable,
                 heard: Some(now),
                 silence_told: false,
+                unread: None,
             };
             peers.insert(digest.host.name.clone(), peer);
         }
--- a/crates/gateway/src/sync/learn.rs
+++ b/crates/gateway/src/sync/learn.rs
@@ -29,6 +29,7 @@
             match self.peers.ask_view(&host).await {
                 Ok(reply) => self.take_view(&host, reply),
                 Err(e) => {
+                    self.peers.unread(&host.name);
                     log::info!(event = "peer_unread", peer = &*host.name, error = e.to_string().as_str(); "");
                 }
             }
--- a/crates/gateway/tests/beliefs.rs
+++ b/crates/gateway/tests/beliefs.rs
@@ -4,7 +4,7 @@
 mod common;
 
 use std::io::Write;
-use std::net::TcpStream;
+use std::net::{TcpListener, TcpStream};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -18,8 +18,8 @@
 use aspenloft_gateway::shutdown::Work;
 use async_std::task;
 use common::{
-    MemoryStore, PATIENCE, Scripted, TestHost, configuration, entry, header, read_message, sealed,
-    status, wait_for,
+    MemoryStore, PATIENCE, Scripted, TestHost, configuration, digest, entry, header, read_message,
+    sealed, status, wait_for,
 };
 
 fn get(id: &str) -> String {
@@ -184,6 +184,31 @@
     wait_for("the version to reach the second host", || status(&second.send(&get("b"))) == "404");
 }
 
+/// A host that has just died was the furthest, and its last digest says so.
+#[test]
+fn a_host_that_does_not_answer_is_passed_over_for_one_that_does() {
+    let server = good();
+    let first = TestHost::before(&[entry("s1", server.addr, Plain)]);
+    let away = Arc::new(MemoryStore::default());
+    let known = serde_json::json!({
+        "name": "h1", "addr": first.settings.listen.peers, "data_centre": "dc-a"
+    });
+    away.write("aspenloft/hosts/h1", &known);
+    let second = TestHost::start("h2", away.clone());
+    std::thread::sleep(Duration::from_millis(200));
+    away.set_down(true);
+    second.wait_ready();
+    assert_eq!(status(&second.send(&get("a"))), "200");
+    // It takes connections and says nothing.
+    let dead = TcpListener::bind("127.0.0.1:0").expect("bind");
+    second.hear(&digest("dead", dead.local_addr().expect("address"), 1_000_000));
+    std::thread::sleep(Duration::from_millis(50));
+    let began = Instant::now();
+    first.store.write("configuration", &without_many(5));
+    wait_for("the version to reach the second host", || status(&second.send(&get("b"))) == "404");
+    assert!(began.elapsed() < Duration::from_millis(2_000), "{:?}", began.elapsed());
+}
+
 #[test]
 fn a_stop_cuts_nothing_and_tells_balancer_and_callers() {
     let slow = Scripted::serve(|_, req, stream| {
--- a/crates/gateway/tests/causes.rs
+++ b/crates/gateway/tests/causes.rs
@@ -4,19 +4,16 @@
 mod common;
 
 use std::io::Write;
-use std::net::{TcpStream, UdpSocket};
+use std::net::TcpStream;
 use std::sync::{Mutex, Once};
 use std::time::Duration;
 
-use aspenloft_core::prelude::Host;
-use aspenloft_gateway::loads::LoadDigest;
-use aspenloft_gateway::peers::Digest;
 use aspenloft_gateway::roster::ServerEntry;
 use aspenloft_gateway::roster::ServerRole::{Decode, Plain, Prefill};
 use aspenloft_telemetry::line::line;
-use aspenloft_transport::frames;
-use bytes::BytesMut;
-use common::{Scripted, TestHost, entry, exchange, free_addr, header, not_run, sealed, wait_for};
+use common::{
+    Scripted, TestHost, digest, entry, exchange, free_addr, header, not_run, sealed, wait_for,
+};
 
 static LINES: Mutex<Vec<String>> = Mutex::new(Vec::new());
 
@@ -241,23 +238,6 @@
     assert_line("gone", &["event=caller_gone", "after_ms="]);
 }
 
-fn digest_of(name: &str) -> Digest {
-    let host =
-        Host { name: name.into(), addr: free_addr(), data_centre: "dc-a".into(), leaving: false };
-    Digest {
-        host,
-        seq: 1,
-        born_ms: 1,
-        revision: 1,
-        follows: false,
-        configuration: 1,
-        loads: LoadDigest::default(),
-        demand: Vec::new(),
-        unreachable: Vec::new(),
-        breaks: Vec::new(),
-    }
-}
-
 #[test]
 fn a_host_that_falls_silent_is_told_of_once() {
     capture();
@@ -267,10 +247,7 @@
         let lines = LINES.lock().expect("lines");
         lines.iter().filter(|l| l.contains(event) && l.contains("peer=quiet")).count()
     };
-    let mut buf = BytesMut::new();
-    frames::encode(&digest_of("quiet"), &mut buf).expect("a digest");
-    let socket = UdpSocket::bind("127.0.0.1:0").expect("bind");
-    socket.send_to(&buf, host.settings.listen.peers).expect("send");
+    host.hear(&digest("quiet", free_addr(), 1));
     wait_for("the other host to be heard", || told("event=peer_live") == 1);
     wait_for("its silence to be told", || told("event=peer_silent") == 1);
     std::thread::sleep(Duration::from_millis(600));
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -12,7 +12,7 @@
 
 use aspenloft_core::clock::SystemClock;
 use aspenloft_core::errors::{Result, invalid};
-use aspenloft_core::prelude::Name;
+use aspenloft_core::prelude::{Host, Name};
 use aspenloft_gateway::configuration::{
     CallerLimits, Configuration, EngineProfile, Repeat, Route, Service,
 };
@@ -21,7 +21,9 @@
     RequestTerms, RoleOrder, SendTerms,
 };
 use aspenloft_gateway::http::headers::end_to_end;
+use aspenloft_gateway::loads::LoadDigest;
 use aspenloft_gateway::metrics::Metrics;
+use aspenloft_gateway::peers::Digest;
 use aspenloft_gateway::roster::{ServerEntry, ServerRole};
 use aspenloft_gateway::run::{Platform, start};
 use aspenloft_gateway::settings::Settings;
@@ -29,8 +31,10 @@
 use aspenloft_protocol::platform::{
     Change, ChangeFeed, Changes, KeyValue, LeaseId, Put, Snapshot, Swap, Version, Versioned,
 };
+use aspenloft_transport::frames;
 use async_std::task;
 use async_trait::async_trait;
+use bytes::BytesMut;
 use http::{HeaderMap, HeaderValue, Method, request, response};
 use parking_lot::Mutex;
 
@@ -349,6 +353,14 @@
         host
     }
 
+    /// Has the host hear `digest`, once.
+    pub fn hear(&self, digest: &Digest) {
+        let mut buf = BytesMut::new();
+        frames::encode(digest, &mut buf).expect("a digest");
+        let socket = UdpSocket::bind("127.0.0.1:0").expect("bind");
+        socket.send_to(&buf, self.settings.listen.peers).expect("send");
+    }
+
     /// Waits until the host takes callers.
     pub fn wait_ready(&self) {
         wait_for("the host to be ready", || self.ready_status() == "200");
@@ -366,6 +378,23 @@
     }
 }
 
+/// Returns what a host named `name` at `addr` says that has followed to `revision`.
+pub fn digest(name: &str, addr: SocketAddr, revision: u64) -> Digest {
+    let host = Host { name: name.into(), addr, data_centre: "dc-a".into(), leaving: false };
+    Digest {
+        host,
+        seq: 1,
+        born_ms: 1,
+        revision,
+        follows: false,
+        configuration: 1,
+        loads: LoadDigest::default(),
+        demand: Vec::new(),
+        unreachable: Vec::new(),
+        breaks: Vec::new(),
+    }
+}
+
 /// Waits until `holds`.
 pub fn wait_for(what: &str, holds: impl Fn() -> bool) {
     let end = Instant::now() + PATIENCE;
