--- a/crates/gateway/src/generation/mod.rs
+++ b/crates/gateway/src/generation/mod.rs
@@ -3,6 +3,7 @@
 //!
 //! `docs/design/platform.md` has the way of a request and what each loss leads to.
 
+mod decode;
 mod memory;
 mod prefill;
 mod relay;
@@ -11,7 +12,7 @@
 
 use aspenloft_core::errors::{Error, ErrorCode};
 use aspenloft_core::execution::Execution;
-use aspenloft_core::prelude::{Arc, Name, SharedClock};
+use aspenloft_core::prelude::{Arc, SharedClock};
 use http::Response;
 use http_body_util::{BodyExt, StreamBody};
 
@@ -30,13 +31,9 @@
 use crate::roster::{Server, StreamCount};
 use crate::view::View;
 
-use memory::HeldMemory;
 pub use memory::engine_request;
 use relay::{EventRelay, Upstream};
 
-/// The most sends to decode engines for one request, whatever became of them.
-const MAX_SENDS: usize = 4;
-
 /// `Generations` serves model requests.
 pub struct Generations {
     /// What the host believes.
@@ -135,131 +132,11 @@
         );
     }
 
-    /// Sends the request to decode engines until one answers.
-    async fn decode(
-        &self,
-        inbound: &Inbound,
-        placement: &Placement,
-        mut memory: Option<HeldMemory>,
-        size: RunSize,
-        engine: &EngineProfile,
-    ) -> Result<Accepted, Error> {
-        let mut server = placement.decode.clone();
-        let mut refused_by: Vec<Name> = Vec::new();
-        // Memory with which an engine refused the request although it has room: either
-        // the memory is gone, or the engine takes no work. The next send tells.
-        let mut doubted: Option<HeldMemory> = None;
-        let mut runs = 0;
-        // Whether an engine has had the request: what never arrived is not sent again.
-        let mut arrived = false;
-        for _ in 0..MAX_SENDS {
-            let now = self.clock.now();
-            if inbound.left(now).is_zero() || (arrived && !self.may_send_again(inbound, now)) {
-                break;
-            }
-            if self.has_left(&server) {
-                // It said so while the prompt was read.
-                refused_by.push(server.entry.instance.clone());
-                server =
-                    match self.dispatcher.decode_engine(&inbound.service, size, now, &refused_by) {
-                        Some(next) => next,
-                        None => self.dispatcher.place_again(inbound, size).await?.decode,
-                    };
-                placement.run.moved(server.key);
-            }
-            let used = memory.take();
-            let with_memory = used.is_some();
-            let mut full = false;
-            let failure = match self.send_decode(inbound, &server, used.as_ref()).await {
-                Ok(answer) if !(answer.terms.not_run || answer.terms.misdirected) => {
-                    if let Some(used) = used {
-                        used.taken(self.clock.now());
-                    }
-                    if let Some(gone) = doubted {
-                        gone.lost(self.clock.now());
-                    }
-                    server.state.health(|h| h.succeeded(self.clock.now()));
-                    return Ok(Accepted { answer, server, runs: runs + 1 });
-                }
-                Ok(refusal) => {
-                    self.discard(refusal).await;
-                    let now = self.clock.now();
-                    full = !self.dispatcher.refused_by(&server, engine.memory_tokens, now);
-                    match used {
-                        // The engine is full, and the memory waits for another one.
-                        Some(used) if full && !used.is_stale(now) => memory = Some(used),
-                        Some(used) if !full => doubted = Some(used),
-                        None if !full => {
-                            self.note_closed(&server, now);
-                            memory = doubted.take().filter(|held| !held.is_stale(now));
-                        }
-                        _ => {}
-                    }
-                    None
-                }
-                Err(failure) => {
-                    // The memory is still there when the request has not arrived.
-                    memory = used.filter(|_| failure.execution == Execution::NotRun);
-                    Some(failure)
-                }
-            };
-            let now = self.clock.now();
-            arrived |= failure.is_none_or(|f| f.execution != Execution::NotRun);
-            self.log_not_decoded(inbound, &server, failure, with_memory);
-            if let Some(failure) = failure {
-                self.note_failure(&server, failure, now);
-                if failure.cause == FailureCause::Broken && failure.execution != Execution::NotRun {
-                    self.peers.broke(inbound.id(), inbound.fingerprint(), &server);
-                }
-                runs += u32::from(failure.execution != Execution::NotRun);
-                let may_rerun =
-                    inbound.route.repeat.allows_rerun() && runs < inbound.route.max_attempts;
-                if failure.execution != Execution::NotRun && !may_rerun {
-                    return Err(error_of(failure));
-                }
-            }
-            // Refused with memory: most often the memory is gone, and the engine can
-            // read the prompt itself.
-            if failure.is_some() || !with_memory || full {
-                refused_by.push(server.entry.instance.clone());
-                let next = self.dispatcher.decode_engine(&inbound.service, size, now, &refused_by);
-                server = match next {
-                    Some(next) => next,
-                    None if runs == 0 => {
-                        // The place that it had does not count while it waits.
-                        placement.run.moved(NO_SERVER);
-                        self.dispatcher.place_again(inbound, size).await?.decode
-                    }
-                    None => break,
-                };
-                placement.run.moved(server.key);
-                memory = memory.filter(|memory| !memory.is_stale(self.clock.now()));
-            }
-        }
-        let execution = if runs > 0 { Execution::Unknown } else { Execution::NotRun };
-        Err(no_more_sends().execution(execution))
-    }
-
-    fn has_left(&self, server: &Server) -> bool {
-        let roster = self.view.roster();
-        roster.get(&server.entry.instance).is_none_or(|listed| listed.entry.leaving)
-    }
-
     fn may_send_again(&self, inbound: &Inbound, now: Instant) -> bool {
         !inbound.left(now).is_zero()
             && self.retries.try_extra(inbound.id(), &inbound.service, now, self.peers.live_hosts())
     }
 
-    async fn send_decode(
-        &self,
-        inbound: &Inbound,
-        server: &Server,
-        memory: Option<&HeldMemory>,
-    ) -> Result<Answer, SendFailure> {
-        let phase = Phase::Decode { memory: memory.map(HeldMemory::name), last_event: None };
-        self.send(inbound, server, phase).await
-    }
-
     async fn send(
         &self,
         inbound: &Inbound,
@@ -290,14 +167,6 @@
         let _ = self.exchange.read_body(refusal, MAX_ANSWER_BYTES, DISCARD_LIMIT).await;
     }
 
-    /// Leaves out an engine that refuses work with room to spare, as one does that
-    /// changes its role.
-    fn note_closed(&self, server: &Server, now: Instant) {
-        let pause = server.state.health(|h| h.unreachable(now));
-        let (at, pause_ms) = (&*server.entry.instance, pause.as_millis() as u64);
-        log::info!(event = "engine_closed", server = at, pause_ms; "");
-    }
-
     fn note_failure(&self, server: &Server, failure: SendFailure, now: Instant) {
         match failure.cause {
             FailureCause::Connect => {
@@ -306,20 +175,6 @@
             _ => server.state.health(|h| h.failed(now)),
         }
     }
-
-    fn log_not_decoded(
-        &self,
-        inbound: &Inbound,
-        server: &Server,
-        failure: Option<SendFailure>,
-        with_memory: bool,
-    ) {
-        let outcome = failure.map_or("refused".to_string(), |f| f.cause.to_string());
-        log::info!(
-            event = "decode_failed", request = inbound.id(), server = &*server.entry.instance,
-            outcome = outcome.as_str(), with_memory; ""
-        );
-    }
 }
 
 /// When a caller should come back whose request may not be sent again: engines that
@@ -332,9 +187,6 @@
     error.execution(Execution::NotRun).retry_after(ENGINE_EXPECTED_IN)
 }
 
-/// No server has this short name; a run under it counts on none.
-const NO_SERVER: u64 = 0;
-
 /// How long the rest of a refusal is waited for.
 const DISCARD_LIMIT: Duration = Duration::from_millis(200);
 
