Copy the list of servers only when an entry is new

Each entry that a host read from a peer or the store copied the whole list, also when it said nothing new: the square of the number of servers at each reading. No behaviour changes.

--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -168,25 +168,29 @@
 }
 
 impl Roster {
-    /// Adds or replaces `entry`; returns whether anything changed.
+    /// Returns the server that `entry` lists, or `None` when it says nothing new.
     ///
     /// A server that has said that it is leaving stays so for the rest of its life,
     /// because what is read again after an outage may be older than what is known.
-    pub fn put(&mut self, mut entry: ServerEntry) -> bool {
+    pub fn renewed(&self, mut entry: ServerEntry) -> Option<Arc<Server>> {
         let held = self.by_instance.get(&entry.instance);
         entry.leaving |= held.is_some_and(|s| s.entry.born_ms == entry.born_ms && s.entry.leaving);
         if held.is_some_and(|server| server.entry == entry) {
-            return false;
+            return None;
         }
         let same_life = held.filter(|server| server.entry.born_ms == entry.born_ms);
         let state = same_life.map(|server| server.state.clone()).unwrap_or_default();
-        self.by_instance.insert(entry.instance.clone(), Server::new(entry, state));
-        true
+        Some(Server::new(entry, state))
     }
 
-    /// Removes the server; returns it if it was listed.
-    pub fn remove(&mut self, instance: &str) -> Option<Arc<Server>> {
-        self.by_instance.remove(instance)
+    /// Adds `server`, or puts it in the place of what was listed under its name.
+    pub fn put(&mut self, server: Arc<Server>) {
+        self.by_instance.insert(server.entry.instance.clone(), server);
+    }
+
+    /// Removes the server, if it is listed.
+    pub fn remove(&mut self, instance: &str) {
+        self.by_instance.remove(instance);
     }
 
     /// Returns the server named `instance`.
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -1,6 +1,7 @@
 //! The `view` module holds what the host believes of the deployment: the
 //! configuration in force and the backend servers.
 
+use std::collections::HashSet;
 use std::time::Instant;
 
 use aspenloft_core::prelude::{Arc, Name};
@@ -43,29 +44,29 @@
         self.roster.read().clone()
     }
 
-    /// Adds or replaces one server.
+    /// Adds or replaces one server. The roster is copied only when something is new and
+    /// a reader has a snapshot of it.
     pub fn list_server(&self, entry: ServerEntry) {
         let mut held = self.roster.write();
-        let mut next = Roster::clone(&held);
-        let (instance, leaving) = (entry.instance.clone(), entry.leaving);
-        if next.put(entry) {
-            log::info!(event = "server_listed", server = &*instance, leaving; "");
-            *held = Arc::new(next);
-        }
+        let leaving = entry.leaving;
+        let Some(server) = held.renewed(entry) else { return };
+        log::info!(event = "server_listed", server = &*server.entry.instance, leaving; "");
+        Arc::make_mut(&mut held).put(server);
     }
 
     /// Removes one server.
     pub fn drop_server(&self, instance: &str) {
         let mut held = self.roster.write();
-        let mut next = Roster::clone(&held);
-        if next.remove(instance).is_some() {
-            log::info!(event = "server_gone", server = instance; "");
-            *held = Arc::new(next);
+        if held.get(instance).is_none() {
+            return;
         }
+        log::info!(event = "server_gone", server = instance; "");
+        Arc::make_mut(&mut held).remove(instance);
     }
 
     /// Returns the names of the servers that are listed but not in `present`.
     pub fn missing_from(&self, present: &[Name]) -> Vec<Name> {
+        let present: HashSet<&Name> = present.iter().collect();
         let roster = self.roster();
         let missing = roster.all().map(|s| &s.entry.instance).filter(|i| !present.contains(i));
         missing.cloned().collect()
