--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -257,6 +257,8 @@
         let waiting_hosts = self.loads.waiting_hosts(now);
         let group = self.peers.group();
         let heard = now.checked_sub(NEWS_DELAY).unwrap_or(now);
+        let begun = self.loads.begun_since(heard);
+        let order = turn_order(unix_millis(self.clock.wall()));
         let loads: Vec<DecodeLoad> = servers
             .iter()
             .map(|server| DecodeLoad {
@@ -267,9 +269,9 @@
                 slowdown: 1.0 + server.state.health(|h| h.failures(now)),
                 preference: self.preference(server),
                 placed_before: placed_before(
-                    self.turn(server, &waiting_hosts),
+                    self.turn(server, order, &waiting_hosts),
                     waiting_hosts.len(),
-                    self.loads.begun_since(server.key, heard),
+                    begun.get(&server.key).copied().unwrap_or_default(),
                 ),
             })
             .collect();
@@ -321,12 +323,9 @@
         preference(xxh3_64_with_seed(self.peers.me().name.as_bytes(), server.key))
     }
 
-    /// Returns how many of `waiting_hosts` go before this one on `server`. The order
-    /// changes with the time of day, by which hosts that have none of the first turns
-    /// get some; clocks that differ only cost the odd refusal.
-    fn turn(&self, server: &Server, waiting_hosts: &[Name]) -> usize {
-        let now_ms = unix_millis(self.clock.wall());
-        let seed = server.key ^ (now_ms / TURN_MS).wrapping_mul(TURN_MIX);
+    /// Returns how many of `waiting_hosts` go before this one on `server` in `order`.
+    fn turn(&self, server: &Server, order: u64, waiting_hosts: &[Name]) -> usize {
+        let seed = server.key ^ order;
         let hash = |host: &Name| xxh3_64_with_seed(host.as_bytes(), seed);
         turn(hash(&self.peers.me().name), waiting_hosts.iter().map(hash))
     }
@@ -349,6 +348,13 @@
     }
 }
 
+/// Returns what sets the order of the waiting hosts at a time of day. It changes with
+/// time, by which hosts that have none of the first turns get some; clocks that differ
+/// only cost the odd refusal.
+fn turn_order(now_ms: u64) -> u64 {
+    (now_ms / TURN_MS).wrapping_mul(TURN_MIX)
+}
+
 fn take(line: &mut Vec<Waiting>, id: u64) -> Option<Waiting> {
     let at = line.iter().position(|w| w.waiter.id == id)?;
     Some(line.remove(at))
--- a/crates/gateway/src/loads.rs
+++ b/crates/gateway/src/loads.rs
@@ -153,7 +153,7 @@
         for run in state.runs.values() {
             runs.entry(run.server).or_default().push(run.forecast());
         }
-        for (seen, digest) in state.live_digests(now) {
+        for (_, seen, digest) in state.live_digests(now) {
             let age = now.saturating_duration_since(seen);
             let steps = (age.as_secs_f64() / state.step().as_secs_f64()) as u64;
             for run in &digest.runs {
@@ -164,10 +164,14 @@
         runs
     }
 
-    /// Returns how many requests this host has placed on the engine since `since`.
-    pub fn begun_since(&self, server: u64, since: Instant) -> usize {
+    /// Returns how many requests this host has placed since `since`, by engine.
+    pub fn begun_since(&self, since: Instant) -> HashMap<u64, usize> {
         let state = self.state.lock();
-        state.runs.values().filter(|run| run.server == server && run.began > since).count()
+        let mut begun: HashMap<u64, usize> = HashMap::new();
+        for run in state.runs.values().filter(|run| run.began > since) {
+            *begun.entry(run.server).or_default() += 1;
+        }
+        begun
     }
 
     /// Returns the prompt tokens at the prefill engines, by engine.
@@ -177,7 +181,7 @@
         for prefill in state.prefills.values() {
             *queued.entry(prefill.server).or_default() += prefill.tokens;
         }
-        for (_, digest) in state.live_digests(now) {
+        for (_, _, digest) in state.live_digests(now) {
             for prefill in &digest.prefills {
                 *queued.entry(prefill.server).or_default() += prefill.tokens;
             }
@@ -218,7 +222,7 @@
         let state = self.state.lock();
         let own = state.switching.iter().filter(|(_, until)| now < **until).map(|(s, _)| *s);
         let others =
-            state.live_digests(now).flat_map(|(_, digest)| digest.switching.iter().copied());
+            state.live_digests(now).flat_map(|(_, _, digest)| digest.switching.iter().copied());
         own.chain(others).collect()
     }
 
@@ -235,7 +239,7 @@
     /// Returns how many requests wait on all hosts.
     pub fn waiting(&self, now: Instant) -> usize {
         let state = self.state.lock();
-        let others: usize = state.live_digests(now).map(|(_, digest)| digest.waiting).sum();
+        let others: usize = state.live_digests(now).map(|(_, _, digest)| digest.waiting).sum();
         state.waiting + others
     }
 
@@ -248,10 +252,8 @@
     /// Returns the other hosts on which requests wait.
     pub fn waiting_hosts(&self, now: Instant) -> Vec<Name> {
         let state = self.state.lock();
-        let others = state.others.iter().filter(|(_, (seen, digest))| {
-            digest.waiting > 0 && now.saturating_duration_since(*seen) < DIGEST_LIFE
-        });
-        others.map(|(host, _)| host.clone()).collect()
+        let waiting = state.live_digests(now).filter(|(_, _, digest)| digest.waiting > 0);
+        waiting.map(|(host, ..)| host.clone()).collect()
     }
 
     /// Returns the time of a decode step, as this host's streams showed it.
@@ -280,9 +282,10 @@
         self.step.unwrap_or(FIRST_STEP)
     }
 
-    fn live_digests(&self, now: Instant) -> impl Iterator<Item = (Instant, &LoadDigest)> {
-        let live = move |seen: &Instant| now.saturating_duration_since(*seen) < DIGEST_LIFE;
-        self.others.values().filter(move |(seen, _)| live(seen)).map(|(seen, d)| (*seen, d))
+    fn live_digests(&self, now: Instant) -> impl Iterator<Item = (&Name, Instant, &LoadDigest)> {
+        let live = move |seen: Instant| now.saturating_duration_since(seen) < DIGEST_LIFE;
+        let others = self.others.iter().map(|(host, (seen, digest))| (host, *seen, digest));
+        others.filter(move |(_, seen, _)| live(*seen))
     }
 }
 
