Log where each change of the list of servers came from

Views of hosts that differ could not be explained: a server that is listed again after it was removed does not say whether the store or another host listed it. server_listed and server_gone now carry source and revision, server_kept is new, and peer_read and peer_unread say how far the host itself was and how long the call took.

--- a/crates/gateway/src/sync/learn.rs
+++ b/crates/gateway/src/sync/learn.rs
@@ -3,11 +3,12 @@
 
 use std::time::Instant;
 
-use aspenloft_core::prelude::{Arc, Host, Name};
+use aspenloft_core::prelude::{Arc, Name};
 use async_std::task;
 
 use super::StoreSync;
 use crate::peers::ViewReply;
+use crate::view::UpdateSource;
 
 impl StoreSync {
     /// Fetches the view of a host with a higher revision: at once if this host is not
@@ -27,18 +28,26 @@
             if self.is_connected() && behind < self.options.max_lag {
                 continue;
             }
-            match self.peers.fetch_view(&host).await {
-                Ok(reply) => self.apply_view(&host, reply),
+            let fetched = self.peers.fetch_view(&host).await;
+            let took_ms = self.clock.now().saturating_duration_since(now).as_millis() as u64;
+            match fetched {
+                Ok(reply) => {
+                    log::info!(
+                        event = "peer_read", peer = &*host.name, revision = reply.revision,
+                        own = self.peers.revision(), servers = reply.servers.len(), took_ms; ""
+                    );
+                    self.apply_view(reply);
+                }
                 Err(e) => {
                     self.peers.mark_unresponsive(&host.name);
-                    log::info!(event = "peer_unread", peer = &*host.name, error = e.to_string().as_str(); "");
+                    let error = e.to_string();
+                    log::info!(event = "peer_unread", peer = &*host.name, error = error.as_str(), took_ms; "");
                 }
             }
         }
     }
 
-    fn apply_view(&self, from: &Host, reply: ViewReply) {
-        log::info!(event = "peer_read", peer = &*from.name, revision = reply.revision; "");
+    fn apply_view(&self, reply: ViewReply) {
         if let Some(configuration) = reply.configuration {
             self.view.apply_configuration(configuration);
         }
@@ -47,10 +56,10 @@
         }
         let present: Vec<Name> = reply.servers.iter().map(|s| s.instance.clone()).collect();
         for entry in reply.servers {
-            self.view.upsert_server(entry);
+            self.view.upsert_server(entry, UpdateSource::Peer, reply.revision);
         }
         for missing in self.view.missing_from(&present) {
-            self.view.remove_server(&missing);
+            self.view.remove_server(&missing, UpdateSource::Peer, reply.revision);
         }
         self.view.mark_servers_loaded(self.clock.now());
         self.peers.advance_revision(reply.revision);
--- a/crates/gateway/src/sync/mod.rs
+++ b/crates/gateway/src/sync/mod.rs
@@ -20,7 +20,7 @@
 
 use crate::dialect::{Dialect, RemovedItem, StoreItem};
 use crate::peers::Peers;
-use crate::view::View;
+use crate::view::{UpdateSource, View};
 
 /// The key prefix of the entries of the router's hosts.
 pub const HOSTS_PREFIX: &str = "aspenloft/hosts/";
@@ -154,7 +154,7 @@
                 Changes::Compacted => return Ok(StopReason::Compacted),
                 Changes::Since { changes, revision: next } => {
                     for change in changes {
-                        self.apply_change(change);
+                        self.apply_change(change, next);
                     }
                     revision = next.max(revision);
                     self.peers.advance_revision(revision);
@@ -197,10 +197,10 @@
         let now = self.clock.now();
         let mut present = Vec::new();
         for item in &snapshot.items {
-            present.extend(self.apply_item(item));
+            present.extend(self.apply_item(item, UpdateSource::Snapshot));
         }
         for missing in self.view.missing_from(&present) {
-            self.handle_removal(missing);
+            self.handle_removal(missing, UpdateSource::Snapshot, snapshot.revision);
         }
         self.view.mark_servers_loaded(now);
         self.peers.advance_revision(snapshot.revision);
@@ -211,16 +211,16 @@
         Ok(snapshot.revision)
     }
 
-    fn apply_change(self: &Arc<Self>, change: Change) {
+    fn apply_change(self: &Arc<Self>, change: Change, revision: Version) {
         match change {
             Change::Written(item) => {
-                self.apply_item(&item);
+                self.apply_item(&item, UpdateSource::Watch);
             }
             Change::Removed(key) => match key.strip_prefix(HOSTS_PREFIX) {
                 Some(name) => self.peers.remove_unlisted(name),
                 None => {
                     if let RemovedItem::Server(instance) = self.dialect.read_removal(&key) {
-                        self.handle_removal(instance);
+                        self.handle_removal(instance, UpdateSource::Watch, revision);
                     }
                 }
             },
@@ -228,7 +228,7 @@
     }
 
     /// Applies one item; returns the instance if the item is a valid server entry.
-    fn apply_item(&self, item: &Versioned) -> Option<Name> {
+    fn apply_item(&self, item: &Versioned, source: UpdateSource) -> Option<Name> {
         if item.key.starts_with(HOSTS_PREFIX) {
             match serde_json::from_str::<Host>(&item.value) {
                 Ok(host) => self.peers.add_listed(host),
@@ -243,7 +243,7 @@
             }
             StoreItem::Server(instance, Ok(entry)) => {
                 self.state.lock().pending_removal.remove(&instance);
-                self.view.upsert_server(entry);
+                self.view.upsert_server(entry, source, item.version);
                 Some(instance)
             }
             StoreItem::Configuration(Err(e)) => {
@@ -252,7 +252,7 @@
             }
             StoreItem::Server(instance, Err(e)) => {
                 log_unreadable(item, &e);
-                self.view.remove_server(&instance);
+                self.view.remove_server(&instance, source, item.version);
                 None
             }
             StoreItem::Other => None,
@@ -261,7 +261,7 @@
 
     /// Removes a server whose entry was removed: at once, or right after an outage only
     /// if its entry is not written again within `outage_grace`.
-    fn handle_removal(self: &Arc<Self>, instance: Name) {
+    fn handle_removal(self: &Arc<Self>, instance: Name, source: UpdateSource, revision: Version) {
         let now = self.clock.now();
         let grace = self.options.outage_grace;
         let leaving = self.view.roster().get(&instance).is_none_or(|s| s.entry.leaving);
@@ -271,17 +271,20 @@
         let Some(since) = since.filter(|since| !leaving && *since < self.options.outage_window)
         else {
             drop(state);
-            self.view.remove_server(&instance);
+            self.view.remove_server(&instance, source, revision);
             return;
         };
         state.pending_removal.insert(instance.clone());
         drop(state);
+        let keep = grace.saturating_sub(since);
+        let keep_ms = keep.as_millis() as u64;
+        log::info!(event = "server_kept", server = &*instance, keep_ms, revision; "");
         let sync = self.clone();
         task::spawn(async move {
-            task::sleep(grace.saturating_sub(since)).await;
+            task::sleep(keep).await;
             let still_pending = sync.state.lock().pending_removal.remove(&instance);
             if still_pending {
-                sync.view.remove_server(&instance);
+                sync.view.remove_server(&instance, UpdateSource::Grace, revision);
             }
         });
     }
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -5,11 +5,30 @@
 use std::time::Instant;
 
 use aspenloft_core::prelude::{Arc, Name};
+use derive_more::Display;
 use parking_lot::RwLock;
 
 use crate::configuration::Configuration;
 use crate::roster::{Roster, ServerEntry};
 
+/// `UpdateSource` is where a host learned of a change to its view. It is logged with each
+/// change, because views of hosts that differ are explained by how they came about.
+#[derive(Debug, Display, Clone, Copy, PartialEq, Eq)]
+pub enum UpdateSource {
+    /// A snapshot of the key-value service.
+    #[display("snapshot")]
+    Snapshot,
+    /// A change that the key-value service reported.
+    #[display("watch")]
+    Watch,
+    /// The view of another host.
+    #[display("peer")]
+    Peer,
+    /// The end of the time for which a server is kept whose entry was lost.
+    #[display("grace")]
+    Grace,
+}
+
 /// `View` is the host's view of the deployment. Readers get snapshots.
 ///
 /// Lock order: `configuration` and `roster` are never held together.
@@ -46,21 +65,25 @@
 
     /// Adds or replaces one server. The roster is copied only if the entry has changed
     /// and a reader holds a snapshot of it.
-    pub fn upsert_server(&self, entry: ServerEntry) {
+    pub fn upsert_server(&self, entry: ServerEntry, source: UpdateSource, revision: u64) {
         let mut roster = self.roster.write();
-        let leaving = entry.leaving;
         let Some(server) = roster.updated_server(entry) else { return };
-        log::info!(event = "server_listed", server = &*server.entry.instance, leaving; "");
+        let ServerEntry { instance, leaving, .. } = &server.entry;
+        log::info!(
+            event = "server_listed", server = &**instance, leaving = *leaving,
+            source = source.to_string().as_str(), revision; ""
+        );
         Arc::make_mut(&mut roster).insert(server);
     }
 
     /// Removes one server, if it is listed.
-    pub fn remove_server(&self, instance: &str) {
+    pub fn remove_server(&self, instance: &str, source: UpdateSource, revision: u64) {
         let mut roster = self.roster.write();
         if roster.get(instance).is_none() {
             return;
         }
-        log::info!(event = "server_gone", server = instance; "");
+        let source = source.to_string();
+        log::info!(event = "server_gone", server = instance, source = source.as_str(), revision; "");
         Arc::make_mut(&mut roster).remove(instance);
     }
 
