Show three ways in which hosts keep sending to a server that is gone

Tests without the bench, all failing on this code: - a host that reconnects keeps missing servers for two seconds and hands out its view with them in it, as that of its new revision; other hosts keep them until the next change (after 2.9 s still used, and for ever without a change); - a view that was requested before a removal is applied after it and lists the server again, as ready; - a host whose digests arrive and that cannot be called is asked again every 150 ms, while others that respond are ahead too (no view in 5 s).

--- /dev/null
+++ b/crates/gateway/tests/view_exchange.rs
@@ -0,0 +1,76 @@
+//! Tests of views that hosts take from each other: they say what the store said at their
+//! revision, in the order of the store, and one unreachable host does not withhold them.
+
+mod common;
+
+use std::time::{Duration, Instant};
+
+use aspenloft_gateway::peers::ViewReply;
+use aspenloft_gateway::roster::ServerRole::Plain;
+use common::peer::{ScriptedPeer, send_digests};
+use common::{Scripted, TestHost, configuration, entry, free_addr, sealed, status, wait_for};
+
+fn get(id: &str) -> String {
+    format!("GET /many/ HTTP/1.1\r\nhost: app.test\r\nid: {id}\r\n\r\n")
+}
+
+fn good() -> Scripted {
+    Scripted::start(|_, req| sealed(req, "200 OK", "done"))
+}
+
+/// How long callers' requests may reach a server after its entry was removed while a host
+/// reconnects: the time for which such entries are kept, and the way to the other hosts.
+const REMOVAL_LIMIT: Duration = Duration::from_millis(2_900);
+
+// A host handed out servers that it kept for a moment as if the store listed them.
+#[test]
+fn a_server_that_is_removed_as_a_host_reconnects_is_dropped_by_all_hosts() {
+    let server = good();
+    let first = TestHost::with_servers(&[entry("s1", server.addr, Plain)]);
+    let second = first.start_without_store();
+    assert_eq!(status(&second.send(&get("a"))), "200");
+    first.store.set_down(true);
+    std::thread::sleep(Duration::from_millis(200));
+    first.store.remove("servers/s1");
+    let removed = Instant::now();
+    first.store.set_down(false);
+    std::thread::sleep(REMOVAL_LIMIT);
+    assert_eq!(status(&first.send(&get("b"))), "503", "after {:?}", removed.elapsed());
+    assert_eq!(status(&second.send(&get("c"))), "503", "after {:?}", removed.elapsed());
+}
+
+// A view that was requested before a change was applied after it.
+#[test]
+fn a_view_that_arrives_after_a_removal_does_not_list_the_server_again() {
+    let server = good();
+    let host = TestHost::with_servers(&[entry("s1", server.addr, Plain)]);
+    let revision = host.store.revision() + 1;
+    let peer = ScriptedPeer::start();
+    peer.send_digests(&host, "h2", revision);
+    wait_for("the view to be requested", || peer.calls() == 1);
+    host.store.remove("servers/s1");
+    host.store.write("somebody/else", &0);
+    wait_for("the server to be removed", || status(&host.send(&get("a"))) == "503");
+    peer.reply(ViewReply {
+        revision,
+        configuration: Some(configuration(1)),
+        hosts: Vec::new(),
+        servers: vec![entry("s1", server.addr, Plain)],
+    });
+    std::thread::sleep(Duration::from_millis(300));
+    assert_eq!(status(&host.send(&get("b"))), "503");
+}
+
+// A host whose digests arrive but that cannot be called was asked over and over.
+#[test]
+fn an_unreachable_host_with_the_newest_view_does_not_hide_the_others() {
+    let server = good();
+    let first = TestHost::with_servers(&[entry("s1", server.addr, Plain)]);
+    let second = first.start_without_store();
+    send_digests(free_addr(), &second, "cut-off", 1_000_000);
+    std::thread::sleep(Duration::from_millis(200));
+    first.store.remove("servers/s1");
+    let removed = Instant::now();
+    wait_for("the removal to reach the second host", || status(&second.send(&get("a"))) == "503");
+    assert!(removed.elapsed() < Duration::from_millis(2_000), "{:?}", removed.elapsed());
+}
