Apply what hosts learn of backend servers in the order of the store

What callers saw: requests sent to servers that were gone, for as long as the server went on serving or until connecting failed (350 ms a try).

Each was applied entry by entry when it arrived, whatever had been applied before; the revision was a number beside the list that only rose. A view that was asked for before a removal listed the server again, as ready, and the host gave out this list under its own, higher revision, so others took it too and nothing corrected it before the next change.

Change: the list and its revision change together under one lock. The time for which a server is kept without an entry is a property of the server, no longer a timer that runs beside the list. The feed states the revision of removals, too.

Why it works: the list is at all times that of one revision, which never falls, so a removal cannot be undone by older data on whatever way it comes.

--- a/crates/gateway/src/generation/decode.rs
+++ b/crates/gateway/src/generation/decode.rs
@@ -82,7 +82,7 @@
             {
                 break;
             }
-            if self.is_leaving(&search.server) {
+            if !self.is_staying(&search.server, now) {
                 // The engine started to leave during the prefill.
                 self.select_next_engine(inbound, placement, size, &mut search, true).await?;
             }
@@ -218,9 +218,9 @@
         Ok(true)
     }
 
-    fn is_leaving(&self, server: &Server) -> bool {
+    fn is_staying(&self, server: &Server, now: Instant) -> bool {
         let roster = self.view.roster();
-        roster.get(&server.entry.instance).is_none_or(|listed| listed.entry.leaving)
+        roster.get(&server.entry.instance).is_some_and(|listed| listed.is_staying(now))
     }
 
     /// Excludes an engine for a while that refuses work although it is not full, as
--- a/crates/gateway/src/orders/mod.rs
+++ b/crates/gateway/src/orders/mod.rs
@@ -173,9 +173,9 @@
         let (demand, prefill_per_ms) = self.demand.estimate(service)?;
         let memory = engine.memory_tokens as f64 * MEMORY_SHARE;
         let speed = EngineSpeed { prefill_per_ms, step: self.loads.nominal_step(), memory };
-        let roster = self.view.roster();
+        let (roster, now) = (self.view.roster(), self.clock.now());
         let engines: Vec<&Arc<Server>> =
-            roster.all().filter(|s| s.entry.service == *service && !s.entry.leaving).collect();
+            roster.all().filter(|s| s.entry.service == *service && s.is_staying(now)).collect();
         let role = |s: &Server| pending.get(&s.key).map_or(s.entry.role, |(role, _)| *role);
         let prefill = engines.iter().filter(|s| role(s) == ServerRole::Prefill).count();
         let best = prefill_engines(engines.len(), prefill, demand, speed);
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -113,7 +113,7 @@
             host: self.local.clone(),
             seq: self.seq.fetch_add(1, Ordering::SeqCst) + 1,
             born_ms: self.born_ms,
-            revision: self.revision(),
+            revision: self.view.revision(),
             follows: self.follows.load(Ordering::SeqCst),
             loads: self.loads.digest(),
             demand: self.demand.digest(),
@@ -166,11 +166,12 @@
     }
 
     fn view_reply(&self) -> ViewReply {
+        let (revision, roster) = self.view.versioned_roster();
         ViewReply {
-            revision: self.revision(),
+            revision,
             configuration: self.view.configuration().map(|c| Configuration::clone(&c)),
             hosts: self.peers.lock().values().map(|p| p.host.clone()).collect(),
-            servers: self.view.roster().all().map(|s| s.entry.clone()).collect(),
+            servers: roster.all().map(|s| s.entry.clone()).collect(),
         }
     }
 }
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -66,7 +66,6 @@
     demand: Arc<DemandTracker>,
     view: Arc<View>,
     crashes: Mutex<CrashTracker>,
-    revision: AtomicU64,
     follows: AtomicBool,
     seq: AtomicU64,
     seeds: Vec<SocketAddr>,
@@ -95,7 +94,6 @@
             demand,
             view,
             crashes: Mutex::default(),
-            revision: AtomicU64::new(0),
             follows: AtomicBool::new(false),
             seq: AtomicU64::new(0),
             seeds,
@@ -214,16 +212,6 @@
         }
     }
 
-    /// Advances the revision of the key-value service up to which this host has changes.
-    pub fn advance_revision(&self, revision: u64) {
-        self.revision.fetch_max(revision, Ordering::SeqCst);
-    }
-
-    /// Returns the revision of the key-value service up to which this host has changes.
-    pub fn revision(&self) -> u64 {
-        self.revision.load(Ordering::SeqCst)
-    }
-
     /// Sets whether this host watches the key-value service itself and is connected to
     /// it.
     pub fn set_following(&self, follows: bool) {
@@ -254,7 +242,7 @@
     /// Returns the live host with the highest revision of the key-value service, if that
     /// is higher than this host's; of several, one in this host's data centre if possible.
     pub fn peer_ahead(&self) -> Option<Host> {
-        let (now, own) = (self.clock.now(), self.revision());
+        let (now, own) = (self.clock.now(), self.view.revision());
         let peers = self.peers.lock();
         let responsive =
             |p: &Peer| p.failed_at.is_none_or(|at| p.last_digest.is_some_and(|d| d > at));
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -3,7 +3,7 @@
 //! A roster is a snapshot. The state that a host observes of a server is shared by all
 //! snapshots that list the same process of the server.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
@@ -58,6 +58,9 @@
     pub key: u64,
     /// The observed state.
     pub state: Arc<ServerState>,
+    /// Until when the server is kept although its entry is missing, because the
+    /// key-value service may have lost the entry in an outage. `None` while it is listed.
+    pub kept_until: Option<Instant>,
 }
 
 /// `ServerState` is the state that one host observes of one process of a server.
@@ -150,12 +153,22 @@
 impl Server {
     fn new(entry: ServerEntry, state: Arc<ServerState>) -> Arc<Server> {
         let key = xxh3_64(entry.instance.as_bytes()) ^ entry.born_ms;
-        Arc::new(Server { entry, key, state })
+        Arc::new(Server { entry, key, state, kept_until: None })
     }
 
-    /// Tells whether the server may get new work: it is not leaving and seems reachable.
+    /// Tells whether the server may get new work: it is staying and seems reachable.
     pub fn is_available(&self, now: Instant) -> bool {
-        !self.entry.leaving && self.seems_reachable(now)
+        self.is_staying(now) && self.seems_reachable(now)
+    }
+
+    /// Tells whether the server is neither leaving nor gone.
+    pub fn is_staying(&self, now: Instant) -> bool {
+        !self.entry.leaving && !self.is_expired(now)
+    }
+
+    /// Tells whether the time is over for which the server is kept without an entry.
+    pub fn is_expired(&self, now: Instant) -> bool {
+        self.kept_until.is_some_and(|until| now >= until)
     }
 
     /// Tells whether the server seems reachable: it is neither paused after failures nor
@@ -181,7 +194,7 @@
         let listed = self.by_instance.get(&entry.instance);
         entry.leaving |=
             listed.is_some_and(|s| s.entry.born_ms == entry.born_ms && s.entry.leaving);
-        if listed.is_some_and(|server| server.entry == entry) {
+        if listed.is_some_and(|server| server.entry == entry && server.kept_until.is_none()) {
             return None;
         }
         let same_process = listed.filter(|server| server.entry.born_ms == entry.born_ms);
@@ -194,11 +207,23 @@
         self.by_instance.insert(server.entry.instance.clone(), server);
     }
 
+    /// Keeps the server until `until` although its entry is missing.
+    pub fn keep(&mut self, server: &Server, until: Instant) {
+        let Server { entry, key, state, .. } = server;
+        let (entry, state) = (entry.clone(), state.clone());
+        self.insert(Arc::new(Server { entry, key: *key, state, kept_until: Some(until) }));
+    }
+
     /// Removes the server, if it is listed.
     pub fn remove(&mut self, instance: &str) {
         self.by_instance.remove(instance);
     }
 
+    /// Returns the names of the servers that are not in `present`.
+    pub fn missing_from(&self, present: &HashSet<Name>) -> Vec<Name> {
+        self.by_instance.keys().filter(|name| !present.contains(*name)).cloned().collect()
+    }
+
     /// Returns the server named `instance`.
     pub fn get(&self, instance: &str) -> Option<&Arc<Server>> {
         self.by_instance.get(instance)
--- a/crates/gateway/src/sync/learn.rs
+++ b/crates/gateway/src/sync/learn.rs
@@ -3,12 +3,12 @@
 
 use std::time::Instant;
 
-use aspenloft_core::prelude::{Arc, Name};
+use aspenloft_core::prelude::Arc;
 use async_std::task;
 
 use super::StoreSync;
 use crate::peers::ViewReply;
-use crate::view::UpdateSource;
+use crate::view::{ServerChange, UpdateSource};
 
 impl StoreSync {
     /// Fetches the view of a host with a higher revision: at once if this host is not
@@ -18,6 +18,7 @@
         let mut behind_since: Option<Instant> = None;
         loop {
             task::sleep(self.options.peer_check_interval).await;
+            self.view.remove_expired(self.clock.now());
             let Some(host) = self.peers.peer_ahead() else {
                 behind_since = None;
                 continue;
@@ -34,7 +35,7 @@
                 Ok(reply) => {
                     log::info!(
                         event = "peer_read", peer = &*host.name, revision = reply.revision,
-                        own = self.peers.revision(), servers = reply.servers.len(), took_ms; ""
+                        own = self.view.revision(), servers = reply.servers.len(), took_ms; ""
                     );
                     self.apply_view(reply);
                 }
@@ -54,14 +55,11 @@
         for host in reply.hosts {
             self.peers.add_listed(host);
         }
-        let present: Vec<Name> = reply.servers.iter().map(|s| s.instance.clone()).collect();
-        for entry in reply.servers {
-            self.view.upsert_server(entry, UpdateSource::Peer, reply.revision);
+        let revision = reply.revision;
+        let servers = reply.servers.into_iter().map(ServerChange::Listed).collect();
+        if !self.view.replace_servers(servers, revision, UpdateSource::Peer, None) {
+            let own = self.view.revision();
+            log::info!(event = "view_outdated", source = "peer", revision, own; "");
         }
-        for missing in self.view.missing_from(&present) {
-            self.view.remove_server(&missing, UpdateSource::Peer, reply.revision);
-        }
-        self.view.mark_servers_loaded(self.clock.now());
-        self.peers.advance_revision(reply.revision);
     }
 }
--- a/crates/gateway/src/sync/mod.rs
+++ b/crates/gateway/src/sync/mod.rs
@@ -7,11 +7,10 @@
 mod entry;
 mod learn;
 
-use std::collections::HashSet;
 use std::time::{Duration, Instant};
 
 use aspenloft_core::errors::Result;
-use aspenloft_core::prelude::{Arc, Host, Name, SharedClock};
+use aspenloft_core::prelude::{Arc, Host, SharedClock};
 use aspenloft_protocol::platform::{Change, ChangeFeed, Changes, KeyValue, Version, Versioned};
 use async_std::task;
 use parking_lot::Mutex;
@@ -20,7 +19,7 @@
 
 use crate::dialect::{Dialect, RemovedItem, StoreItem};
 use crate::peers::Peers;
-use crate::view::{UpdateSource, View};
+use crate::view::{ServerChange, UpdateSource, View};
 
 /// The key prefix of the entries of the router's hosts.
 pub const HOSTS_PREFIX: &str = "aspenloft/hosts/";
@@ -101,8 +100,6 @@
 pub struct SyncState {
     connected: bool,
     reconnected_at: Option<Instant>,
-    // Servers whose entries were removed during an outage and may be written again.
-    pending_removal: HashSet<Name>,
 }
 
 impl StoreSync {
@@ -141,8 +138,8 @@
     /// Reads a snapshot, then applies changes until the service has compacted the
     /// revision or enough other hosts watch the service. Fails if the snapshot cannot be
     /// read.
-    async fn follow(self: &Arc<Self>, pause: &mut Duration) -> Result<StopReason> {
-        let mut revision = self.read_all().await?;
+    async fn follow(&self, pause: &mut Duration) -> Result<StopReason> {
+        self.read_all().await?;
         loop {
             if self.others_suffice() {
                 self.peers.set_following(false);
@@ -150,15 +147,9 @@
                 return Ok(StopReason::OthersSuffice);
             }
             let wait = self.options.watch_timeout;
-            match self.changes(revision, wait, pause).await? {
+            match self.changes(self.view.revision(), wait, pause).await? {
                 Changes::Compacted => return Ok(StopReason::Compacted),
-                Changes::Since { changes, revision: next } => {
-                    for change in changes {
-                        self.apply_change(change, next);
-                    }
-                    revision = next.max(revision);
-                    self.peers.advance_revision(revision);
-                }
+                Changes::Since { changes, revision } => self.apply_changes(changes, revision),
             }
         }
     }
@@ -166,7 +157,7 @@
     /// Returns the changes after `revision`. A failed call is retried from the same
     /// revision, which costs less than a new snapshot.
     async fn changes(
-        self: &Arc<Self>,
+        &self,
         revision: Version,
         wait: Duration,
         pause: &mut Duration,
@@ -191,44 +182,36 @@
         }
     }
 
-    async fn read_all(self: &Arc<Self>) -> Result<Version> {
+    async fn read_all(&self) -> Result<()> {
         let snapshot = self.feed.snapshot("").await?;
         self.mark_connected();
-        let now = self.clock.now();
-        let mut present = Vec::new();
-        for item in &snapshot.items {
-            present.extend(self.apply_item(item, UpdateSource::Snapshot));
-        }
-        for missing in self.view.missing_from(&present) {
-            self.handle_removal(missing, UpdateSource::Snapshot, snapshot.revision);
+        let (revision, items) = (snapshot.revision, snapshot.items.len());
+        let entries: Vec<_> = snapshot.items.iter().filter_map(|i| self.apply_item(i)).collect();
+        let (servers, keep_until) = (entries.len(), self.keep_until());
+        log::info!(event = "store_read", revision, items, servers; "");
+        if !self.view.replace_servers(entries, revision, UpdateSource::Snapshot, keep_until) {
+            let own = self.view.revision();
+            log::info!(event = "view_outdated", source = "snapshot", revision, own; "");
         }
-        self.view.mark_servers_loaded(now);
-        self.peers.advance_revision(snapshot.revision);
-        log::info!(
-            event = "store_read", revision = snapshot.revision, items = snapshot.items.len(),
-            servers = present.len(); ""
-        );
-        Ok(snapshot.revision)
+        Ok(())
     }
 
-    fn apply_change(self: &Arc<Self>, change: Change, revision: Version) {
-        match change {
-            Change::Written(item) => {
-                self.apply_item(&item, UpdateSource::Watch);
-            }
-            Change::Removed(key) => match key.strip_prefix(HOSTS_PREFIX) {
-                Some(name) => self.peers.remove_unlisted(name),
-                None => {
-                    if let RemovedItem::Server(instance) = self.dialect.read_removal(&key) {
-                        self.handle_removal(instance, UpdateSource::Watch, revision);
-                    }
-                }
-            },
+    fn apply_changes(&self, changes: Vec<Change>, revision: Version) {
+        let mut server_changes = Vec::new();
+        for change in changes {
+            let version = change.version();
+            let server_change = match change {
+                Change::Written(item) => self.apply_item(&item),
+                Change::Removed { key, .. } => self.apply_removal(&key),
+            };
+            server_changes.extend(server_change.map(|change| (version, change)));
         }
+        self.view.apply_changes(server_changes, revision, self.keep_until());
     }
 
-    /// Applies one item; returns the instance if the item is a valid server entry.
-    fn apply_item(&self, item: &Versioned, source: UpdateSource) -> Option<Name> {
+    /// Applies the item of a host or the configuration. Returns the change of a server's
+    /// entry, which applies at the revision of all servers.
+    fn apply_item(&self, item: &Versioned) -> Option<ServerChange> {
         if item.key.starts_with(HOSTS_PREFIX) {
             match serde_json::from_str::<Host>(&item.value) {
                 Ok(host) => self.peers.add_listed(host),
@@ -241,59 +224,44 @@
                 self.view.apply_configuration(configuration);
                 None
             }
-            StoreItem::Server(instance, Ok(entry)) => {
-                self.state.lock().pending_removal.remove(&instance);
-                self.view.upsert_server(entry, source, item.version);
-                Some(instance)
-            }
+            StoreItem::Server(_, Ok(entry)) => Some(ServerChange::Listed(entry)),
             StoreItem::Configuration(Err(e)) => {
                 log_unreadable(item, &e);
                 None
             }
             StoreItem::Server(instance, Err(e)) => {
                 log_unreadable(item, &e);
-                self.view.remove_server(&instance, source, item.version);
-                None
+                Some(ServerChange::Unreadable(instance))
             }
             StoreItem::Other => None,
         }
     }
 
-    /// Removes a server whose entry was removed: at once, or right after an outage only
-    /// if its entry is not written again within `outage_grace`.
-    fn handle_removal(self: &Arc<Self>, instance: Name, source: UpdateSource, revision: Version) {
-        let now = self.clock.now();
-        let grace = self.options.outage_grace;
-        let leaving = self.view.roster().get(&instance).is_none_or(|s| s.entry.leaving);
-        let mut state = self.state.lock();
-        // Entries removed while the service was connected were not lost in an outage.
-        let since = state.reconnected_at.map(|at| now.saturating_duration_since(at));
-        let Some(since) = since.filter(|since| !leaving && *since < self.options.outage_window)
-        else {
-            drop(state);
-            self.view.remove_server(&instance, source, revision);
-            return;
-        };
-        state.pending_removal.insert(instance.clone());
-        drop(state);
-        let keep = grace.saturating_sub(since);
-        let keep_ms = keep.as_millis() as u64;
-        log::info!(event = "server_kept", server = &*instance, keep_ms, revision; "");
-        let sync = self.clone();
-        task::spawn(async move {
-            task::sleep(keep).await;
-            let still_pending = sync.state.lock().pending_removal.remove(&instance);
-            if still_pending {
-                sync.view.remove_server(&instance, UpdateSource::Grace, revision);
-            }
-        });
+    fn apply_removal(&self, key: &str) -> Option<ServerChange> {
+        if let Some(name) = key.strip_prefix(HOSTS_PREFIX) {
+            self.peers.remove_unlisted(name);
+            return None;
+        }
+        match self.dialect.read_removal(key) {
+            RemovedItem::Server(instance) => Some(ServerChange::Removed(instance)),
+            RemovedItem::Other => None,
+        }
+    }
+
+    /// Returns until when servers are kept whose entries are found missing now: entries
+    /// that the service lost in an outage are written again within `outage_grace`. `None`
+    /// if there was no outage just before.
+    fn keep_until(&self) -> Option<Instant> {
+        let reconnected_at = self.state.lock().reconnected_at?;
+        let since = self.clock.now().saturating_duration_since(reconnected_at);
+        (since < self.options.outage_window).then(|| reconnected_at + self.options.outage_grace)
     }
 
     fn mark_disconnected(&self, error: &str) {
         self.peers.set_following(false);
         let mut state = self.state.lock();
         if state.connected {
-            log::warn!(event = "store_lost", error, revision = self.peers.revision(); "");
+            log::warn!(event = "store_lost", error, revision = self.view.revision(); "");
         }
         state.connected = false;
     }
@@ -302,7 +270,7 @@
         self.peers.set_following(true);
         let mut state = self.state.lock();
         if !state.connected {
-            log::info!(event = "store_regained", revision = self.peers.revision(); "");
+            log::info!(event = "store_regained", revision = self.view.revision(); "");
             // The first connection of a process counts as the end of an outage too.
             state.reconnected_at = Some(self.clock.now());
         }
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -5,6 +5,7 @@
 use std::time::Instant;
 
 use aspenloft_core::prelude::{Arc, Name};
+use aspenloft_protocol::platform::Version;
 use derive_more::Display;
 use parking_lot::RwLock;
 
@@ -29,14 +30,36 @@
     Grace,
 }
 
+/// `ServerChange` is a change of the entry of one backend server.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ServerChange {
+    /// The entry was written.
+    Listed(ServerEntry),
+    /// The entry was removed.
+    Removed(Name),
+    /// The entry was overwritten by one that cannot be decoded and names no server to use.
+    Unreadable(Name),
+}
+
 /// `View` is the host's view of the deployment. Readers get snapshots.
 ///
-/// Lock order: `configuration` and `roster` are never held together.
+/// The servers are those that the key-value service listed at one revision, which only
+/// rises: hosts learn of changes on several ways at once, and what was read earlier may
+/// arrive later. `docs/design/platform.md` describes the ways.
+///
+/// Lock order: `configuration` and `servers` are never held together.
 #[derive(Debug, Default)]
 pub struct View {
     configuration: RwLock<Option<Arc<Configuration>>>,
-    roster: RwLock<Arc<Roster>>,
-    servers_loaded: RwLock<Option<Instant>>,
+    servers: RwLock<ListedServers>,
+}
+
+/// The servers that the key-value service listed at `revision`.
+#[derive(Debug, Default)]
+struct ListedServers {
+    revision: Version,
+    roster: Arc<Roster>,
+    loaded: bool,
 }
 
 impl View {
@@ -60,49 +83,144 @@
 
     /// Returns a snapshot of the backend servers.
     pub fn roster(&self) -> Arc<Roster> {
-        self.roster.read().clone()
+        self.servers.read().roster.clone()
+    }
+
+    /// Returns a snapshot of the backend servers with the revision of the key-value
+    /// service at which they were listed.
+    pub fn versioned_roster(&self) -> (Version, Arc<Roster>) {
+        let servers = self.servers.read();
+        (servers.revision, servers.roster.clone())
+    }
+
+    /// Returns the revision of the key-value service up to which changes are applied.
+    pub fn revision(&self) -> Version {
+        self.servers.read().revision
+    }
+
+    /// Replaces the servers by those of `entries`, which were present at `revision`.
+    /// Servers whose entries are missing are kept until `keep_until`, if that is set.
+    /// Returns false and changes nothing if newer changes have been applied already.
+    pub fn replace_servers(
+        &self,
+        entries: Vec<ServerChange>,
+        revision: Version,
+        source: UpdateSource,
+        keep_until: Option<Instant>,
+    ) -> bool {
+        let mut servers = self.servers.write();
+        if revision < servers.revision {
+            return false;
+        }
+        let mut present = HashSet::new();
+        for entry in entries {
+            match entry {
+                ServerChange::Listed(entry) => {
+                    present.insert(entry.instance.clone());
+                    servers.list(entry, source, revision);
+                }
+                ServerChange::Removed(name) | ServerChange::Unreadable(name) => {
+                    servers.remove(&name, source, revision);
+                }
+            }
+        }
+        for missing in servers.roster.missing_from(&present) {
+            servers.remove_or_keep(&missing, source, revision, keep_until);
+        }
+        servers.revision = revision;
+        servers.loaded = true;
+        true
     }
 
+    /// Applies `changes`, each made at the revision beside it, and advances to `revision`.
+    /// Changes that have been applied already are left out. Removed servers are kept until
+    /// `keep_until`, if that is set.
+    pub fn apply_changes(
+        &self,
+        changes: Vec<(Version, ServerChange)>,
+        revision: Version,
+        keep_until: Option<Instant>,
+    ) {
+        let mut servers = self.servers.write();
+        let applied = servers.revision;
+        for (version, change) in changes {
+            if version <= applied {
+                continue;
+            }
+            match change {
+                ServerChange::Listed(entry) => servers.list(entry, UpdateSource::Watch, version),
+                ServerChange::Removed(name) => {
+                    servers.remove_or_keep(&name, UpdateSource::Watch, version, keep_until);
+                }
+                ServerChange::Unreadable(name) => {
+                    servers.remove(&name, UpdateSource::Watch, version);
+                }
+            }
+        }
+        servers.revision = servers.revision.max(revision);
+    }
+
+    /// Removes the servers whose time is over for which they were kept without an entry.
+    pub fn remove_expired(&self, now: Instant) {
+        if !self.roster().all().any(|server| server.is_expired(now)) {
+            return;
+        }
+        let mut servers = self.servers.write();
+        let expired = servers.roster.all().filter(|server| server.is_expired(now));
+        let expired: Vec<Name> = expired.map(|server| server.entry.instance.clone()).collect();
+        let revision = servers.revision;
+        for name in expired {
+            servers.remove(&name, UpdateSource::Grace, revision);
+        }
+    }
+
+    /// Tells whether the host has the configuration and the list of servers, without
+    /// which it cannot serve callers.
+    pub fn is_complete(&self) -> bool {
+        self.configuration.read().is_some() && self.servers.read().loaded
+    }
+}
+
+impl ListedServers {
     /// Adds or replaces one server. The roster is copied only if the entry has changed
     /// and a reader holds a snapshot of it.
-    pub fn upsert_server(&self, entry: ServerEntry, source: UpdateSource, revision: u64) {
-        let mut roster = self.roster.write();
-        let Some(server) = roster.updated_server(entry) else { return };
+    fn list(&mut self, entry: ServerEntry, source: UpdateSource, revision: Version) {
+        let Some(server) = self.roster.updated_server(entry) else { return };
         let ServerEntry { instance, leaving, .. } = &server.entry;
         log::info!(
             event = "server_listed", server = &**instance, leaving = *leaving,
             source = source.to_string().as_str(), revision; ""
         );
-        Arc::make_mut(&mut roster).insert(server);
+        Arc::make_mut(&mut self.roster).insert(server);
+    }
+
+    /// Removes one server, or keeps it until `keep_until`. A server that was leaving is
+    /// removed at once, and one that is kept already is not kept longer.
+    fn remove_or_keep(
+        &mut self,
+        instance: &str,
+        source: UpdateSource,
+        revision: Version,
+        keep_until: Option<Instant>,
+    ) {
+        let Some(server) = self.roster.get(instance).cloned() else { return };
+        match keep_until.filter(|_| !server.entry.leaving) {
+            _ if server.kept_until.is_some() && source != UpdateSource::Peer => {}
+            None => self.remove(instance, source, revision),
+            Some(until) => {
+                log::info!(event = "server_kept", server = instance, revision; "");
+                Arc::make_mut(&mut self.roster).keep(&server, until);
+            }
+        }
     }
 
     /// Removes one server, if it is listed.
-    pub fn remove_server(&self, instance: &str, source: UpdateSource, revision: u64) {
-        let mut roster = self.roster.write();
-        if roster.get(instance).is_none() {
+    fn remove(&mut self, instance: &str, source: UpdateSource, revision: Version) {
+        if self.roster.get(instance).is_none() {
             return;
         }
         let source = source.to_string();
         log::info!(event = "server_gone", server = instance, source = source.as_str(), revision; "");
-        Arc::make_mut(&mut roster).remove(instance);
-    }
-
-    /// Returns the names of the servers that are listed but not in `present`.
-    pub fn missing_from(&self, present: &[Name]) -> Vec<Name> {
-        let present: HashSet<&Name> = present.iter().collect();
-        let roster = self.roster();
-        let missing = roster.all().map(|s| &s.entry.instance).filter(|i| !present.contains(i));
-        missing.cloned().collect()
-    }
-
-    /// Records that the complete list of servers has been read.
-    pub fn mark_servers_loaded(&self, now: Instant) {
-        *self.servers_loaded.write() = Some(now);
-    }
-
-    /// Tells whether the host has the configuration and the list of servers, without
-    /// which it cannot serve callers.
-    pub fn is_complete(&self) -> bool {
-        self.configuration.read().is_some() && self.servers_loaded.read().is_some()
+        Arc::make_mut(&mut self.roster).remove(instance);
     }
 }
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -191,7 +191,7 @@
         state.revision += 1;
         let version = state.revision;
         state.items.remove(key);
-        state.changes.push((version, Change::Removed(key.into())));
+        state.changes.push((version, Change::Removed { key: key.into(), version }));
     }
 
     pub fn set_down(&self, down: bool) {
--- /dev/null
+++ b/crates/gateway/tests/view.rs
@@ -0,0 +1,75 @@
+//! Tests of the order in which a host applies what it learns of the backend servers.
+
+mod common;
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use aspenloft_gateway::roster::ServerEntry;
+use aspenloft_gateway::roster::ServerRole::Plain;
+use aspenloft_gateway::view::{ServerChange, UpdateSource, View};
+use common::entry;
+
+fn server(instance: &str) -> ServerEntry {
+    entry(instance, SocketAddr::from(([127, 0, 0, 1], 1)), Plain)
+}
+
+fn listed(instance: &str) -> ServerChange {
+    ServerChange::Listed(server(instance))
+}
+
+/// Returns a view with the servers `a` and `b`, which `b` left at revision 7.
+fn view() -> View {
+    let view = View::default();
+    assert!(view.replace_servers(vec![listed("a"), listed("b")], 5, UpdateSource::Snapshot, None));
+    view.apply_changes(vec![(7, ServerChange::Removed("b".into()))], 7, None);
+    view
+}
+
+fn names(view: &View) -> Vec<String> {
+    let mut names: Vec<_> = view.roster().all().map(|s| s.entry.instance.to_string()).collect();
+    names.sort();
+    names
+}
+
+#[test]
+fn a_snapshot_older_than_the_applied_changes_is_not_applied() {
+    let view = view();
+    assert!(!view.replace_servers(vec![listed("b")], 6, UpdateSource::Snapshot, None));
+    assert_eq!((names(&view), view.revision()), (vec!["a".to_string()], 7));
+}
+
+#[test]
+fn changes_that_were_applied_already_are_left_out() {
+    let view = view();
+    view.apply_changes(vec![(6, listed("b")), (7, listed("b")), (8, listed("c"))], 8, None);
+    assert_eq!((names(&view), view.revision()), (vec!["a".to_string(), "c".to_string()], 8));
+    view.apply_changes(Vec::new(), 6, None);
+    assert_eq!(view.revision(), 8);
+}
+
+#[test]
+fn a_kept_server_is_used_until_its_time_ends_and_is_not_kept_again() {
+    let (view, now) = (View::default(), Instant::now());
+    let until = now + Duration::from_secs(2);
+    let entries =
+        vec![listed("a"), ServerChange::Listed(ServerEntry { leaving: true, ..server("b") })];
+    view.replace_servers(entries, 1, UpdateSource::Snapshot, None);
+    view.replace_servers(Vec::new(), 2, UpdateSource::Snapshot, Some(until));
+    assert_eq!(names(&view), ["a"], "a server that was leaving is not kept");
+    let later = until + Duration::from_secs(1);
+    view.replace_servers(Vec::new(), 3, UpdateSource::Snapshot, Some(later));
+    let is_staying = |at| view.roster().get("a").is_some_and(|s| s.is_staying(at));
+    assert!(is_staying(until - Duration::from_millis(1)) && !is_staying(until));
+    view.remove_expired(until);
+    assert!(names(&view).is_empty());
+}
+
+#[test]
+fn a_kept_server_stays_when_its_entry_is_written_again() {
+    let (view, now) = (view(), Instant::now());
+    view.apply_changes(vec![(8, ServerChange::Removed("a".into()))], 8, Some(now));
+    view.apply_changes(vec![(9, listed("a"))], 9, None);
+    view.remove_expired(now + Duration::from_secs(1));
+    assert_eq!(names(&view), ["a"]);
+}
--- a/crates/protocol/src/platform.rs
+++ b/crates/protocol/src/platform.rs
@@ -102,7 +102,22 @@
     /// The key was written.
     Written(Versioned),
     /// The key was deleted or expired.
-    Removed(String),
+    Removed {
+        /// The key.
+        key: String,
+        /// The revision at which it was removed.
+        version: Version,
+    },
+}
+
+impl Change {
+    /// Returns the revision at which the change was made.
+    pub fn version(&self) -> Version {
+        match self {
+            Change::Written(item) => item.version,
+            Change::Removed { version, .. } => *version,
+        }
+    }
 }
 
 /// `Changes` is the result of waiting for changes.
