Hand out only what the store lists at a view's revision

Cause: for two seconds after a host reconnects to the store it keeps servers whose entries are missing, as the store may have lost them. Its revision was already past the removal, and the view that it gave to other hosts had these servers among the listed ones. When it dropped them its revision stayed, so the hosts that had taken the view kept them until the next change. Besides, a host that took over the watch from others counted as one that had been cut off, and kept what had been removed meanwhile.

Change: a view names kept servers apart, with the time that is left. The receiver keeps those that it lists, for that time and no longer; it takes unknown ones only while it has no list at all. Only failed calls count as an outage. Hosts of the previous build decode the new reply (they ignore the last field), and theirs is decoded without it.

Why it works: what is listed at a revision is now the same on all hosts, and what one host keeps beyond it ends by itself on each of them.

--- a/crates/gateway/src/peers/digest.rs
+++ b/crates/gateway/src/peers/digest.rs
@@ -1,8 +1,13 @@
 //! The `digest` module defines the messages between hosts.
 
+use std::time::Duration;
+
+use aspenloft_core::errors::Result;
 use aspenloft_core::prelude::Host;
 use aspenloft_core::suspects::Fingerprint;
+use aspenloft_transport::frames;
 use serde::{Deserialize, Serialize};
+use serde_with::{DurationMilliSeconds, serde_as};
 
 use crate::configuration::Configuration;
 use crate::demand::DemandDigest;
@@ -34,7 +39,8 @@
     pub breaks: Vec<(Fingerprint, u64)>,
 }
 
-/// `ViewReply` is a host's complete view, for a host that cannot reach the platform.
+/// `ViewReply` is a host's complete view, for a host that does not watch the key-value
+/// service.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ViewReply {
     /// The revision of the key-value service to which the view corresponds.
@@ -43,6 +49,41 @@
     pub configuration: Option<Configuration>,
     /// The other hosts that the sender knows.
     pub hosts: Vec<Host>,
-    /// The entries of the backend servers.
+    /// The entries of the backend servers that are listed at `revision`.
     pub servers: Vec<ServerEntry>,
+    /// The servers that the sender keeps although their entries are missing. They are
+    /// apart from `servers` because they are not part of the state at `revision`.
+    pub kept: Vec<KeptServer>,
+}
+
+/// `KeptServer` is a server that a host keeps for a while although its entry is missing.
+#[serde_as]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct KeptServer {
+    /// The entry that is missing.
+    pub entry: ServerEntry,
+    /// How much longer the server is kept. It is a duration because hosts' clocks differ.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub remaining: Duration,
+}
+
+/// The reply of hosts that list the servers that they keep among the others.
+#[derive(Debug, Deserialize)]
+struct ViewReplyWithoutKept {
+    revision: u64,
+    configuration: Option<Configuration>,
+    hosts: Vec<Host>,
+    servers: Vec<ServerEntry>,
+}
+
+impl ViewReply {
+    /// Decodes a reply. Hosts of the previous build, which run beside this one during a
+    /// release, send it without the last field.
+    pub fn decode(body: &[u8]) -> Result<ViewReply> {
+        frames::decode(body).or_else(|_| {
+            let reply: ViewReplyWithoutKept = frames::decode(body)?;
+            let ViewReplyWithoutKept { revision, configuration, hosts, servers } = reply;
+            Ok(ViewReply { revision, configuration, hosts, servers, kept: Vec::new() })
+        })
+    }
 }
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -16,7 +16,7 @@
 use async_trait::async_trait;
 use bytes::{Bytes, BytesMut};
 
-use super::digest::{Digest, ViewReply};
+use super::digest::{Digest, KeptServer, ViewReply};
 use super::{Peer, Peers};
 use crate::configuration::Configuration;
 
@@ -53,7 +53,7 @@
                 .ok_or_else(|| unavailable("the peer closed the call without a reply"))
         });
         let body = fetched.await.map_err(|_| unavailable("the peer did not respond in time"))??;
-        frames::decode(&body)
+        ViewReply::decode(&body)
     }
 
     fn link(&self, host: &Host) -> Arc<PeerLink> {
@@ -167,11 +167,18 @@
 
     fn view_reply(&self) -> ViewReply {
         let (revision, roster) = self.view.versioned_roster();
+        let now = self.clock.now();
+        let kept = roster.all().filter_map(|server| {
+            let remaining = server.kept_until?.saturating_duration_since(now);
+            Some(KeptServer { entry: server.entry.clone(), remaining })
+        });
+        let listed = roster.all().filter(|server| server.kept_until.is_none());
         ViewReply {
             revision,
             configuration: self.view.configuration().map(|c| Configuration::clone(&c)),
             hosts: self.peers.lock().values().map(|p| p.host.clone()).collect(),
-            servers: roster.all().map(|s| s.entry.clone()).collect(),
+            servers: listed.map(|server| server.entry.clone()).collect(),
+            kept: kept.collect(),
         }
     }
 }
--- a/crates/gateway/src/sync/learn.rs
+++ b/crates/gateway/src/sync/learn.rs
@@ -8,7 +8,7 @@
 
 use super::StoreSync;
 use crate::peers::ViewReply;
-use crate::view::{ServerChange, UpdateSource};
+use crate::view::{Keep, ServerChange, UpdateSource};
 
 impl StoreSync {
     /// Fetches the view of a host with a higher revision: at once if this host is not
@@ -57,7 +57,10 @@
         }
         let revision = reply.revision;
         let servers = reply.servers.into_iter().map(ServerChange::Listed).collect();
-        if !self.view.replace_servers(servers, revision, UpdateSource::Peer, None) {
+        let now = self.clock.now();
+        let kept = reply.kept.into_iter().map(|kept| (kept.entry, now + kept.remaining));
+        let keep = Keep::AsPeer(kept.collect());
+        if !self.view.replace_servers(servers, revision, UpdateSource::Peer, &keep) {
             let own = self.view.revision();
             log::info!(event = "view_outdated", source = "peer", revision, own; "");
         }
--- a/crates/gateway/src/sync/mod.rs
+++ b/crates/gateway/src/sync/mod.rs
@@ -19,7 +19,7 @@
 
 use crate::dialect::{Dialect, RemovedItem, StoreItem};
 use crate::peers::Peers;
-use crate::view::{ServerChange, UpdateSource, View};
+use crate::view::{Keep, ServerChange, UpdateSource, View};
 
 /// The key prefix of the entries of the router's hosts.
 pub const HOSTS_PREFIX: &str = "aspenloft/hosts/";
@@ -99,6 +99,9 @@
 #[derive(Debug, Default)]
 pub struct SyncState {
     connected: bool,
+    // Whether a call has failed since the host was last connected.
+    lost: bool,
+    // When the host was connected again after calls had failed.
     reconnected_at: Option<Instant>,
 }
 
@@ -187,9 +190,9 @@
         self.mark_connected();
         let (revision, items) = (snapshot.revision, snapshot.items.len());
         let entries: Vec<_> = snapshot.items.iter().filter_map(|i| self.apply_item(i)).collect();
-        let (servers, keep_until) = (entries.len(), self.keep_until());
+        let (servers, keep) = (entries.len(), self.keep());
         log::info!(event = "store_read", revision, items, servers; "");
-        if !self.view.replace_servers(entries, revision, UpdateSource::Snapshot, keep_until) {
+        if !self.view.replace_servers(entries, revision, UpdateSource::Snapshot, &keep) {
             let own = self.view.revision();
             log::info!(event = "view_outdated", source = "snapshot", revision, own; "");
         }
@@ -206,7 +209,7 @@
             };
             server_changes.extend(server_change.map(|change| (version, change)));
         }
-        self.view.apply_changes(server_changes, revision, self.keep_until());
+        self.view.apply_changes(server_changes, revision, &self.keep());
     }
 
     /// Applies the item of a host or the configuration. Returns the change of a server's
@@ -248,13 +251,15 @@
         }
     }
 
-    /// Returns until when servers are kept whose entries are found missing now: entries
-    /// that the service lost in an outage are written again within `outage_grace`. `None`
-    /// if there was no outage just before.
-    fn keep_until(&self) -> Option<Instant> {
-        let reconnected_at = self.state.lock().reconnected_at?;
+    /// Returns what happens to servers whose entries are found missing now: entries that
+    /// the service lost in an outage are written again within `outage_grace`.
+    fn keep(&self) -> Keep {
+        let Some(reconnected_at) = self.state.lock().reconnected_at else { return Keep::Nothing };
         let since = self.clock.now().saturating_duration_since(reconnected_at);
-        (since < self.options.outage_window).then(|| reconnected_at + self.options.outage_grace)
+        match since < self.options.outage_window {
+            true => Keep::Until(reconnected_at + self.options.outage_grace),
+            false => Keep::Nothing,
+        }
     }
 
     fn mark_disconnected(&self, error: &str) {
@@ -264,6 +269,7 @@
             log::warn!(event = "store_lost", error, revision = self.view.revision(); "");
         }
         state.connected = false;
+        state.lost = true;
     }
 
     fn mark_connected(&self) {
@@ -271,7 +277,8 @@
         let mut state = self.state.lock();
         if !state.connected {
             log::info!(event = "store_regained", revision = self.view.revision(); "");
-            // The first connection of a process counts as the end of an outage too.
+        }
+        if std::mem::take(&mut state.lost) {
             state.reconnected_at = Some(self.clock.now());
         }
         state.connected = true;
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -10,7 +10,7 @@
 use parking_lot::RwLock;
 
 use crate::configuration::Configuration;
-use crate::roster::{Roster, ServerEntry};
+use crate::roster::{Roster, Server, ServerEntry};
 
 /// `UpdateSource` is where a host learned of a change to its view. It is logged with each
 /// change, because views of hosts that differ are explained by how they came about.
@@ -41,6 +41,34 @@
     Unreadable(Name),
 }
 
+/// `Keep` says which servers are kept for a while although their entries are missing: the
+/// key-value service may have lost them in an outage, and they are written again.
+#[derive(Debug)]
+pub enum Keep {
+    /// None, beyond those that are kept already.
+    Nothing,
+    /// All, until this time.
+    Until(Instant),
+    /// Those that another host keeps, until the times beside them.
+    AsPeer(Vec<(ServerEntry, Instant)>),
+}
+
+impl Keep {
+    /// Returns until when `server` is kept, `None` if it is to be removed.
+    fn until(&self, server: &Server) -> Option<Instant> {
+        match self {
+            Keep::Nothing => server.kept_until,
+            Keep::Until(until) => Some(*until),
+            Keep::AsPeer(kept) => {
+                let same = |entry: &ServerEntry| {
+                    entry.instance == server.entry.instance && entry.born_ms == server.entry.born_ms
+                };
+                kept.iter().find(|(entry, _)| same(entry)).map(|(_, until)| *until)
+            }
+        }
+    }
+}
+
 /// `View` is the host's view of the deployment. Readers get snapshots.
 ///
 /// The servers are those that the key-value service listed at one revision, which only
@@ -98,15 +126,15 @@
         self.servers.read().revision
     }
 
-    /// Replaces the servers by those of `entries`, which were present at `revision`.
-    /// Servers whose entries are missing are kept until `keep_until`, if that is set.
-    /// Returns false and changes nothing if newer changes have been applied already.
+    /// Replaces the servers by those of `entries`, which were present at `revision`. Servers
+    /// whose entries are missing are kept as `keep` says. Returns false and changes nothing
+    /// if newer changes have been applied already.
     pub fn replace_servers(
         &self,
         entries: Vec<ServerChange>,
         revision: Version,
         source: UpdateSource,
-        keep_until: Option<Instant>,
+        keep: &Keep,
     ) -> bool {
         let mut servers = self.servers.write();
         if revision < servers.revision {
@@ -125,7 +153,12 @@
             }
         }
         for missing in servers.roster.missing_from(&present) {
-            servers.remove_or_keep(&missing, source, revision, keep_until);
+            servers.remove_or_keep(&missing, source, revision, keep);
+        }
+        if let Keep::AsPeer(kept) = keep
+            && !servers.loaded
+        {
+            servers.list_kept(kept);
         }
         servers.revision = revision;
         servers.loaded = true;
@@ -133,13 +166,13 @@
     }
 
     /// Applies `changes`, each made at the revision beside it, and advances to `revision`.
-    /// Changes that have been applied already are left out. Removed servers are kept until
-    /// `keep_until`, if that is set.
+    /// Changes that have been applied already are left out. Removed servers are kept as
+    /// `keep` says.
     pub fn apply_changes(
         &self,
         changes: Vec<(Version, ServerChange)>,
         revision: Version,
-        keep_until: Option<Instant>,
+        keep: &Keep,
     ) {
         let mut servers = self.servers.write();
         let applied = servers.revision;
@@ -150,7 +183,7 @@
             match change {
                 ServerChange::Listed(entry) => servers.list(entry, UpdateSource::Watch, version),
                 ServerChange::Removed(name) => {
-                    servers.remove_or_keep(&name, UpdateSource::Watch, version, keep_until);
+                    servers.remove_or_keep(&name, UpdateSource::Watch, version, keep);
                 }
                 ServerChange::Unreadable(name) => {
                     servers.remove(&name, UpdateSource::Watch, version);
@@ -194,23 +227,33 @@
         Arc::make_mut(&mut self.roster).insert(server);
     }
 
-    /// Removes one server, or keeps it until `keep_until`. A server that was leaving is
-    /// removed at once, and one that is kept already is not kept longer.
+    /// Removes one server or keeps it. A server that was leaving is removed at once, and one
+    /// that is kept already is not kept longer.
     fn remove_or_keep(
         &mut self,
         instance: &str,
         source: UpdateSource,
         revision: Version,
-        keep_until: Option<Instant>,
+        keep: &Keep,
     ) {
         let Some(server) = self.roster.get(instance).cloned() else { return };
-        match keep_until.filter(|_| !server.entry.leaving) {
-            _ if server.kept_until.is_some() && source != UpdateSource::Peer => {}
-            None => self.remove(instance, source, revision),
-            Some(until) => {
+        let until = keep.until(&server).filter(|_| !server.entry.leaving);
+        match (until, server.kept_until) {
+            (Some(_), Some(_)) => {}
+            (Some(until), None) => {
                 log::info!(event = "server_kept", server = instance, revision; "");
                 Arc::make_mut(&mut self.roster).keep(&server, until);
             }
+            (None, _) => self.remove(instance, source, revision),
+        }
+    }
+
+    /// Adds the servers that another host keeps, for a host that has no list yet.
+    fn list_kept(&mut self, kept: &[(ServerEntry, Instant)]) {
+        for (entry, until) in kept {
+            if let Some(server) = self.roster.updated_server(entry.clone()) {
+                Arc::make_mut(&mut self.roster).keep(&server, *until);
+            }
         }
     }
 
--- a/crates/gateway/tests/view.rs
+++ b/crates/gateway/tests/view.rs
@@ -7,7 +7,7 @@
 
 use aspenloft_gateway::roster::ServerEntry;
 use aspenloft_gateway::roster::ServerRole::Plain;
-use aspenloft_gateway::view::{ServerChange, UpdateSource, View};
+use aspenloft_gateway::view::{Keep, ServerChange, UpdateSource, View};
 use common::entry;
 
 fn server(instance: &str) -> ServerEntry {
@@ -21,8 +21,13 @@
 /// Returns a view with the servers `a` and `b`, which `b` left at revision 7.
 fn view() -> View {
     let view = View::default();
-    assert!(view.replace_servers(vec![listed("a"), listed("b")], 5, UpdateSource::Snapshot, None));
-    view.apply_changes(vec![(7, ServerChange::Removed("b".into()))], 7, None);
+    assert!(view.replace_servers(
+        vec![listed("a"), listed("b")],
+        5,
+        UpdateSource::Snapshot,
+        &Keep::Nothing
+    ));
+    view.apply_changes(vec![(7, ServerChange::Removed("b".into()))], 7, &Keep::Nothing);
     view
 }
 
@@ -35,16 +40,20 @@
 #[test]
 fn a_snapshot_older_than_the_applied_changes_is_not_applied() {
     let view = view();
-    assert!(!view.replace_servers(vec![listed("b")], 6, UpdateSource::Snapshot, None));
+    assert!(!view.replace_servers(vec![listed("b")], 6, UpdateSource::Snapshot, &Keep::Nothing));
     assert_eq!((names(&view), view.revision()), (vec!["a".to_string()], 7));
 }
 
 #[test]
 fn changes_that_were_applied_already_are_left_out() {
     let view = view();
-    view.apply_changes(vec![(6, listed("b")), (7, listed("b")), (8, listed("c"))], 8, None);
+    view.apply_changes(
+        vec![(6, listed("b")), (7, listed("b")), (8, listed("c"))],
+        8,
+        &Keep::Nothing,
+    );
     assert_eq!((names(&view), view.revision()), (vec!["a".to_string(), "c".to_string()], 8));
-    view.apply_changes(Vec::new(), 6, None);
+    view.apply_changes(Vec::new(), 6, &Keep::Nothing);
     assert_eq!(view.revision(), 8);
 }
 
@@ -54,22 +63,37 @@
     let until = now + Duration::from_secs(2);
     let entries =
         vec![listed("a"), ServerChange::Listed(ServerEntry { leaving: true, ..server("b") })];
-    view.replace_servers(entries, 1, UpdateSource::Snapshot, None);
-    view.replace_servers(Vec::new(), 2, UpdateSource::Snapshot, Some(until));
+    view.replace_servers(entries, 1, UpdateSource::Snapshot, &Keep::Nothing);
+    view.replace_servers(Vec::new(), 2, UpdateSource::Snapshot, &Keep::Until(until));
     assert_eq!(names(&view), ["a"], "a server that was leaving is not kept");
     let later = until + Duration::from_secs(1);
-    view.replace_servers(Vec::new(), 3, UpdateSource::Snapshot, Some(later));
+    view.replace_servers(Vec::new(), 3, UpdateSource::Snapshot, &Keep::Until(later));
     let is_staying = |at| view.roster().get("a").is_some_and(|s| s.is_staying(at));
     assert!(is_staying(until - Duration::from_millis(1)) && !is_staying(until));
     view.remove_expired(until);
     assert!(names(&view).is_empty());
 }
 
+#[test]
+fn another_hosts_kept_servers_are_kept_no_longer_and_never_listed_again() {
+    let (view, now) = (view(), Instant::now());
+    let until = now + Duration::from_secs(1);
+    let kept = || Keep::AsPeer(vec![(server("a"), until), (server("b"), until)]);
+    view.replace_servers(Vec::new(), 8, UpdateSource::Peer, &kept());
+    assert_eq!(names(&view), ["a"], "b was removed before");
+    assert!(view.roster().get("a").is_some_and(|s| s.kept_until == Some(until)));
+    view.replace_servers(Vec::new(), 9, UpdateSource::Peer, &Keep::AsPeer(Vec::new()));
+    assert!(names(&view).is_empty(), "a host that saw the removal keeps none");
+    let new = View::default();
+    new.replace_servers(Vec::new(), 9, UpdateSource::Peer, &kept());
+    assert_eq!(names(&new), ["a", "b"], "a host without a list takes them");
+}
+
 #[test]
 fn a_kept_server_stays_when_its_entry_is_written_again() {
     let (view, now) = (view(), Instant::now());
-    view.apply_changes(vec![(8, ServerChange::Removed("a".into()))], 8, Some(now));
-    view.apply_changes(vec![(9, listed("a"))], 9, None);
+    view.apply_changes(vec![(8, ServerChange::Removed("a".into()))], 8, &Keep::Until(now));
+    view.apply_changes(vec![(9, listed("a"))], 9, &Keep::Nothing);
     view.remove_expired(now + Duration::from_secs(1));
     assert_eq!(names(&view), ["a"]);
 }
--- a/crates/gateway/tests/view_exchange.rs
+++ b/crates/gateway/tests/view_exchange.rs
@@ -5,10 +5,17 @@
 
 use std::time::{Duration, Instant};
 
-use aspenloft_gateway::peers::ViewReply;
+use aspenloft_core::prelude::Host;
+use aspenloft_gateway::configuration::Configuration;
+use aspenloft_gateway::peers::{Digest, KeptServer, ViewReply};
+use aspenloft_gateway::roster::ServerEntry;
 use aspenloft_gateway::roster::ServerRole::Plain;
+use aspenloft_transport::frames;
+use bytes::{Bytes, BytesMut};
 use common::peer::{ScriptedPeer, send_digests};
-use common::{Scripted, TestHost, configuration, entry, free_addr, sealed, status, wait_for};
+use common::{
+    Scripted, TestHost, configuration, digest, entry, free_addr, sealed, status, wait_for,
+};
 
 fn get(id: &str) -> String {
     format!("GET /many/ HTTP/1.1\r\nhost: app.test\r\nid: {id}\r\n\r\n")
@@ -39,6 +46,32 @@
     assert_eq!(status(&second.send(&get("c"))), "503", "after {:?}", removed.elapsed());
 }
 
+// A host that took over the watch from others counted as one that had lost the store.
+#[test]
+fn a_server_that_is_removed_while_others_watch_is_dropped_at_once_by_the_next_watcher() {
+    let server = good();
+    let host = TestHost::with_servers(&[entry("s1", server.addr, Plain)]);
+    std::thread::sleep(Duration::from_millis(600));
+    let watchers =
+        ["a1", "a2"].map(|name| Digest { follows: true, ..digest(name, free_addr(), 0) });
+    for seq in 1..=16 {
+        for watcher in &watchers {
+            host.receive_digest(&Digest { seq, ..watcher.clone() });
+        }
+        match seq {
+            // The host's watch returns, and it leaves the store to the others.
+            4 => host.store.write("somebody/else", &0),
+            12 => host.store.remove("servers/s1"),
+            _ => {}
+        }
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    assert_eq!(status(&host.send(&get("a"))), "200", "the host watches nothing");
+    let silent = Instant::now();
+    wait_for("the server to be removed", || status(&host.send(&get("b"))) == "503");
+    assert!(silent.elapsed() < Duration::from_millis(1_500), "{:?}", silent.elapsed());
+}
+
 // A view that was requested before a change was applied after it.
 #[test]
 fn a_view_that_arrives_after_a_removal_does_not_list_the_server_again() {
@@ -56,6 +89,7 @@
         configuration: Some(configuration(1)),
         hosts: Vec::new(),
         servers: vec![entry("s1", server.addr, Plain)],
+        kept: Vec::new(),
     });
     std::thread::sleep(Duration::from_millis(300));
     assert_eq!(status(&host.send(&get("b"))), "503");
@@ -74,3 +108,37 @@
     wait_for("the removal to reach the second host", || status(&second.send(&get("a"))) == "503");
     assert!(removed.elapsed() < Duration::from_millis(2_000), "{:?}", removed.elapsed());
 }
+
+/// The reply of the previous build, field by field.
+#[derive(serde::Serialize)]
+struct PreviousReply {
+    revision: u64,
+    configuration: Option<Configuration>,
+    hosts: Vec<Host>,
+    servers: Vec<ServerEntry>,
+}
+
+#[test]
+fn replies_are_decoded_across_builds() {
+    let servers = vec![entry("s1", free_addr(), Plain)];
+    let kept = KeptServer { entry: servers[0].clone(), remaining: Duration::from_millis(900) };
+    let reply = ViewReply {
+        revision: 7,
+        configuration: Some(configuration(1)),
+        hosts: Vec::new(),
+        servers: servers.clone(),
+        kept: vec![kept],
+    };
+    assert_eq!(ViewReply::decode(&body(&reply)).expect("a reply"), reply);
+    let ViewReply { revision, configuration, hosts, .. } = reply.clone();
+    let previous = PreviousReply { revision, configuration, hosts, servers };
+    let decoded = ViewReply::decode(&body(&previous)).expect("a reply");
+    assert_eq!(decoded, ViewReply { kept: Vec::new(), ..reply.clone() });
+    assert!(ViewReply::decode(&body(&reply)[..20]).is_err());
+}
+
+fn body(message: &impl serde::Serialize) -> Bytes {
+    let mut buf = BytesMut::new();
+    frames::encode(message, &mut buf).expect("a frame");
+    frames::split_frame(&mut buf).expect("a frame").expect("a whole frame")
+}
