Prefer hosts that respond when a view is fetched

What callers saw: a host that the store turned away went on with an old list of servers and an old configuration while another host with a newer view could not be called.

Cause: the host with the highest revision was asked, and each of its digests made it eligible again, also right after it had not responded. A host whose digests arrive but that cannot be called (a link that is cut in one direction, a host without processor time) was asked every 850 ms, and nobody else.

Evidence: test an_unreachable_host_with_the_newest_view_does_not_hide_the_others, no view within 5 s before, within 2 s now (the bound of the test).

Change: for two seconds after a failed call any other host that is ahead is preferred, whatever its revision; a digest no longer ends that.

Why it works: each failed call is followed by one to another host while there is one that knows more.

--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -41,6 +41,9 @@
 /// others rely: three digests of an idle host.
 const FOLLOWER_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// How long after a call to a host failed other hosts are preferred for a call.
+const FAILED_CALL_PERIOD: Duration = Duration::from_secs(2);
+
 #[derive(Debug, Clone)]
 struct Peer {
     host: Host,
@@ -229,9 +232,7 @@
         following.filter(|p| p.host.name < self.local.name).count()
     }
 
-    /// Records that the host `name` did not respond to a call. It is not called again
-    /// before its next digest: a host that has just crashed may still have the highest
-    /// revision known to the others.
+    /// Records that the host `name` did not respond to a call.
     pub fn mark_unresponsive(&self, name: &str) {
         let now = self.clock.now();
         if let Some(peer) = self.peers.lock().get_mut(name) {
@@ -241,16 +242,23 @@
 
     /// Returns the live host with the highest revision of the key-value service, if that
     /// is higher than this host's; of several, one in this host's data centre if possible.
+    ///
+    /// Hosts that did not respond to a recent call come last, whatever their revision: the
+    /// digests of a host may arrive although it cannot be called. A host that has sent no
+    /// digest since then has probably crashed and is not returned.
     pub fn peer_ahead(&self) -> Option<Host> {
         let (now, own) = (self.clock.now(), self.view.revision());
         let peers = self.peers.lock();
-        let responsive =
+        let failed = |p: &Peer| {
+            p.failed_at.is_some_and(|at| now.saturating_duration_since(at) < FAILED_CALL_PERIOD)
+        };
+        let heard_since =
             |p: &Peer| p.failed_at.is_none_or(|at| p.last_digest.is_some_and(|d| d > at));
         let ahead = peers
             .values()
-            .filter(|p| p.revision > own && is_recent(p, now, LIVENESS_TIMEOUT) && responsive(p));
+            .filter(|p| p.revision > own && is_recent(p, now, LIVENESS_TIMEOUT) && heard_since(p));
         let is_local = |p: &Peer| p.host.data_centre == self.local.data_centre;
-        ahead.max_by_key(|p| (p.revision, is_local(p))).map(|p| p.host.clone())
+        ahead.max_by_key(|p| (!failed(p), p.revision, is_local(p))).map(|p| p.host.clone())
     }
 
     /// Logs the hosts that no longer count as live, once each.
@@ -282,6 +290,7 @@
             if known.is_none_or(|p| !is_recent(p, now, LIVENESS_TIMEOUT)) {
                 log::info!(event = "peer_live", peer = &*digest.host.name, revision = digest.revision; "");
             }
+            let same_process = known.filter(|p| p.born_ms == digest.born_ms);
             let peer = Peer {
                 host: digest.host.clone(),
                 born_ms: digest.born_ms,
@@ -291,7 +300,7 @@
                 unreachable: digest.unreachable,
                 last_digest: Some(now),
                 silence_logged: false,
-                failed_at: None,
+                failed_at: same_process.and_then(|p| p.failed_at),
             };
             peers.insert(digest.host.name.clone(), peer);
         }
