Leave the configuration out of views for hosts that have it

Cause: each change of any key makes every host that does not watch the store fetch a view, and each view held the whole configuration, over links of 10 Mbit/s.

Change: the request says which version the host has; the reply holds the configuration only if it is newer. An empty request, as hosts of the previous build send it, is answered in full.

Test: a_view_leaves_out_the_configuration_that_the_receiver_has.

--- a/crates/gateway/src/peers/digest.rs
+++ b/crates/gateway/src/peers/digest.rs
@@ -39,13 +39,22 @@
     pub breaks: Vec<(Fingerprint, u64)>,
 }
 
+/// `ViewRequest` asks a host for its view. Hosts of the previous build send an empty
+/// request, which is answered in full.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ViewRequest {
+    /// The version of the configuration that the sender has.
+    pub configuration: Option<u64>,
+}
+
 /// `ViewReply` is a host's complete view, for a host that does not watch the key-value
 /// service.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ViewReply {
     /// The revision of the key-value service to which the view corresponds.
     pub revision: u64,
-    /// The configuration in force, if the sender has one.
+    /// The configuration in force, unless the receiver has it already. It is by far the
+    /// largest part of a view, and changes of servers are much more frequent.
     pub configuration: Option<Configuration>,
     /// The other hosts that the sender knows.
     pub hosts: Vec<Host>,
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -16,7 +16,7 @@
 use async_trait::async_trait;
 use bytes::{Bytes, BytesMut};
 
-use super::digest::{Digest, KeptServer, ViewReply};
+use super::digest::{Digest, KeptServer, ViewReply, ViewRequest};
 use super::{Peer, Peers};
 use crate::configuration::Configuration;
 
@@ -43,8 +43,9 @@
 impl Peers {
     /// Fetches the view of `host`.
     pub async fn fetch_view(&self, host: &Host) -> Result<ViewReply> {
+        let configuration = self.view.configuration().map(|c| c.version);
         let mut buf = BytesMut::new();
-        frames::encode(&(), &mut buf)?;
+        frames::encode(&ViewRequest { configuration }, &mut buf)?;
         let link = self.link(host);
         let fetched = timeout(FETCH_TIMEOUT, async {
             let mut call = link.connection().await?.call(buf.freeze()).await?;
@@ -165,7 +166,9 @@
         Ok(())
     }
 
-    fn view_reply(&self) -> ViewReply {
+    fn view_reply(&self, req: &ViewRequest) -> ViewReply {
+        let is_newer = |c: &Arc<Configuration>| req.configuration.is_none_or(|v| c.version > v);
+        let configuration = self.view.configuration().filter(is_newer);
         let (revision, roster) = self.view.versioned_roster();
         let now = self.clock.now();
         let kept = roster.all().filter_map(|server| {
@@ -175,7 +178,7 @@
         let listed = roster.all().filter(|server| server.kept_until.is_none());
         ViewReply {
             revision,
-            configuration: self.view.configuration().map(|c| Configuration::clone(&c)),
+            configuration: configuration.map(|c| Configuration::clone(&c)),
             hosts: self.peers.lock().values().map(|p| p.host.clone()).collect(),
             servers: listed.map(|server| server.entry.clone()).collect(),
             kept: kept.collect(),
@@ -188,9 +191,10 @@
 
 #[async_trait]
 impl FrameHandler for ViewServer {
-    async fn handle(&self, _body: Bytes, tx: Sender<Bytes>) {
+    async fn handle(&self, body: Bytes, tx: Sender<Bytes>) {
+        let req = frames::decode(&body).unwrap_or_default();
         let mut buf = BytesMut::new();
-        if let Err(e) = frames::encode(&self.0.view_reply(), &mut buf) {
+        if let Err(e) = frames::encode(&self.0.view_reply(&req), &mut buf) {
             log::warn!(event = "view_unsent", error = e.to_string().as_str(); "");
             return;
         }
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -25,7 +25,7 @@
 use crate::roster::Server;
 use crate::view::View;
 
-pub use digest::{Digest, KeptServer, ViewReply};
+pub use digest::{Digest, KeptServer, ViewReply, ViewRequest};
 pub use exchange::ViewServer;
 
 /// How long a host counts as live after its last digest.
--- a/crates/gateway/tests/common/peer.rs
+++ b/crates/gateway/tests/common/peer.rs
@@ -83,3 +83,16 @@
         }
     });
 }
+
+/// Sends `req` to the host as a call for its view and returns the reply.
+pub fn fetch_view(host: &TestHost, req: &impl serde::Serialize) -> ViewReply {
+    let mut buf = BytesMut::new();
+    frames::encode(req, &mut buf).expect("a request");
+    let link = mesh::PeerLink::new(host.settings.listen.peers, Arc::default());
+    let body = task::block_on(async {
+        let connection = link.connection().await.expect("a connection");
+        let mut call = connection.call(buf.freeze()).await.expect("a call");
+        call.next().await.expect("a reply").expect("a whole reply")
+    });
+    ViewReply::decode(&body).expect("a view")
+}
--- a/crates/gateway/tests/view_exchange.rs
+++ b/crates/gateway/tests/view_exchange.rs
@@ -7,12 +7,12 @@
 
 use aspenloft_core::prelude::Host;
 use aspenloft_gateway::configuration::Configuration;
-use aspenloft_gateway::peers::{Digest, KeptServer, ViewReply};
+use aspenloft_gateway::peers::{Digest, KeptServer, ViewReply, ViewRequest};
 use aspenloft_gateway::roster::ServerEntry;
 use aspenloft_gateway::roster::ServerRole::Plain;
 use aspenloft_transport::frames;
 use bytes::{Bytes, BytesMut};
-use common::peer::{ScriptedPeer, send_digests};
+use common::peer::{ScriptedPeer, fetch_view, send_digests};
 use common::{
     Scripted, TestHost, configuration, digest, entry, free_addr, sealed, status, wait_for,
 };
@@ -109,6 +109,20 @@
     assert!(removed.elapsed() < Duration::from_millis(2_000), "{:?}", removed.elapsed());
 }
 
+// Every change of a server sent the whole configuration to every host, over slow links.
+#[test]
+fn a_view_leaves_out_the_configuration_that_the_receiver_has() {
+    let host = TestHost::with_servers(&[entry("s1", free_addr(), Plain)]);
+    let version = |version| ViewRequest { configuration: version };
+    let reply = fetch_view(&host, &version(Some(1)));
+    assert_eq!((reply.servers.len(), reply.configuration), (1, None));
+    let sent = |req| fetch_view(&host, &req).configuration.map(|c| c.version);
+    assert_eq!(sent(version(Some(0))), Some(1));
+    assert_eq!(sent(version(None)), Some(1));
+    let reply = fetch_view(&host, &());
+    assert!(reply.configuration.is_some(), "a host of the previous build asks for everything");
+}
+
 /// The reply of the previous build, field by field.
 #[derive(serde::Serialize)]
 struct PreviousReply {
