Forget hosts that the platform no longer lists, also when told by others

Hosts that learn from other hosts' views only ever added hosts. One that was gone stayed in their lists and in the views that they gave out, from which hosts that had seen the removal took it again. It was sent digests and counted for the division of a data centre into groups for as long as the process ran; with hosts of new names at each release the number grows without end.

Change: a host knows which others are listed. What remains of the time of kept servers counts from the request, so it ends no later than at the sender.

--- a/crates/gateway/src/peers/digest.rs
+++ b/crates/gateway/src/peers/digest.rs
@@ -56,7 +56,7 @@
     /// The configuration in force, unless the receiver has it already. It is by far the
     /// largest part of a view, and changes of servers are much more frequent.
     pub configuration: Option<Configuration>,
-    /// The other hosts that the sender knows.
+    /// The hosts that the platform lists, and those that are live all the same.
     pub hosts: Vec<Host>,
     /// The entries of the backend servers that are listed at `revision`.
     pub servers: Vec<ServerEntry>,
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -17,7 +17,7 @@
 use bytes::{Bytes, BytesMut};
 
 use super::digest::{Digest, KeptServer, ViewReply, ViewRequest};
-use super::{Peer, Peers};
+use super::{LIVENESS_TIMEOUT, Peer, Peers, is_recent};
 use crate::configuration::Configuration;
 
 /// The minimum time between two digests, so that requests that start together share
@@ -74,7 +74,7 @@
         loop {
             // A digest is sent after a change and after the timeout alike.
             let _ = timeout(MAX_INTERVAL, changed.recv()).await;
-            self.log_silent_hosts();
+            self.check_silent_hosts();
             let (in_group, remote) = self.addresses();
             let now = self.clock.now();
             let mut recipients = in_group;
@@ -166,6 +166,14 @@
         Ok(())
     }
 
+    /// Returns the hosts that are listed or live, including this one.
+    fn listed_hosts(&self) -> Vec<Host> {
+        let now = self.clock.now();
+        let peers = self.peers.lock();
+        let others = peers.values().filter(|p| p.listed || is_recent(p, now, LIVENESS_TIMEOUT));
+        others.map(|p| &p.host).chain([&self.local]).cloned().collect()
+    }
+
     fn view_reply(&self, req: &ViewRequest) -> ViewReply {
         let is_newer = |c: &Arc<Configuration>| req.configuration.is_none_or(|v| c.version > v);
         let configuration = self.view.configuration().filter(is_newer);
@@ -179,7 +187,7 @@
         ViewReply {
             revision,
             configuration: configuration.map(|c| Configuration::clone(&c)),
-            hosts: self.peers.lock().values().map(|p| p.host.clone()).collect(),
+            hosts: self.listed_hosts(),
             servers: listed.map(|server| server.entry.clone()).collect(),
             kept: kept.collect(),
         }
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -47,6 +47,8 @@
 #[derive(Debug, Clone)]
 struct Peer {
     host: Host,
+    /// Whether the platform lists the host.
+    listed: bool,
     born_ms: u64,
     seq: u64,
     revision: u64,
@@ -183,22 +185,36 @@
             return;
         }
         let mut peers = self.peers.lock();
-        let known = peers.get(&host.name).is_some_and(|p| p.host == host);
-        if !known {
-            log::info!(event = "peer_listed", peer = &*host.name, addr = host.addr.to_string().as_str(); "");
-            let unreachable = Vec::new();
-            let peer = Peer {
-                host,
-                born_ms: 0,
-                seq: 0,
-                revision: 0,
-                follows: false,
-                unreachable,
-                last_digest: None,
-                silence_logged: false,
-                failed_at: None,
-            };
-            peers.insert(peer.host.name.clone(), peer);
+        if let Some(known) = peers.get_mut(&host.name).filter(|p| p.host == host) {
+            known.listed = true;
+            return;
+        }
+        log::info!(event = "peer_listed", peer = &*host.name, addr = host.addr.to_string().as_str(); "");
+        let peer = Peer {
+            host,
+            listed: true,
+            born_ms: 0,
+            seq: 0,
+            revision: 0,
+            follows: false,
+            unreachable: Vec::new(),
+            last_digest: None,
+            silence_logged: false,
+            failed_at: None,
+        };
+        peers.insert(peer.host.name.clone(), peer);
+    }
+
+    /// Replaces the list of hosts by `hosts`. Hosts that are no longer listed are removed
+    /// unless they are live.
+    pub fn replace_listed(&self, hosts: Vec<Host>) {
+        let present: HashSet<Name> = hosts.iter().map(|host| host.name.clone()).collect();
+        for host in hosts {
+            self.add_listed(host);
+        }
+        let known: Vec<Name> = self.peers.lock().keys().cloned().collect();
+        for missing in known.iter().filter(|name| !present.contains(*name)) {
+            self.remove_unlisted(missing);
         }
     }
 
@@ -209,7 +225,9 @@
     pub fn remove_unlisted(&self, name: &str) {
         let now = self.clock.now();
         let mut peers = self.peers.lock();
-        if peers.get(name).is_some_and(|p| !is_recent(p, now, LIVENESS_TIMEOUT)) {
+        let Some(peer) = peers.get_mut(name) else { return };
+        peer.listed = false;
+        if !is_recent(peer, now, LIVENESS_TIMEOUT) {
             peers.remove(name);
             log::info!(event = "peer_gone", peer = name; "");
         }
@@ -261,18 +279,20 @@
         ahead.max_by_key(|p| (!failed(p), p.revision, is_local(p))).map(|p| p.host.clone())
     }
 
-    /// Logs the hosts that no longer count as live, once each.
-    fn log_silent_hosts(&self) {
+    /// Logs the hosts that no longer count as live, once each, and removes those of them
+    /// that the platform does not list.
+    fn check_silent_hosts(&self) {
         let now = self.clock.now();
-        for peer in self.peers.lock().values_mut() {
-            let Some(last) = peer.last_digest else { continue };
+        self.peers.lock().retain(|name, peer| {
+            let Some(last) = peer.last_digest else { return true };
             let silent = now.saturating_duration_since(last);
             if silent >= LIVENESS_TIMEOUT && !peer.silence_logged {
                 peer.silence_logged = true;
-                let (name, silent_ms) = (&*peer.host.name, silent.as_millis() as u64);
-                log::info!(event = "peer_silent", peer = name, silent_ms, revision = peer.revision; "");
+                let silent_ms = silent.as_millis() as u64;
+                log::info!(event = "peer_silent", peer = &**name, silent_ms, revision = peer.revision; "");
             }
-        }
+            peer.listed || silent < LIVENESS_TIMEOUT
+        });
     }
 
     /// Applies a digest of another host, unless a newer one has been applied already.
@@ -293,6 +313,7 @@
             let same_process = known.filter(|p| p.born_ms == digest.born_ms);
             let peer = Peer {
                 host: digest.host.clone(),
+                listed: known.is_some_and(|p| p.listed),
                 born_ms: digest.born_ms,
                 seq: digest.seq,
                 revision: digest.revision,
--- a/crates/gateway/src/sync/learn.rs
+++ b/crates/gateway/src/sync/learn.rs
@@ -37,7 +37,7 @@
                         event = "peer_read", peer = &*host.name, revision = reply.revision,
                         own = self.view.revision(), servers = reply.servers.len(), took_ms; ""
                     );
-                    self.apply_view(reply);
+                    self.apply_view(reply, now);
                 }
                 Err(e) => {
                     self.peers.mark_unresponsive(&host.name);
@@ -48,19 +48,20 @@
         }
     }
 
-    fn apply_view(&self, reply: ViewReply) {
+    /// Applies a view that was requested at `requested_at`. What remains of the time for
+    /// which servers are kept counts from then, so that it never ends later than it does
+    /// on the other host.
+    fn apply_view(&self, reply: ViewReply, requested_at: Instant) {
         if let Some(configuration) = reply.configuration {
             self.view.apply_configuration(configuration);
         }
-        for host in reply.hosts {
-            self.peers.add_listed(host);
-        }
         let revision = reply.revision;
         let servers = reply.servers.into_iter().map(ServerChange::Listed).collect();
-        let now = self.clock.now();
-        let kept = reply.kept.into_iter().map(|kept| (kept.entry, now + kept.remaining));
+        let kept = reply.kept.into_iter().map(|kept| (kept.entry, requested_at + kept.remaining));
         let keep = Keep::AsPeer(kept.collect());
-        if !self.view.replace_servers(servers, revision, UpdateSource::Peer, &keep) {
+        if self.view.replace_servers(servers, revision, UpdateSource::Peer, &keep) {
+            self.peers.replace_listed(reply.hosts);
+        } else {
             let own = self.view.revision();
             log::info!(event = "view_outdated", source = "peer", revision, own; "");
         }
--- a/crates/gateway/src/sync/mod.rs
+++ b/crates/gateway/src/sync/mod.rs
@@ -190,9 +190,12 @@
         self.mark_connected();
         let (revision, items) = (snapshot.revision, snapshot.items.len());
         let entries: Vec<_> = snapshot.items.iter().filter_map(|i| self.apply_item(i)).collect();
+        let hosts = snapshot.items.iter().filter_map(read_host).collect();
         let (servers, keep) = (entries.len(), self.keep());
         log::info!(event = "store_read", revision, items, servers; "");
-        if !self.view.replace_servers(entries, revision, UpdateSource::Snapshot, &keep) {
+        if self.view.replace_servers(entries, revision, UpdateSource::Snapshot, &keep) {
+            self.peers.replace_listed(hosts);
+        } else {
             let own = self.view.revision();
             log::info!(event = "view_outdated", source = "snapshot", revision, own; "");
         }
@@ -216,9 +219,8 @@
     /// entry, which applies at the revision of all servers.
     fn apply_item(&self, item: &Versioned) -> Option<ServerChange> {
         if item.key.starts_with(HOSTS_PREFIX) {
-            match serde_json::from_str::<Host>(&item.value) {
-                Ok(host) => self.peers.add_listed(host),
-                Err(e) => log_unreadable(item, &e),
+            if let Some(host) = read_host(item) {
+                self.peers.add_listed(host);
             }
             return None;
         }
@@ -290,6 +292,14 @@
     }
 }
 
+/// Returns the host whose entry `item` is, `None` if it is another item.
+fn read_host(item: &Versioned) -> Option<Host> {
+    if !item.key.starts_with(HOSTS_PREFIX) {
+        return None;
+    }
+    serde_json::from_str(&item.value).inspect_err(|e| log_unreadable(item, e)).ok()
+}
+
 fn log_unreadable(item: &Versioned, error: &dyn std::fmt::Display) {
     let (key, error) = (item.key.as_str(), error.to_string());
     log::warn!(event = "entry_unreadable", key, error = error.as_str(); "");
--- a/crates/gateway/tests/view_exchange.rs
+++ b/crates/gateway/tests/view_exchange.rs
@@ -109,6 +109,19 @@
     assert!(removed.elapsed() < Duration::from_millis(2_000), "{:?}", removed.elapsed());
 }
 
+// Hosts that learn from others added hosts and never removed one.
+#[test]
+fn a_host_that_is_gone_is_forgotten_by_hosts_that_read_views() {
+    let first = TestHost::with_servers(&[entry("s1", free_addr(), Plain)]);
+    let second = first.start_without_store();
+    let gone = Host { name: "gone".into(), ..digest("gone", free_addr(), 0).host };
+    let knows = |host: &TestHost| fetch_view(host, &()).hosts.contains(&gone);
+    first.store.write("aspenloft/hosts/gone", &gone);
+    wait_for("the host to be known", || knows(&first) && knows(&second));
+    first.store.remove("aspenloft/hosts/gone");
+    wait_for("the host to be forgotten", || !knows(&first) && !knows(&second));
+}
+
 // Every change of a server sent the whole configuration to every host, over slow links.
 #[test]
 fn a_view_leaves_out_the_configuration_that_the_receiver_has() {
