Let others watch the store when a watch gets no response

Where the two hosts that watch the store for all others get no response any more, while the store serves others, a server that left was used for up to six seconds.

Cause: a host counted as watching until its call failed, 4 s of waiting and 2 s of timeout later, and the others rely on it for that long. Hosts of other groups cover it as long as one of their watches works.

Evidence: test a_removal_reaches_hosts_whose_watchers_get_no_response, not within 5 s before, within 2.9 s now.

Change: a watch waits 1.5 s, and when its response is 0.5 s late the host stops telling others that it watches; the call itself goes on.

--- a/crates/gateway/src/sync/mod.rs
+++ b/crates/gateway/src/sync/mod.rs
@@ -12,6 +12,7 @@
 use aspenloft_core::errors::Result;
 use aspenloft_core::prelude::{Arc, Host, SharedClock};
 use aspenloft_protocol::platform::{Change, ChangeFeed, Changes, KeyValue, Version, Versioned};
+use async_std::future::timeout;
 use async_std::task;
 use parking_lot::Mutex;
 use rand::{Rng, SeedableRng};
@@ -27,9 +28,13 @@
 /// `SyncOptions` holds the timing of the watch on the key-value service.
 #[derive(Debug, Clone, PartialEq)]
 pub struct SyncOptions {
-    /// How long one watch call waits for a change. A watch on a dead connection is
-    /// detected sooner, by TCP keep-alive and by other hosts being ahead.
+    /// How long one watch call waits for a change. Hosts that rely on this one learn only
+    /// after it that the service no longer responds to it, so with `watch_grace` it must
+    /// stay well below the time in which hosts stop sending to a server that is gone.
     pub watch_timeout: Duration,
+    /// How much longer the response to a watch may take before this host stops telling
+    /// others that it watches the service.
+    pub watch_grace: Duration,
     /// The first and the longest pause after a failed call.
     pub backoff: (Duration, Duration),
     /// How long after an outage the servers are kept whose entries the service lost
@@ -53,7 +58,8 @@
 impl Default for SyncOptions {
     fn default() -> Self {
         SyncOptions {
-            watch_timeout: Duration::from_secs(4),
+            watch_timeout: Duration::from_millis(1_500),
+            watch_grace: Duration::from_millis(500),
             backoff: (Duration::from_millis(100), Duration::from_millis(800)),
             // Servers write their entries again within two seconds.
             outage_grace: Duration::from_secs(2),
@@ -167,7 +173,7 @@
     ) -> Result<Changes> {
         let mut wait = wait;
         loop {
-            match self.feed.changes("", revision, wait).await {
+            match self.call_watch(revision, wait).await {
                 Ok(changes) => {
                     *pause = self.options.backoff.0;
                     self.mark_connected();
@@ -185,6 +191,19 @@
         }
     }
 
+    /// Calls for the changes after `revision`. While the response is late, this host counts
+    /// as disconnected, so that another one watches the service in its place.
+    async fn call_watch(&self, revision: Version, wait: Duration) -> Result<Changes> {
+        let mut call = self.feed.changes("", revision, wait);
+        match timeout(wait + self.options.watch_grace, &mut call).await {
+            Ok(result) => result,
+            Err(_) => {
+                self.mark_disconnected("the response to a watch is late");
+                call.await
+            }
+        }
+    }
+
     async fn read_all(&self) -> Result<()> {
         let snapshot = self.feed.snapshot("").await?;
         self.mark_connected();
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -9,7 +9,7 @@
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use aspenloft_core::clock::SystemClock;
@@ -154,7 +154,8 @@
 /// A key-value service in memory that can be made to fail.
 #[derive(Default)]
 pub struct MemoryStore {
-    state: Mutex<StoreState>,
+    state: Arc<Mutex<StoreState>>,
+    silent: AtomicBool,
 }
 
 #[derive(Default)]
@@ -194,6 +195,17 @@
         state.changes.push((version, Change::Removed { key: key.into(), version }));
     }
 
+    /// Returns the same service as another host reaches it.
+    pub fn for_another_host(&self) -> Arc<MemoryStore> {
+        Arc::new(MemoryStore { state: self.state.clone(), silent: AtomicBool::new(false) })
+    }
+
+    /// Leaves the watches of this host without a response until the client gives up, or
+    /// ends that.
+    pub fn set_silent(&self, silent: bool) {
+        self.silent.store(silent, Ordering::SeqCst);
+    }
+
     pub fn set_down(&self, down: bool) {
         self.state.lock().down = down;
     }
@@ -224,9 +236,13 @@
 
     async fn changes(&self, _prefix: &str, after: Version, wait: Duration) -> Result<Changes> {
         let end = Instant::now() + wait;
+        let timeout = end + Duration::from_secs(2);
         loop {
             self.check()?;
-            {
+            if Instant::now() >= timeout {
+                return Err(aspenloft_core::errors::unavailable("no response"));
+            }
+            if !self.silent.load(Ordering::SeqCst) {
                 let state = self.state.lock();
                 if after < state.compacted {
                     return Ok(Changes::Compacted);
--- a/crates/gateway/tests/view_exchange.rs
+++ b/crates/gateway/tests/view_exchange.rs
@@ -72,6 +72,26 @@
     assert!(silent.elapsed() < Duration::from_millis(1_500), "{:?}", silent.elapsed());
 }
 
+// Hosts relied on others for as long as these waited for a response of the store.
+#[test]
+fn a_removal_reaches_hosts_whose_watchers_get_no_response() {
+    let server = good();
+    let first = TestHost::with_servers(&[entry("s1", server.addr, Plain)]);
+    let start = |name| TestHost::start(name, first.store.for_another_host());
+    let (second, third) = (start("h2"), start("h3"));
+    third.wait_ready();
+    // The watches return, and the third host leaves the store to the others.
+    std::thread::sleep(Duration::from_millis(500));
+    first.store.write("somebody/else", &0);
+    std::thread::sleep(Duration::from_millis(500));
+    first.store.set_silent(true);
+    second.store.set_silent(true);
+    first.store.remove("servers/s1");
+    let removed = Instant::now();
+    wait_for("the server to be removed", || status(&third.send(&get("a"))) == "503");
+    assert!(removed.elapsed() < REMOVAL_LIMIT, "{:?}", removed.elapsed());
+}
+
 // A view that was requested before a change was applied after it.
 #[test]
 fn a_view_that_arrives_after_a_removal_does_not_list_the_server_again() {
