--- a/crates/gateway/src/sync/mod.rs
+++ b/crates/gateway/src/sync/mod.rs
@@ -222,8 +222,10 @@
     }
 
     fn apply_changes(&self, changes: Vec<Change>, revision: Version) {
+        // The view of another host may have been applied while the watch was waiting.
+        let applied = self.view.revision();
         let mut server_changes = Vec::new();
-        for change in changes {
+        for change in changes.into_iter().filter(|change| change.version() > applied) {
             let version = change.version();
             let server_change = match change {
                 Change::Written(item) => self.apply_item(&item),
@@ -234,8 +236,8 @@
         self.view.apply_changes(server_changes, revision, &self.keep());
     }
 
-    /// Applies the item of a host or the configuration. Returns the change of a server's
-    /// entry, which applies at the revision of all servers.
+    /// Applies the entry of a host or the configuration at once. Returns the change of a
+    /// server's entry, which the view applies together with the others of its revision.
     fn apply_item(&self, item: &Versioned) -> Option<ServerChange> {
         if item.key.starts_with(HOSTS_PREFIX) {
             if let Some(host) = read_host(item) {
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -72,8 +72,8 @@
 /// `View` is the host's view of the deployment. Readers get snapshots.
 ///
 /// The servers are those that the key-value service listed at one revision, which only
-/// rises: hosts learn of changes on several ways at once, and what was read earlier may
-/// arrive later. `docs/design/platform.md` describes the ways.
+/// rises: hosts learn of changes in several ways at once, and what was read earlier may
+/// arrive later. `docs/design/platform.md` describes them.
 ///
 /// Lock order: `configuration` and `servers` are never held together.
 #[derive(Debug, Default)]
