--- a/crates/gateway/src/sync/mod.rs
+++ b/crates/gateway/src/sync/mod.rs
@@ -207,11 +207,13 @@
     async fn read_all(&self) -> Result<()> {
         let snapshot = self.feed.snapshot("").await?;
         self.mark_connected();
-        let (revision, items) = (snapshot.revision, snapshot.items.len());
-        let entries: Vec<_> = snapshot.items.iter().filter_map(|i| self.apply_item(i)).collect();
-        let hosts = snapshot.items.iter().filter_map(read_host).collect();
+        let revision = snapshot.revision;
+        let (hosts, items): (Vec<Versioned>, Vec<Versioned>) =
+            snapshot.items.into_iter().partition(|item| item.key.starts_with(HOSTS_PREFIX));
+        let hosts: Vec<Host> = hosts.iter().filter_map(read_host).collect();
+        let entries: Vec<_> = items.iter().filter_map(|item| self.apply_item(item)).collect();
         let (servers, keep) = (entries.len(), self.keep());
-        log::info!(event = "store_read", revision, items, servers; "");
+        log::info!(event = "store_read", revision, servers, hosts = hosts.len(); "");
         if self.view.replace_servers(entries, revision, UpdateSource::Snapshot, &keep) {
             self.peers.replace_listed(hosts);
         } else {
@@ -313,11 +315,8 @@
     }
 }
 
-/// Returns the host whose entry `item` is, `None` if it is another item.
+/// Decodes the entry of a host; `None` if it is invalid.
 fn read_host(item: &Versioned) -> Option<Host> {
-    if !item.key.starts_with(HOSTS_PREFIX) {
-        return None;
-    }
     serde_json::from_str(&item.value).inspect_err(|e| log_unreadable(item, e)).ok()
 }
 
