Log the limits that backend servers name, and the sends to those servers

The dialect now reads Server-Limit; hosts log when a limit is named, changed or lifted, and what they send to such a server. Nothing is decided by it yet.

--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -86,6 +86,18 @@
     pub misdirected: bool,
     /// How long the server keeps the idle connection open, if it states so.
     pub keep_alive: Option<Duration>,
+    /// The rate of requests that the server accepts, if it names one.
+    pub rate_limit: Option<RateLimit>,
+}
+
+/// `RateLimit` is the rate of requests that a server names in its responses. It applies
+/// to all hosts together, for as long as the server's responses name it.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum RateLimit {
+    /// The number of requests per second.
+    PerSecond(f64),
+    /// The response names a limit that is not a number of requests per second.
+    Unreadable,
 }
 
 impl ResponseMetadata {
--- a/crates/gateway/src/http/client.rs
+++ b/crates/gateway/src/http/client.rs
@@ -16,6 +16,7 @@
 use super::pool::{Connection, Pool};
 use crate::dialect::{Dialect, ResponseMetadata};
 use crate::roster::{InFlightGuard, Server};
+use crate::server_limits::ServerLimits;
 
 /// `FailureCause` is the reason why there is no usable response.
 #[derive(Debug, Display, Clone, Copy, PartialEq, Eq)]
@@ -91,12 +92,18 @@
 pub struct BackendClient {
     pool: Arc<Pool>,
     dialect: Arc<dyn Dialect>,
+    limits: Arc<ServerLimits>,
 }
 
 impl BackendClient {
-    /// Creates a client that uses the connections of `pool`.
-    pub fn new(pool: Arc<Pool>, dialect: Arc<dyn Dialect>) -> BackendClient {
-        BackendClient { pool, dialect }
+    /// Creates a client that uses the connections of `pool` and records the rates that
+    /// servers name in `limits`.
+    pub fn new(
+        pool: Arc<Pool>,
+        dialect: Arc<dyn Dialect>,
+        limits: Arc<ServerLimits>,
+    ) -> BackendClient {
+        BackendClient { pool, dialect, limits }
     }
 
     /// Sends `req` of the attempt `id` to `server` and waits up to `limit` for the head
@@ -109,6 +116,7 @@
         limit: Duration,
     ) -> Result<BackendResponse, SendFailure> {
         let in_flight = InFlightGuard::begin(server);
+        let sent_at = self.limits.record_send(server);
         let sending = self.send_over_pool(server, req);
         let Ok(sent) = timeout(limit, sending).await else {
             return Err(SendFailure::unknown(FailureCause::Timeout));
@@ -125,6 +133,7 @@
         if (id_differs && !metadata.refused()) || encoded {
             return Err(SendFailure::unknown(FailureCause::WrongResponse));
         }
+        self.limits.record_response(server, sent_at, &metadata);
         Ok(BackendResponse { head, metadata, body, connection, in_flight })
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod retries;
 pub mod roster;
 pub mod run;
+pub mod server_limits;
 pub mod settings;
 pub mod shutdown;
 pub mod sync;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -30,6 +30,7 @@
     prompt_tokens: Counter<u64>,
     streams: Counter<u64>,
     connections: Counter<u64>,
+    limited_sends: Counter<u64>,
     store_calls: Counter<u64>,
 }
 
@@ -54,6 +55,7 @@
             prompt_tokens: m.u64_counter("aspenloft_gateway_prompt_tokens").build(),
             streams: m.u64_counter("aspenloft_gateway_streams").build(),
             connections: m.u64_counter("aspenloft_gateway_connections_opened").build(),
+            limited_sends: m.u64_counter("aspenloft_gateway_limited_sends").build(),
             store_calls: m.u64_counter("aspenloft_gateway_store_calls").build(),
             meters,
         }))
@@ -112,6 +114,11 @@
         self.connections.add(1, &[]);
     }
 
+    /// Counts a send to a backend server that limits its requests.
+    pub fn sent_to_limited(&self) {
+        self.limited_sends.add(1, &[]);
+    }
+
     /// Counts a call to the platform's key-value service.
     pub fn store_called(&self, call: &'static str, outcome: &'static str) {
         let labels = [KeyValue::new("call", call), KeyValue::new("outcome", outcome)];
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -30,6 +30,7 @@
 use crate::peers::{Peers, ViewServer};
 use crate::probes;
 use crate::retries::RetryBudgets;
+use crate::server_limits::ServerLimits;
 use crate::settings::Settings;
 use crate::shutdown::Shutdown;
 use crate::sync::{StoreSync, SyncOptions, SyncState};
@@ -118,7 +119,8 @@
 
     let pool = Pool::new(PoolOptions::default(), clock.clone(), metrics.clone());
     task::spawn(sweep(pool.clone()));
-    let client = BackendClient::new(pool, platform.dialect.clone());
+    let limits = ServerLimits::new(clock.clone(), metrics.clone());
+    let client = BackendClient::new(pool, platform.dialect.clone(), limits);
     let allowance = RetryAllowance {
         ratio: settings.retries.ratio,
         slack: settings.retries.slack,
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -19,8 +19,8 @@
     CallerLimits, Configuration, EngineProfile, RepeatPolicy, Route, Service,
 };
 use aspenloft_gateway::dialect::{
-    Dialect, EngineCall, EngineReport, GenerationSize, Phase, RemovedItem, RequestMetadata,
-    ResponseMetadata, RoleOrder, SendMetadata, StoreItem,
+    Dialect, EngineCall, EngineReport, GenerationSize, Phase, RateLimit, RemovedItem,
+    RequestMetadata, ResponseMetadata, RoleOrder, SendMetadata, StoreItem,
 };
 use aspenloft_gateway::http::headers::end_to_end;
 use aspenloft_gateway::loads::LoadDigest;
@@ -101,6 +101,8 @@
             not_run: head.headers.contains_key("not-run"),
             misdirected: head.status.as_u16() == 421,
             keep_alive: None,
+            rate_limit: text(&head.headers, "limit")
+                .map(|rate| rate.parse().map_or(RateLimit::Unreadable, RateLimit::PerSecond)),
         }
     }
 
