--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -13,6 +13,7 @@
 use crate::dialect::{Dialect, Phase, SendMetadata};
 use crate::http::{BackendClient, FailureCause, SendFailure};
 use crate::peers::Peers;
+use crate::permits::{LimitReached, Permits, SendPermit};
 use crate::request::InboundRequest;
 use crate::responses::{ResponseBody, full_body, relayed_response};
 use crate::retries::RetryBudgets;
@@ -42,6 +43,8 @@
     pub view: Arc<View>,
     /// Sends requests to backend servers.
     pub client: BackendClient,
+    /// The limits of servers.
+    pub permits: Arc<Permits>,
     /// Translates the platform's headers.
     pub dialect: Arc<dyn Dialect>,
     /// The budgets of extra sends.
@@ -82,17 +85,23 @@
             .retry_after(SERVER_RETRY_AFTER);
         let mut server_error: Option<(response::Parts, Bytes)> = None;
         while tried.len() < MAX_SENDS {
-            let now = self.clock.now();
-            if inbound.remaining(now).is_zero() {
+            if inbound.remaining(self.clock.now()).is_zero() {
                 break;
             }
-            let Some(server) = self.choose(inbound, &tried) else { break };
-            if arrived && !self.take_extra_send(inbound, now) {
+            let (server, permit) = match self.choose_permitted(inbound, &tried).await {
+                Ok(Some(chosen)) => chosen,
+                Ok(None) => break,
+                Err(limit) => {
+                    error = limit_error(inbound, limit);
+                    break;
+                }
+            };
+            if arrived && !self.take_extra_send(inbound, self.clock.now()) {
                 break;
             }
             tried.push(server.entry.instance.clone());
             let attempts_left = runs + 1 < inbound.route.max_attempts;
-            let sent = self.send(inbound, &server, attempts_left).await;
+            let sent = self.send(inbound, &server, permit, attempts_left).await;
             arrived |= sent.reached_server();
             match sent {
                 SendOutcome::Complete(head, body) if !head.status.is_server_error() => {
@@ -133,10 +142,47 @@
         self.retries.try_extra_send(inbound.log_id(), &inbound.service, now, hosts)
     }
 
-    fn choose(&self, inbound: &InboundRequest, tried: &[Name]) -> Option<Arc<Server>> {
-        let now = self.clock.now();
-        let mut servers = self.view.roster().available(&inbound.service, ServerRole::Plain, now);
-        servers.retain(|s| !tried.contains(&s.entry.instance));
+    /// Chooses a server that is not in `tried` and acquires a permit for it. Returns `None`
+    /// if there is no such server, and an error if the limits of all of them are reached.
+    async fn choose_permitted(
+        &self,
+        inbound: &InboundRequest,
+        tried: &[Name],
+    ) -> Result<Option<(Arc<Server>, SendPermit)>, LimitReached> {
+        let mut excluded = tried.to_vec();
+        let mut reached: Option<LimitReached> = None;
+        loop {
+            let now = self.clock.now();
+            let mut servers =
+                self.view.roster().available(&inbound.service, ServerRole::Plain, now);
+            servers.retain(|s| !excluded.contains(&s.entry.instance));
+            // A request only waits for a server with a limit if there is no other server.
+            let is_free = |s: &Arc<Server>| self.permits.known_wait(s).is_zero();
+            let max_wait = match servers.iter().any(is_free) {
+                true => {
+                    servers.retain(is_free);
+                    Duration::ZERO
+                }
+                false => inbound.permit_wait(now),
+            };
+            let Some(server) = self.choose(&servers, now) else {
+                return reached.map_or(Ok(None), Err);
+            };
+            match self.permits.acquire(&server, max_wait).await {
+                Ok(permit) => return Ok(Some((server, permit))),
+                // Another server may be free, or become free sooner.
+                Err(limit) if max_wait.is_zero() => {
+                    reached = sooner(reached, limit);
+                }
+                Err(limit) => {
+                    reached = sooner(reached, limit);
+                    excluded.push(server.entry.instance.clone());
+                }
+            }
+        }
+    }
+
+    fn choose(&self, servers: &[Arc<Server>], now: Instant) -> Option<Arc<Server>> {
         let loads: Vec<ServerLoad> = servers
             .iter()
             .map(|s| ServerLoad {
@@ -153,6 +199,7 @@
         &self,
         inbound: &InboundRequest,
         server: &Server,
+        permit: SendPermit,
         attempts_left: bool,
     ) -> SendOutcome {
         let remaining = inbound.remaining(self.clock.now());
@@ -166,7 +213,7 @@
             phase: Phase::Whole,
         };
         let req = inbound.outbound(&*self.dialect, &metadata);
-        let sent = self.send_and_read(inbound, server, req, limit).await;
+        let sent = self.send_and_read(inbound, server, permit, req, limit).await;
         self.record_outcome(inbound, server, &sent);
         sent
     }
@@ -175,11 +222,12 @@
         &self,
         inbound: &InboundRequest,
         server: &Server,
+        permit: SendPermit,
         req: http::Request<http_body_util::Full<Bytes>>,
         limit: Duration,
     ) -> SendOutcome {
         let id = inbound.metadata.id.as_ref();
-        let response = match self.client.send(server, id, req, limit).await {
+        let response = match self.client.send(server, permit, id, req, limit).await {
             Ok(response) => response,
             Err(failure) => return SendOutcome::Failed(failure),
         };
@@ -225,6 +273,23 @@
     }
 }
 
+/// Returns the limit at which a request can be sent sooner.
+fn sooner(reached: Option<LimitReached>, other: LimitReached) -> Option<LimitReached> {
+    Some(
+        reached.map_or(
+            other,
+            |limit| if limit.retry_after <= other.retry_after { limit } else { other },
+        ),
+    )
+}
+
+/// Returns the error for the caller of a request that no server may get now.
+pub fn limit_error(inbound: &InboundRequest, limit: LimitReached) -> Error {
+    let message = format!("all servers of service {} limit their requests", inbound.service);
+    let after = limit.retry_after.max(SERVER_RETRY_AFTER);
+    Error::new(ErrorCode::Overloaded, message).retry_after(inbound.with_jitter(after))
+}
+
 /// Returns the error for the caller of a request whose send failed.
 pub fn send_error(failure: SendFailure) -> Error {
     let code = match failure.cause {
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -21,6 +21,7 @@
 use crate::loads::{EngineLoads, RunGuard, RunSize};
 use crate::metrics::Metrics;
 use crate::peers::Peers;
+use crate::permits::Permits;
 use crate::request::InboundRequest;
 use crate::roster::{Server, ServerRole};
 use crate::view::View;
@@ -31,10 +32,6 @@
 /// The minimum `Retry-After` of a refused request.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(500);
 
-/// The maximum jitter that is added to `Retry-After`, as a share of the expected wait,
-/// so that callers that are refused together do not return together.
-const RETRY_AFTER_JITTER: f64 = 0.5;
-
 /// How long an engine counts as full after it refused a request although capacity was
 /// forecast: about the time until one of its requests ends.
 const FULL_DURATION: Duration = Duration::from_millis(300);
@@ -78,6 +75,7 @@
     view: Arc<View>,
     loads: Arc<EngineLoads>,
     peers: Arc<Peers>,
+    permits: Arc<Permits>,
     clock: SharedClock,
     metrics: Arc<Metrics>,
     options: WaitOptions,
@@ -90,12 +88,13 @@
         view: Arc<View>,
         loads: Arc<EngineLoads>,
         peers: Arc<Peers>,
+        permits: Arc<Permits>,
         clock: SharedClock,
         metrics: Arc<Metrics>,
     ) -> Arc<Dispatcher> {
         let options = WaitOptions::default();
         let queue = Mutex::default();
-        Arc::new(Dispatcher { view, loads, peers, clock, metrics, options, queue })
+        Arc::new(Dispatcher { view, loads, peers, permits, clock, metrics, options, queue })
     }
 
     /// Places the request, immediately or once an engine has capacity. An error means
@@ -184,13 +183,13 @@
         let mut runs = self.loads.runs(now);
         let on_eligible = servers.iter().filter_map(|server| runs.remove(&server.key));
         let remaining: Vec<u64> = on_eligible.flatten().map(|run| run.remaining).collect();
+        let limited = servers.iter().map(|server| self.permits.known_wait(server)).min();
         waiting::expected_wait(remaining, self.loads.waiting(now), self.loads.step())
+            .max(limited.unwrap_or_default())
     }
 
     fn overload_error(&self, inbound: &InboundRequest, message: &str, expected: Duration) -> Error {
-        // The request's hash gives the jitter without a source of randomness.
-        let jitter = inbound.fingerprint().0 as f64 / u64::MAX as f64 * RETRY_AFTER_JITTER;
-        let after = expected.max(MIN_RETRY_AFTER).mul_f64(1.0 + jitter);
+        let after = inbound.with_jitter(expected.max(MIN_RETRY_AFTER));
         Error::new(ErrorCode::Overloaded, message).retry_after(after)
     }
 
@@ -270,7 +269,7 @@
         let configuration = self.view.configuration()?;
         let profile = configuration.services.get(service)?.engine.as_ref()?;
         let mut servers = self.eligible_servers(service, ServerRole::Decode, now, tried);
-        servers.retain(|server| !server.state.is_full(now));
+        servers.retain(|s| !s.state.is_full(now) && self.permits.known_wait(s).is_zero());
         let mut runs = self.loads.runs(now);
         let waiting_hosts = self.loads.waiting_hosts(now);
         let group = self.peers.group();
@@ -319,7 +318,8 @@
         now: Instant,
         tried: &[Name],
     ) -> Option<Arc<Server>> {
-        let servers = self.eligible_servers(service, ServerRole::Prefill, now, tried);
+        let mut servers = self.eligible_servers(service, ServerRole::Prefill, now, tried);
+        servers.retain(|server| self.permits.known_wait(server).is_zero());
         let queued = self.loads.prefill_tokens(now);
         let group = self.peers.group();
         let in_decode_group = |server: &Server| {
--- a/crates/gateway/src/generation/decode.rs
+++ b/crates/gateway/src/generation/decode.rs
@@ -18,6 +18,7 @@
 use crate::dispatch::Placement;
 use crate::http::{BackendResponse, FailureCause, SendFailure};
 use crate::loads::RunSize;
+use crate::permits::SendPermit;
 use crate::request::InboundRequest;
 use crate::roster::Server;
 
@@ -32,6 +33,8 @@
 struct EngineSearch {
     /// The engine of the next send.
     server: Arc<Server>,
+    /// The permit for `server`, until it is used.
+    permit: Option<SendPermit>,
     /// The prompt's KV cache.
     kv_cache: Option<KvCacheGuard>,
     /// A KV cache with which an engine refused the request although it is not full:
@@ -63,12 +66,14 @@
         &self,
         inbound: &InboundRequest,
         placement: &Placement,
+        permit: SendPermit,
         kv_cache: Option<KvCacheGuard>,
         size: RunSize,
         engine: &EngineProfile,
     ) -> Result<Accepted, Error> {
         let mut search = EngineSearch {
             server: placement.decode.clone(),
+            permit: Some(permit),
             kv_cache,
             unconfirmed: None,
             tried: Vec::new(),
@@ -77,17 +82,25 @@
         };
         for _ in 0..MAX_SENDS {
             let now = self.clock.now();
-            if inbound.remaining(now).is_zero()
-                || (search.arrived && !self.take_extra_send(inbound, now))
-            {
+            if inbound.remaining(now).is_zero() {
                 break;
             }
             if !self.is_staying(&search.server, now) {
                 // The engine started to leave during the prefill.
                 self.select_next_engine(inbound, placement, size, &mut search, true).await?;
             }
+            let Some(permit) = self.permit_for(inbound, &mut search).await else {
+                let may_wait = search.runs == 0;
+                if self.select_next_engine(inbound, placement, size, &mut search, may_wait).await? {
+                    continue;
+                }
+                break;
+            };
+            if search.arrived && !self.take_extra_send(inbound, now) {
+                break;
+            }
             let with_kv_cache = search.kv_cache.is_some();
-            let try_another = match self.send_once(inbound, engine, &mut search).await {
+            let try_another = match self.send_once(inbound, permit, engine, &mut search).await {
                 SendOutcome::Accepted(response) => {
                     let EngineSearch { server, runs, .. } = search;
                     return Ok(Accepted { response: *response, server, runs: runs + 1 });
@@ -116,10 +129,26 @@
         Err(sends_exhausted().execution(execution))
     }
 
+    /// Returns the permit for the engine of `search`, a new one if it has expired during the
+    /// prefill, or `None` if the engine's limit is reached.
+    async fn permit_for(
+        &self,
+        inbound: &InboundRequest,
+        search: &mut EngineSearch,
+    ) -> Option<SendPermit> {
+        let now = self.clock.now();
+        let kept = search.permit.take().filter(|permit| permit.is_valid(&search.server, now));
+        match kept {
+            Some(permit) => Some(permit),
+            None => self.permits.acquire(&search.server, inbound.permit_wait(now)).await.ok(),
+        }
+    }
+
     /// Sends the request to the engine of `search`, with the KV cache if there is one.
     async fn send_once(
         &self,
         inbound: &InboundRequest,
+        permit: SendPermit,
         engine: &EngineProfile,
         search: &mut EngineSearch,
     ) -> SendOutcome {
@@ -129,7 +158,7 @@
             last_event: None,
         };
         let remaining = inbound.remaining(self.clock.now());
-        let sent = self.send(inbound, &search.server, phase, remaining).await;
+        let sent = self.send(inbound, &search.server, permit, phase, remaining).await;
         let now = self.clock.now();
         match sent {
             Ok(response) if !response.metadata.refused() => {
--- a/crates/gateway/src/generation/memory.rs
+++ b/crates/gateway/src/generation/memory.rs
@@ -12,6 +12,7 @@
 use crate::dialect::{Dialect, EngineCall, KvCacheRef};
 use crate::http::BackendClient;
 use crate::metrics::Metrics;
+use crate::permits::Permits;
 use crate::roster::Server;
 
 /// The timeout of a call that frees a KV cache.
@@ -26,6 +27,7 @@
     stale_at: Instant,
     client: BackendClient,
     dialect: Arc<dyn Dialect>,
+    permits: Arc<Permits>,
     metrics: Arc<Metrics>,
 }
 
@@ -39,7 +41,7 @@
         tokens: u64,
         stale_at: Instant,
     ) -> KvCacheGuard {
-        let GenerationHandler { client, dialect, metrics, .. } = generations;
+        let GenerationHandler { client, dialect, permits, metrics, .. } = generations;
         KvCacheGuard {
             server,
             handle: Some(handle),
@@ -47,6 +49,7 @@
             stale_at,
             client: client.clone(),
             dialect: dialect.clone(),
+            permits: permits.clone(),
             metrics: metrics.clone(),
         }
     }
@@ -83,10 +86,12 @@
     fn drop(&mut self) {
         let Some(handle) = self.handle.take() else { return };
         self.metrics.prompt_processed(self.tokens, false);
+        // An engine with a limit frees the cache by itself when its lifetime is over.
+        let Some(permit) = self.permits.try_optional(&self.server) else { return };
         let call = self.dialect.free_kv_cache_call(&handle);
         let (client, server) = (self.client.clone(), self.server.clone());
         task::spawn(async move {
-            let sent = client.send(&server, None, engine_request(call), FREE_TIMEOUT).await;
+            let sent = client.send(&server, permit, None, engine_request(call), FREE_TIMEOUT).await;
             match sent {
                 Ok(response) => {
                     // The body is only read so that the connection can be reused.
--- a/crates/gateway/src/generation/mod.rs
+++ b/crates/gateway/src/generation/mod.rs
@@ -17,7 +17,7 @@
 use http::Response;
 use http_body_util::{BodyExt, StreamBody};
 
-use crate::call::{MAX_RESPONSE_BYTES, send_error};
+use crate::call::{MAX_RESPONSE_BYTES, limit_error, send_error};
 use crate::configuration::EngineProfile;
 use crate::demand::DemandTracker;
 use crate::dialect::{Dialect, GenerationSize, Phase, SendMetadata};
@@ -26,6 +26,7 @@
 use crate::loads::{EngineLoads, RunSize};
 use crate::metrics::Metrics;
 use crate::peers::Peers;
+use crate::permits::{Permits, SendPermit};
 use crate::request::InboundRequest;
 use crate::responses::{ResponseBody, full_body, relayed_response};
 use crate::retries::RetryBudgets;
@@ -43,6 +44,8 @@
     pub dispatcher: Arc<Dispatcher>,
     /// Sends requests to engines.
     pub client: BackendClient,
+    /// The limits of engines.
+    pub permits: Arc<Permits>,
     /// Translates the platform's headers.
     pub dialect: Arc<dyn Dialect>,
     /// The budgets of extra sends.
@@ -84,12 +87,12 @@
             );
             return Err(error.execution(Execution::Unknown));
         }
-        let placement = self.dispatcher.place(&inbound, engine, size).await?;
+        let (placement, permit) = self.place(&inbound, engine, size).await?;
         self.log_placed(&inbound, &placement, size);
         let placed = self.clock.now();
         let kv_cache = self.prefill(&inbound, &placement, requested.prompt_tokens, engine).await?;
         let prefilled = self.clock.now();
-        let accepted = self.decode(&inbound, &placement, kv_cache, size, engine).await?;
+        let accepted = self.decode(&inbound, &placement, permit, kv_cache, size, engine).await?;
         let Accepted { response, server, runs } = accepted;
         if !response.head.status.is_success() {
             return self.relay_failure(&inbound, response).await;
@@ -113,6 +116,28 @@
         Ok(relayed_response(&head, StreamBody::new(relay.into_stream()).boxed_unsync()))
     }
 
+    /// Places the request on engines. The permit for the decode engine comes before the
+    /// prefill, whose result would be lost without it.
+    async fn place(
+        &self,
+        inbound: &InboundRequest,
+        engine: &EngineProfile,
+        size: RunSize,
+    ) -> Result<(Placement, SendPermit), Error> {
+        loop {
+            let placement = self.dispatcher.place(inbound, engine, size).await?;
+            let max_wait = inbound.permit_wait(self.clock.now());
+            match self.permits.acquire(&placement.decode, max_wait).await {
+                Ok(permit) => return Ok((placement, permit)),
+                Err(limit) if inbound.remaining(self.clock.now()).is_zero() => {
+                    return Err(limit_error(inbound, limit));
+                }
+                // The next placement leaves the engine out until it accepts requests.
+                Err(_) => {}
+            }
+        }
+    }
+
     fn log_placed(&self, inbound: &InboundRequest, placement: &Placement, size: RunSize) {
         let waited = self.clock.now().saturating_duration_since(inbound.arrived).as_millis() as u64;
         let decode = &*placement.decode.entry.instance;
@@ -157,6 +182,7 @@
         &self,
         inbound: &InboundRequest,
         server: &Server,
+        permit: SendPermit,
         phase: Phase,
         limit: Duration,
     ) -> Result<BackendResponse, SendFailure> {
@@ -164,7 +190,7 @@
         let metadata =
             SendMetadata { instance: server.entry.instance.clone(), timeout: remaining, phase };
         let req = inbound.outbound(&*self.dialect, &metadata);
-        self.client.send(server, inbound.metadata.id.as_ref(), req, limit).await
+        self.client.send(server, permit, inbound.metadata.id.as_ref(), req, limit).await
     }
 
     async fn relay_failure(
--- a/crates/gateway/src/generation/prefill.rs
+++ b/crates/gateway/src/generation/prefill.rs
@@ -12,6 +12,7 @@
 use crate::dialect::Phase;
 use crate::dispatch::Placement;
 use crate::http::{FailureCause, SendFailure};
+use crate::permits::SendPermit;
 use crate::request::InboundRequest;
 use crate::roster::Server;
 
@@ -50,7 +51,14 @@
         let Some(mut server) = placement.prefill.clone() else { return Ok(None) };
         let mut tried: Vec<Name> = Vec::new();
         for _ in 0..MAX_SENDS {
-            let unusable = match self.send_prefill(inbound, &server, tokens, engine).await {
+            let Some((permitted, permit)) =
+                self.permitted_prefill_engine(inbound, placement, server, &mut tried).await
+            else {
+                return Ok(None);
+            };
+            server = permitted;
+            let sent = self.send_prefill(inbound, &server, permit, tokens, engine).await;
+            let unusable = match sent {
                 Ok(kv_cache) => return Ok(Some(kv_cache)),
                 Err(unusable) => unusable,
             };
@@ -88,17 +96,39 @@
         Ok(None)
     }
 
+    /// Returns `first`, or another prefill engine if its limit is reached, with a permit
+    /// for it. Returns `None` when the decode engine has to process the prompt itself.
+    async fn permitted_prefill_engine(
+        &self,
+        inbound: &InboundRequest,
+        placement: &Placement,
+        first: Arc<Server>,
+        tried: &mut Vec<Name>,
+    ) -> Option<(Arc<Server>, SendPermit)> {
+        let mut server = first;
+        loop {
+            let max_wait = inbound.permit_wait(self.clock.now());
+            if let Ok(permit) = self.permits.acquire(&server, max_wait).await {
+                return Some((server, permit));
+            }
+            tried.push(server.entry.instance.clone());
+            let (decode, now) = (&placement.decode, self.clock.now());
+            server = self.dispatcher.choose_prefill_engine(&inbound.service, decode, now, tried)?;
+        }
+    }
+
     async fn send_prefill(
         &self,
         inbound: &InboundRequest,
         server: &Arc<Server>,
+        permit: SendPermit,
         tokens: u64,
         engine: &EngineProfile,
     ) -> Result<KvCacheGuard, Unusable> {
         let _queued = self.loads.begin_prefill(server.key, tokens);
         let began = self.clock.now();
         let limit = inbound.remaining(began).min(PREFILL_TIMEOUT);
-        let sent = self.send(inbound, server, Phase::Prefill, limit).await;
+        let sent = self.send(inbound, server, permit, Phase::Prefill, limit).await;
         let response = sent.map_err(Unusable::Failed)?;
         let refused = response.metadata.refused();
         let success = response.head.status.is_success();
--- a/crates/gateway/src/generation/relay.rs
+++ b/crates/gateway/src/generation/relay.rs
@@ -19,10 +19,14 @@
 use crate::events::EventSplitter;
 use crate::http::BackendResponse;
 use crate::loads::{RunGuard, RunSize};
+use crate::permits::SendPermit;
 use crate::request::InboundRequest;
 use crate::responses::Truncated;
 use crate::roster::{Server, StreamGuard};
 
+/// How long a broken stream may wait for an engine that limits its requests.
+const MAX_PERMIT_WAIT: Duration = Duration::from_millis(500);
+
 /// The engine that currently streams, and its response.
 pub(super) struct Upstream {
     /// The response whose body is being read.
@@ -178,24 +182,20 @@
         if !allowed || !generations.take_extra_send(&self.inbound, now) {
             return false;
         }
-        let tried = [server.entry.instance.clone()];
-        self.resume_on_another(&tried, runs).await
+        let tried = vec![server.entry.instance.clone()];
+        self.resume_on_another(tried, runs).await
     }
 
-    async fn resume_on_another(&mut self, tried: &[Name], runs: u32) -> bool {
+    async fn resume_on_another(&mut self, tried: Vec<Name>, runs: u32) -> bool {
         let generations = self.generations.clone();
+        let engine = permitted_engine(&generations, &self.inbound, self.size, tried);
+        let Some((server, permit)) = engine.await else { return false };
         let now = generations.clock.now();
-        let service = &self.inbound.service;
-        let Some(server) =
-            generations.dispatcher.choose_decode_engine(service, self.size, now, tried)
-        else {
-            return false;
-        };
         self.run.reassign(server.key);
         let last_event = self.splitter.last_id().map(str::to_string);
         let phase = Phase::Decode { kv_cache: None, last_event };
         let remaining = self.inbound.remaining(now);
-        match generations.send(&self.inbound, &server, phase, remaining).await {
+        match generations.send(&self.inbound, &server, permit, phase, remaining).await {
             Ok(response) if response.head.status.is_success() && response.metadata.sealed => {
                 let instance = &*server.entry.instance;
                 log::info!(event = "resumed", request = self.inbound.log_id(), server = instance, after = self.splitter.events(); "");
@@ -257,3 +257,21 @@
         log::info!(event = "stream_ended", request = self.inbound.log_id(), outcome, events, pause_ms; "");
     }
 }
+
+/// Returns an engine on which a stream may go on, with a permit for it.
+async fn permitted_engine(
+    generations: &GenerationHandler,
+    inbound: &InboundRequest,
+    size: RunSize,
+    mut tried: Vec<Name>,
+) -> Option<(Arc<Server>, SendPermit)> {
+    let GenerationHandler { dispatcher, permits, clock, .. } = generations;
+    loop {
+        let server =
+            dispatcher.choose_decode_engine(&inbound.service, size, clock.now(), &tried)?;
+        match permits.acquire(&server, MAX_PERMIT_WAIT).await {
+            Ok(permit) => return Some((server, permit)),
+            Err(_) => tried.push(server.entry.instance.clone()),
+        }
+    }
+}
--- a/crates/gateway/src/http/client.rs
+++ b/crates/gateway/src/http/client.rs
@@ -15,6 +15,7 @@
 
 use super::pool::{Connection, Pool};
 use crate::dialect::{Dialect, ResponseMetadata};
+use crate::permits::SendPermit;
 use crate::roster::{InFlightGuard, Server};
 use crate::server_limits::ServerLimits;
 
@@ -106,15 +107,17 @@
         BackendClient { pool, dialect, limits }
     }
 
-    /// Sends `req` of the attempt `id` to `server` and waits up to `limit` for the head
-    /// of the response.
+    /// Sends `req` of the attempt `id` to `server`, for which `permit` was issued, and waits
+    /// up to `limit` for the head of the response.
     pub async fn send(
         &self,
         server: &Server,
+        permit: SendPermit,
         id: Option<&Name>,
         req: Request<Full<Bytes>>,
         limit: Duration,
     ) -> Result<BackendResponse, SendFailure> {
+        debug_assert!(permit.is_for(server), "the permit is for another server");
         let in_flight = InFlightGuard::begin(server);
         let sent_at = self.limits.record_send(server);
         let sending = self.send_over_pool(server, req);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod metrics;
 pub mod orders;
 pub mod peers;
+pub mod permits;
 pub mod probes;
 pub mod request;
 pub mod responses;
--- a/crates/gateway/src/orders/mod.rs
+++ b/crates/gateway/src/orders/mod.rs
@@ -25,6 +25,7 @@
 use crate::http::BackendClient;
 use crate::loads::EngineLoads;
 use crate::peers::Peers;
+use crate::permits::Permits;
 use crate::roster::{Server, ServerRole};
 use crate::shutdown::Shutdown;
 use crate::view::View;
@@ -75,6 +76,8 @@
     pub peers: Arc<Peers>,
     /// Sends calls to engines.
     pub client: BackendClient,
+    /// The limits of engines; those with a limit get no calls for role changes.
+    pub permits: Arc<Permits>,
     /// Translates calls to engines.
     pub dialect: Arc<dyn Dialect>,
     /// The host's shutdown; no orders are sent once it has begun.
@@ -287,7 +290,12 @@
 
     async fn call_engine(&self, server: &Server, call: EngineCall) -> Result<(u16, bytes::Bytes)> {
         let failed = |f: crate::http::SendFailure| unavailable(f.cause.to_string());
-        let sent = self.client.send(server, None, engine_request(call), CALL_TIMEOUT).await;
+        let permit = self
+            .permits
+            .try_optional(server)
+            .ok_or_else(|| unavailable("the engine limits its requests"))?;
+        let req = engine_request(call);
+        let sent = self.client.send(server, permit, None, req, CALL_TIMEOUT).await;
         let response = sent.map_err(failed)?;
         let status = response.head.status.as_u16();
         let body = self.client.read_body(response, MAX_RESPONSE_BYTES, CALL_TIMEOUT).await;
--- a/crates/gateway/src/peers/digest.rs
+++ b/crates/gateway/src/peers/digest.rs
@@ -12,7 +12,9 @@
 use crate::configuration::Configuration;
 use crate::demand::DemandDigest;
 use crate::loads::LoadDigest;
+use crate::permits::PermitRequest;
 use crate::roster::ServerEntry;
+use crate::server_limits::LimitNotice;
 
 /// `Digest` is the state that a host sends to the others in one datagram.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -39,12 +41,31 @@
     pub breaks: Vec<(Fingerprint, u64)>,
 }
 
-/// `ViewRequest` asks a host for its view. Hosts of the previous build send an empty
-/// request, which is answered in full.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ViewRequest {
-    /// The version of the configuration that the sender has.
-    pub configuration: Option<u64>,
+/// `DigestSupplement` follows a digest in the same datagram. It is a frame of its own,
+/// which hosts of the previous build do not read.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct DigestSupplement {
+    /// Whether the sender is shutting down.
+    pub leaving: bool,
+    /// The limits of servers that the sender knows.
+    pub limits: Vec<LimitNotice>,
+}
+
+/// `PeerCall` is a call of one host to another.
+///
+/// The first two variants have the encoding of the optional version that hosts of the
+/// previous build send. Those hosts answer all other calls with their view, so they must
+/// not be sent any.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum PeerCall {
+    /// Asks for the whole view.
+    View,
+    /// Asks for the view, with the configuration only if it is newer than this version.
+    ViewSince(u64),
+    /// Asks the home of a server for a permit. The reply is a [`PermitReply`].
+    ///
+    /// [`PermitReply`]: crate::permits::PermitReply
+    Permit(PermitRequest),
 }
 
 /// `ViewReply` is a host's complete view, for a host that does not watch the key-value
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -16,9 +16,10 @@
 use async_trait::async_trait;
 use bytes::{Bytes, BytesMut};
 
-use super::digest::{Digest, KeptServer, ViewReply, ViewRequest};
+use super::digest::{Digest, DigestSupplement, KeptServer, PeerCall, ViewReply};
 use super::{LIVENESS_TIMEOUT, Peer, Peers, is_recent};
 use crate::configuration::Configuration;
+use crate::permits::{PermitReply, PermitRequest, Permits};
 
 /// The minimum time between two digests, so that requests that start together share
 /// one.
@@ -30,9 +31,15 @@
 /// The maximum size of a digest, in bytes: that of one unfragmented datagram.
 const MAX_DIGEST_BYTES: usize = 1_400;
 
+/// The part of a datagram that is reserved for the supplement of a digest, in bytes.
+const MAX_SUPPLEMENT_BYTES: usize = 300;
+
 /// The timeout for fetching a peer's view.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(700);
 
+/// The timeout of a request for a permit: some round trips between data centres.
+const PERMIT_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// How long digests report a disconnect: long enough for several digests, so that a
 /// lost one does not matter.
 const DISCONNECT_REPORT_PERIOD: Duration = Duration::from_secs(2);
@@ -43,18 +50,27 @@
 impl Peers {
     /// Fetches the view of `host`.
     pub async fn fetch_view(&self, host: &Host) -> Result<ViewReply> {
-        let configuration = self.view.configuration().map(|c| c.version);
+        let version = self.state.view.configuration().map(|c| c.version);
+        let call = version.map_or(PeerCall::View, PeerCall::ViewSince);
+        ViewReply::decode(&self.call(host, &call, FETCH_TIMEOUT).await?)
+    }
+
+    /// Asks `home` for a permit to send a request.
+    pub async fn request_permit(&self, home: &Host, req: &PermitRequest) -> Result<PermitReply> {
+        frames::decode(&self.call(home, &PeerCall::Permit(*req), PERMIT_TIMEOUT).await?)
+    }
+
+    async fn call(&self, host: &Host, call: &PeerCall, limit: Duration) -> Result<Bytes> {
         let mut buf = BytesMut::new();
-        frames::encode(&ViewRequest { configuration }, &mut buf)?;
+        frames::encode(call, &mut buf)?;
         let link = self.link(host);
-        let fetched = timeout(FETCH_TIMEOUT, async {
+        let replied = timeout(limit, async {
             let mut call = link.connection().await?.call(buf.freeze()).await?;
             call.next()
                 .await?
                 .ok_or_else(|| unavailable("the peer closed the call without a reply"))
         });
-        let body = fetched.await.map_err(|_| unavailable("the peer did not respond in time"))??;
-        ViewReply::decode(&body)
+        replied.await.map_err(|_| unavailable("the peer did not respond in time"))?
     }
 
     fn link(&self, host: &Host) -> Arc<PeerLink> {
@@ -114,10 +130,10 @@
             host: self.local.clone(),
             seq: self.seq.fetch_add(1, Ordering::SeqCst) + 1,
             born_ms: self.born_ms,
-            revision: self.view.revision(),
+            revision: self.state.view.revision(),
             follows: self.follows.load(Ordering::SeqCst),
-            loads: self.loads.digest(),
-            demand: self.demand.digest(),
+            loads: self.state.loads.digest(),
+            demand: self.state.demand.digest(),
             unreachable: self.unreachable(),
             breaks: self.crashes.lock().recent(
                 self.clock.now(),
@@ -128,7 +144,8 @@
         loop {
             let mut buf = BytesMut::new();
             frames::encode(&digest, &mut buf)?;
-            if buf.len() <= MAX_DIGEST_BYTES {
+            if buf.len() <= MAX_DIGEST_BYTES - MAX_SUPPLEMENT_BYTES {
+                self.encode_supplement(&mut buf)?;
                 return Ok(buf.freeze());
             }
             // The digest is too large for one datagram: half of the load is left out, until
@@ -140,6 +157,23 @@
         }
     }
 
+    /// Appends the supplement, without the oldest limits if it is too large.
+    fn encode_supplement(&self, buf: &mut BytesMut) -> Result<()> {
+        let roster = self.state.view.roster();
+        let limits = self.state.limits.notices(|key| roster.by_key(key).is_some());
+        let mut supplement = DigestSupplement { leaving: self.state.shutdown.is_leaving(), limits };
+        let digest_bytes = buf.len();
+        loop {
+            frames::encode(&supplement, buf)?;
+            if buf.len() - digest_bytes <= MAX_SUPPLEMENT_BYTES {
+                return Ok(());
+            }
+            buf.truncate(digest_bytes);
+            let half = supplement.limits.len() / 2;
+            supplement.limits.truncate(half);
+        }
+    }
+
     /// Receives digests; does not return.
     pub async fn receive_digests(self: Arc<Self>, socket: Arc<UdpSocket>) {
         let mut buf = vec![0; 64 * 1024];
@@ -162,7 +196,13 @@
         let mut buf = BytesMut::from(datagram);
         let body =
             frames::split_frame(&mut buf)?.ok_or_else(|| invalid("the datagram is truncated"))?;
-        self.apply_digest(frames::decode(&body)?);
+        let digest: Digest = frames::decode(&body)?;
+        let name = digest.host.name.clone();
+        if self.apply_digest(digest)
+            && let Some(body) = frames::split_frame(&mut buf)?
+        {
+            self.apply_supplement(&name, &frames::decode(&body)?);
+        }
         Ok(())
     }
 
@@ -174,10 +214,11 @@
         others.map(|p| &p.host).chain([&self.local]).cloned().collect()
     }
 
-    fn view_reply(&self, req: &ViewRequest) -> ViewReply {
-        let is_newer = |c: &Arc<Configuration>| req.configuration.is_none_or(|v| c.version > v);
-        let configuration = self.view.configuration().filter(is_newer);
-        let (revision, roster) = self.view.versioned_roster();
+    /// Returns the view, with the configuration if it is newer than `version`.
+    fn view_reply(&self, version: Option<u64>) -> ViewReply {
+        let is_newer = |c: &Arc<Configuration>| version.is_none_or(|v| c.version > v);
+        let configuration = self.state.view.configuration().filter(is_newer);
+        let (revision, roster) = self.state.view.versioned_roster();
         let now = self.clock.now();
         let kept = roster.all().filter_map(|server| {
             let remaining = server.kept_until?.saturating_duration_since(now);
@@ -194,19 +235,36 @@
     }
 }
 
-/// `ViewServer` serves this host's view to other hosts.
-pub struct ViewServer(pub Arc<Peers>);
+/// `PeerServer` answers the calls of other hosts.
+pub struct PeerServer {
+    /// The state that other hosts ask for.
+    pub peers: Arc<Peers>,
+    /// The permits of the servers whose home this host is.
+    pub permits: Arc<Permits>,
+}
+
+impl PeerServer {
+    fn reply(&self, body: &[u8]) -> Result<Bytes> {
+        let mut buf = BytesMut::new();
+        // Hosts of the previous build may send an empty call for the whole view.
+        match frames::decode(body).unwrap_or(PeerCall::View) {
+            PeerCall::View => frames::encode(&self.peers.view_reply(None), &mut buf)?,
+            PeerCall::ViewSince(v) => frames::encode(&self.peers.view_reply(Some(v)), &mut buf)?,
+            PeerCall::Permit(req) => frames::encode(&self.permits.serve(&req), &mut buf)?,
+        }
+        Ok(buf.freeze())
+    }
+}
 
 #[async_trait]
-impl FrameHandler for ViewServer {
+impl FrameHandler for PeerServer {
     async fn handle(&self, body: Bytes, tx: Sender<Bytes>) {
-        let req = frames::decode(&body).unwrap_or_default();
-        let mut buf = BytesMut::new();
-        if let Err(e) = frames::encode(&self.0.view_reply(&req), &mut buf) {
-            log::warn!(event = "view_unsent", error = e.to_string().as_str(); "");
-            return;
+        match self.reply(&body) {
+            // A closed channel means that the peer has cancelled the call.
+            Ok(reply) => {
+                let _ = tx.send(reply).await;
+            }
+            Err(e) => log::warn!(event = "call_unanswered", error = e.to_string().as_str(); ""),
         }
-        // A closed channel means that the peer has cancelled the call.
-        let _ = tx.send(buf.freeze()).await;
     }
 }
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -19,14 +19,17 @@
 use aspenloft_policy::host_groups::HostGroup;
 use aspenloft_transport::mesh::{MeshOptions, PeerLink};
 use parking_lot::Mutex;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::demand::DemandTracker;
 use crate::loads::EngineLoads;
 use crate::roster::Server;
+use crate::server_limits::ServerLimits;
+use crate::shutdown::Shutdown;
 use crate::view::View;
 
-pub use digest::{Digest, KeptServer, ViewReply, ViewRequest};
-pub use exchange::ViewServer;
+pub use digest::{Digest, DigestSupplement, KeptServer, PeerCall, ViewReply};
+pub use exchange::PeerServer;
 
 /// How long a host counts as live after its last digest.
 const LIVENESS_TIMEOUT: Duration = Duration::from_secs(3);
@@ -54,6 +57,10 @@
     revision: u64,
     follows: bool,
     unreachable: Vec<u64>,
+    /// Whether the host's build books requests to servers with a limit.
+    books_permits: bool,
+    /// Whether the host is shutting down.
+    leaving: bool,
     /// When the last digest arrived.
     last_digest: Option<Instant>,
     /// Whether the silence since the last digest has been logged.
@@ -62,14 +69,27 @@
     failed_at: Option<Instant>,
 }
 
+/// `LocalState` is the state of this host that it shares with the others.
+#[derive(Clone)]
+pub struct LocalState {
+    /// The load on the engines.
+    pub loads: Arc<EngineLoads>,
+    /// The averages of each service.
+    pub demand: Arc<DemandTracker>,
+    /// The configuration and the servers.
+    pub view: Arc<View>,
+    /// The limits of servers.
+    pub limits: Arc<ServerLimits>,
+    /// The shutdown of this host.
+    pub shutdown: Arc<Shutdown>,
+}
+
 /// `Peers` holds the state of the other hosts as this host knows it.
 pub struct Peers {
     local: Host,
     born_ms: u64,
     clock: SharedClock,
-    loads: Arc<EngineLoads>,
-    demand: Arc<DemandTracker>,
-    view: Arc<View>,
+    state: LocalState,
     crashes: Mutex<CrashTracker>,
     follows: AtomicBool,
     seq: AtomicU64,
@@ -85,9 +105,7 @@
     pub fn new(
         local: Host,
         clock: SharedClock,
-        loads: Arc<EngineLoads>,
-        demand: Arc<DemandTracker>,
-        view: Arc<View>,
+        state: LocalState,
         seeds: Vec<SocketAddr>,
     ) -> Arc<Peers> {
         let born_ms = aspenloft_core::clock::unix_millis(clock.system_time());
@@ -95,9 +113,7 @@
             local,
             born_ms,
             clock,
-            loads,
-            demand,
-            view,
+            state,
             crashes: Mutex::default(),
             follows: AtomicBool::new(false),
             seq: AtomicU64::new(0),
@@ -144,7 +160,7 @@
     /// Returns the keys of the servers that this host cannot reach.
     fn unreachable(&self) -> Vec<u64> {
         let now = self.clock.now();
-        let roster = self.view.roster();
+        let roster = self.state.view.roster();
         let unreachable = roster.all().filter(|s| !s.seems_reachable(now));
         unreachable.map(|s| s.key).collect()
     }
@@ -198,6 +214,8 @@
             revision: 0,
             follows: false,
             unreachable: Vec::new(),
+            books_permits: false,
+            leaving: false,
             last_digest: None,
             silence_logged: false,
             failed_at: None,
@@ -265,7 +283,7 @@
     /// digests of a host may arrive although it cannot be called. A host that has sent no
     /// digest since then has probably crashed and is not returned.
     pub fn peer_ahead(&self) -> Option<Host> {
-        let (now, own) = (self.clock.now(), self.view.revision());
+        let (now, own) = (self.clock.now(), self.state.view.revision());
         let peers = self.peers.lock();
         let failed = |p: &Peer| {
             p.failed_at.is_some_and(|at| now.saturating_duration_since(at) < FAILED_CALL_PERIOD)
@@ -295,17 +313,18 @@
         });
     }
 
-    /// Applies a digest of another host, unless a newer one has been applied already.
-    pub fn apply_digest(&self, digest: Digest) {
+    /// Applies a digest of another host. Returns false if a newer one has been applied
+    /// already.
+    pub fn apply_digest(&self, digest: Digest) -> bool {
         if digest.host.name == self.local.name {
-            return;
+            return false;
         }
         let now = self.clock.now();
         {
             let mut peers = self.peers.lock();
             let known = peers.get(&digest.host.name);
             if known.is_some_and(|p| (p.born_ms, p.seq) >= (digest.born_ms, digest.seq)) {
-                return;
+                return false;
             }
             if known.is_none_or(|p| !is_recent(p, now, LIVENESS_TIMEOUT)) {
                 log::info!(event = "peer_live", peer = &*digest.host.name, revision = digest.revision; "");
@@ -319,6 +338,8 @@
                 revision: digest.revision,
                 follows: digest.follows,
                 unreachable: digest.unreachable,
+                books_permits: same_process.is_some_and(|p| p.books_permits),
+                leaving: same_process.is_some_and(|p| p.leaving),
                 last_digest: Some(now),
                 silence_logged: false,
                 failed_at: same_process.and_then(|p| p.failed_at),
@@ -328,8 +349,50 @@
         for (request, server) in digest.breaks {
             self.crashes.lock().record_disconnect(request, server, now);
         }
-        self.demand.update_peer(&digest.host.name, digest.demand);
-        self.loads.update_peer(&digest.host.name, digest.loads, now);
+        self.state.demand.update_peer(&digest.host.name, digest.demand);
+        self.state.loads.update_peer(&digest.host.name, digest.loads, now);
+        true
+    }
+
+    /// Applies the supplement of a digest of the host `name`.
+    fn apply_supplement(&self, name: &str, supplement: &DigestSupplement) {
+        if let Some(peer) = self.peers.lock().get_mut(name) {
+            (peer.books_permits, peer.leaving) = (true, supplement.leaving);
+        }
+        if !supplement.limits.is_empty() {
+            let roster = self.state.view.roster();
+            for notice in &supplement.limits {
+                self.state.limits.record_notice(notice, |key| roster.by_key(key).cloned());
+            }
+        }
+    }
+
+    /// Returns the host that books the requests to `server`, or `None` if it is this one.
+    ///
+    /// It is in the server's data centre if possible, so that hosts that cannot reach it
+    /// probably cannot reach the server either.
+    pub fn home_of(&self, server: &Server) -> Option<Host> {
+        let now = self.clock.now();
+        let peers = self.peers.lock();
+        let able = peers
+            .values()
+            .filter(|p| p.books_permits && !p.leaving && is_recent(p, now, LIVENESS_TIMEOUT));
+        let rank = |host: &Host| {
+            let local = host.data_centre == server.entry.data_centre;
+            (local, xxh3_64_with_seed(host.name.as_bytes(), server.key))
+        };
+        let best = able.map(|p| &p.host).max_by_key(|host| rank(host));
+        let leaving = self.state.shutdown.is_leaving();
+        best.filter(|host| leaving || rank(host) > rank(&self.local)).cloned()
+    }
+
+    /// Returns the number of live hosts and of those that are listed or live, both
+    /// including this one.
+    pub fn live_and_listed(&self) -> (usize, usize) {
+        let now = self.clock.now();
+        let peers = self.peers.lock();
+        let live = peers.values().filter(|p| is_recent(p, now, LIVENESS_TIMEOUT)).count();
+        (1 + live, 1 + peers.len())
     }
 }
 
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -13,6 +13,9 @@
 use crate::configuration::Route;
 use crate::dialect::{Dialect, RequestMetadata, SendMetadata};
 
+/// The maximum jitter that is added to `Retry-After`, as a share of it.
+const RETRY_AFTER_JITTER: f64 = 0.5;
+
 /// `InboundRequest` is a caller's request that has been read in full.
 #[derive(Debug)]
 pub struct InboundRequest {
@@ -41,6 +44,14 @@
         self.deadline.saturating_duration_since(now)
     }
 
+    /// Returns how long the request may wait until a server with a limit accepts it: half of
+    /// what is left of its target latency, so that it can still be answered in time. Other
+    /// requests are better served by an early refusal that says when to return.
+    pub fn permit_wait(&self, now: Instant) -> Duration {
+        let due = (self.arrived + self.route.target_latency).min(self.deadline);
+        due.saturating_duration_since(now) / 2
+    }
+
     /// Returns the attempt id for log lines, `-` when there is none.
     pub fn log_id(&self) -> &str {
         self.metadata.id.as_deref().unwrap_or("-")
@@ -56,6 +67,13 @@
         Fingerprint(hash.digest())
     }
 
+    /// Lengthens `after`, the time after which the caller may return, by up to a half, so
+    /// that callers that are refused together do not return together. The request's hash
+    /// gives the jitter without a source of randomness.
+    pub fn with_jitter(&self, after: Duration) -> Duration {
+        after.mul_f64(1.0 + self.fingerprint().0 as f64 / u64::MAX as f64 * RETRY_AFTER_JITTER)
+    }
+
     /// Builds the request to a backend server with the values of `metadata`.
     pub fn outbound(&self, dialect: &dyn Dialect, metadata: &SendMetadata) -> Request<Full<Bytes>> {
         let mut req = Request::new(Full::new(self.body.clone()));
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -229,6 +229,11 @@
         self.by_instance.get(instance)
     }
 
+    /// Returns the server with `key`.
+    pub fn by_key(&self, key: u64) -> Option<&Arc<Server>> {
+        self.all().find(|server| server.key == key)
+    }
+
     /// Returns all servers, in no particular order.
     pub fn all(&self) -> impl Iterator<Item = &Arc<Server>> {
         self.by_instance.values()
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -27,7 +27,8 @@
 use crate::loads::EngineLoads;
 use crate::metrics::Metrics;
 use crate::orders::Orders;
-use crate::peers::{Peers, ViewServer};
+use crate::peers::{LocalState, PeerServer, Peers};
+use crate::permits::Permits;
 use crate::probes;
 use crate::retries::RetryBudgets;
 use crate::server_limits::ServerLimits;
@@ -84,9 +85,17 @@
     let demand = Arc::<DemandTracker>::default();
     let peers_port = settings.listen.peers.port();
     let seeds = settings.seeds.iter().map(|seed| SocketAddr::new(seed.ip(), peers_port)).collect();
-    let (peers_loads, peers_view) = (loads.clone(), view.clone());
-    let peers = Peers::new(host, clock.clone(), peers_loads, demand.clone(), peers_view, seeds);
     let shutdown = Arc::<Shutdown>::default();
+    let limits = ServerLimits::new(clock.clone(), metrics.clone());
+    let local_state = LocalState {
+        loads: loads.clone(),
+        demand: demand.clone(),
+        view: view.clone(),
+        limits: limits.clone(),
+        shutdown: shutdown.clone(),
+    };
+    let peers = Peers::new(host, clock.clone(), local_state, seeds);
+    let permits = Permits::new(limits.clone(), peers.clone(), view.clone(), clock.clone());
 
     let socket = Arc::new(UdpSocket::bind(settings.listen.peers).await.map_err(bind_failed)?);
     let mesh = bind(settings.listen.peers).await?;
@@ -110,7 +119,8 @@
     task::spawn(sync.clone().maintain_entry());
     task::spawn(peers.clone().receive_digests(socket.clone()));
     task::spawn(peers.clone().send_digests(socket, load_changes));
-    task::spawn(mesh::serve(mesh, Arc::new(ViewServer(peers.clone()))));
+    let server = PeerServer { peers: peers.clone(), permits: permits.clone() };
+    task::spawn(mesh::serve(mesh, Arc::new(server)));
 
     let ready = probes::Readiness { view: view.clone(), shutdown: shutdown.clone() };
     let path = platform.dialect.readiness_path().to_string();
@@ -119,7 +129,6 @@
 
     let pool = Pool::new(PoolOptions::default(), clock.clone(), metrics.clone());
     task::spawn(sweep(pool.clone()));
-    let limits = ServerLimits::new(clock.clone(), metrics.clone());
     let client = BackendClient::new(pool, platform.dialect.clone(), limits);
     let allowance = RetryAllowance {
         ratio: settings.retries.ratio,
@@ -127,8 +136,14 @@
         window: settings.retries.window_s,
     };
     let retries = Arc::new(RetryBudgets::new(allowance, metrics.clone()));
-    let dispatcher =
-        Dispatcher::new(view.clone(), loads.clone(), peers.clone(), clock.clone(), metrics.clone());
+    let dispatcher = Dispatcher::new(
+        view.clone(),
+        loads.clone(),
+        peers.clone(),
+        permits.clone(),
+        clock.clone(),
+        metrics.clone(),
+    );
     let orders = Orders {
         host: settings.host.clone(),
         kv,
@@ -137,6 +152,7 @@
         demand: demand.clone(),
         peers: peers.clone(),
         client: client.clone(),
+        permits: permits.clone(),
         dialect: platform.dialect.clone(),
         shutdown: shutdown.clone(),
         clock: clock.clone(),
@@ -147,6 +163,7 @@
         view: view.clone(),
         dispatcher,
         client: client.clone(),
+        permits: permits.clone(),
         dialect: platform.dialect.clone(),
         retries: retries.clone(),
         peers: peers.clone(),
@@ -157,6 +174,7 @@
     let calls = CallHandler {
         view: view.clone(),
         client,
+        permits,
         dialect: platform.dialect.clone(),
         retries: retries.clone(),
         peers,
--- a/crates/gateway/tests/server_limits.rs
+++ b/crates/gateway/tests/server_limits.rs
@@ -7,7 +7,8 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
-use aspenloft_gateway::roster::ServerRole::Plain;
+use aspenloft_gateway::roster::ServerRole::{self, Plain};
+use common::peer::ScriptedPeer;
 use common::{MemoryStore, Scripted, TestHost, configuration, entry, sealed};
 use parking_lot::Mutex;
 
@@ -26,18 +27,27 @@
 struct LimitedServer {
     server: Scripted,
     arrivals: Arc<Mutex<Vec<Instant>>>,
+    limit: Arc<Mutex<Option<String>>>,
 }
 
 impl LimitedServer {
     fn start(per_s: f64) -> LimitedServer {
         let arrivals = Arc::<Mutex<Vec<Instant>>>::default();
-        let log = arrivals.clone();
+        let limit = Arc::new(Mutex::new(Some(per_s.to_string())));
+        let (log, named) = (arrivals.clone(), limit.clone());
         let server = Scripted::start(move |_, req| {
             log.lock().push(Instant::now());
-            let response = String::from_utf8(sealed(req, "200 OK", "limited")).expect("text");
-            response.replacen("\r\n", &format!("\r\nlimit: {per_s}\r\n"), 1).into_bytes()
+            match &*named.lock() {
+                Some(limit) => with_limit(sealed(req, "200 OK", "limited"), limit),
+                None => sealed(req, "200 OK", "unlimited"),
+            }
         });
-        LimitedServer { server, arrivals }
+        LimitedServer { server, arrivals, limit }
+    }
+
+    /// Returns the number of requests that arrived after `since`.
+    fn count_since(&self, since: Instant) -> usize {
+        self.arrivals.lock().iter().filter(|at| **at > since).count()
     }
 
     /// Returns the most requests in any [`WINDOW`] that began after the limit was in force.
@@ -52,6 +62,12 @@
     }
 }
 
+/// Returns `response` with a header that names `limit`.
+fn with_limit(response: Vec<u8>, limit: &str) -> Vec<u8> {
+    let response = String::from_utf8(response).expect("text");
+    response.replacen("\r\n", &format!("\r\nlimit: {limit}\r\n"), 1).into_bytes()
+}
+
 /// Starts hosts with these names that follow one store with `servers` in it.
 fn start_hosts(names: &[&str], servers: &[(&str, &Scripted)]) -> Vec<TestHost> {
     let store = Arc::new(MemoryStore::default());
@@ -105,3 +121,88 @@
     let most = limited.most_in_window();
     assert!(most <= allowed(3.0), "{most} requests in {WINDOW:?}, allowed {}", allowed(3.0));
 }
+
+#[test]
+fn requests_wait_without_end_when_all_servers_limit_them() {
+    let limited = LimitedServer::start(2.0);
+    let hosts = start_hosts(&["h1", "h2", "h3"], &[("s1", &limited.server)]);
+    let began = Instant::now();
+    let responses = send_for(&hosts, Duration::from_secs(8), Duration::from_millis(20));
+    let took = began.elapsed();
+    let (served, refused): (Vec<_>, Vec<_>) =
+        responses.iter().partition(|r| common::status(r) == "200");
+    assert!(refused.iter().all(|r| common::status(r) == "503"), "{refused:?}");
+    for response in &refused {
+        let after = common::header(response, "retry-after").expect("a Retry-After");
+        let after: f64 = after.parse().expect("seconds");
+        assert!((0.1..5.0).contains(&after), "{after}");
+    }
+    assert!(refused.len() > 300, "{} refusals at once in {took:?}", refused.len());
+    assert!(served.len() >= 12, "{} served of 16 in {took:?}", served.len());
+    let most = limited.most_in_window();
+    assert!(most <= allowed(2.0), "{most} requests in {WINDOW:?}");
+}
+
+#[test]
+fn a_lifted_limit_is_kept_on() {
+    let limited = LimitedServer::start(2.0);
+    let hosts = start_hosts(&["h1", "h2", "h3"], &[("s1", &limited.server)]);
+    send_for(&hosts, Duration::from_secs(2), Duration::from_millis(20));
+    *limited.limit.lock() = Some("many".to_string());
+    let unreadable = Instant::now();
+    send_for(&hosts, Duration::from_secs(2), Duration::from_millis(20));
+    let count = limited.count_since(unreadable);
+    assert!(count <= 12, "{count} requests after a limit that cannot be read");
+    *limited.limit.lock() = None;
+    send_for(&hosts, Duration::from_millis(1_500), Duration::from_millis(20));
+    let lifted = Instant::now();
+    let responses = send_for(&hosts, Duration::from_secs(1), Duration::from_millis(20));
+    assert!(responses.iter().all(|r| common::status(r) == "200"));
+    let count = limited.count_since(lifted);
+    assert!(count > 60, "{count} requests in a second after the limit was lifted");
+}
+
+/// A host of the previous build answers any call with its view.
+#[test]
+fn a_host_of_the_previous_build_is_asked_for_permits() {
+    let limited = LimitedServer::start(5.0);
+    let host = start_hosts(&["h1"], &[("s1", &limited.server)]).remove(0);
+    let peers: Vec<ScriptedPeer> = (0..6).map(|_| ScriptedPeer::start()).collect();
+    for (number, peer) in peers.iter().enumerate() {
+        peer.send_digests(&host, &format!("old-{number}"), 0);
+    }
+    std::thread::sleep(Duration::from_millis(200));
+    let hosts = [host];
+    let responses = send_for(&hosts, Duration::from_secs(4), Duration::from_millis(50));
+    let served = responses.iter().filter(|r| common::status(r) == "200").count();
+    assert!(served >= 14, "{served} served of 20");
+    assert!(peers.iter().all(|peer| peer.calls() == 0));
+}
+
+/// An engine read prompts for which no decode engine accepted a request.
+#[test]
+fn prompts_are_read_before_the_decode_engine_permits_the_request() {
+    let prefill = Scripted::start(|_, req| sealed(req, "200 OK", "kv"));
+    let decode =
+        Scripted::start(|_, req| with_limit(sealed(req, "200 OK", "id: 1\ndata: x\n\n"), "2"));
+    let store = Arc::new(MemoryStore::default());
+    store.write("configuration", &configuration(1));
+    store.write("servers/p1", &entry("p1", prefill.addr, ServerRole::Prefill));
+    store.write("servers/d1", &entry("d1", decode.addr, ServerRole::Decode));
+    let host = TestHost::start("h1", store);
+    host.wait_ready();
+    let end = Instant::now() + Duration::from_secs(3);
+    let mut sent = 0;
+    while Instant::now() < end {
+        sent += 1;
+        let req = format!(
+            "GET /stream/ HTTP/1.1\r\nhost: app.test\r\nid: g{sent}\r\ntokens: 100,10\r\n\r\n"
+        );
+        host.send(&req);
+    }
+    let read = prefill.seen.lock().iter().filter(|req| req.contains("phase: prefill")).count();
+    let decoded = decode.count();
+    assert!(decoded <= 9, "{decoded} requests in 3 s");
+    assert!(decoded >= 5, "{decoded} requests in 3 s");
+    assert!(read <= decoded + 1, "{read} prompts read for {decoded} requests");
+}
--- a/crates/gateway/tests/view_exchange.rs
+++ b/crates/gateway/tests/view_exchange.rs
@@ -7,7 +7,7 @@
 
 use aspenloft_core::prelude::Host;
 use aspenloft_gateway::configuration::Configuration;
-use aspenloft_gateway::peers::{Digest, KeptServer, ViewReply, ViewRequest};
+use aspenloft_gateway::peers::{Digest, KeptServer, PeerCall, ViewReply};
 use aspenloft_gateway::roster::ServerEntry;
 use aspenloft_gateway::roster::ServerRole::Plain;
 use aspenloft_transport::frames;
@@ -146,16 +146,26 @@
 #[test]
 fn a_view_leaves_out_the_configuration_that_the_receiver_has() {
     let host = TestHost::with_servers(&[entry("s1", free_addr(), Plain)]);
-    let version = |version| ViewRequest { configuration: version };
-    let reply = fetch_view(&host, &version(Some(1)));
+    let reply = fetch_view(&host, &PeerCall::ViewSince(1));
     assert_eq!((reply.servers.len(), reply.configuration), (1, None));
     let sent = |req| fetch_view(&host, &req).configuration.map(|c| c.version);
-    assert_eq!(sent(version(Some(0))), Some(1));
-    assert_eq!(sent(version(None)), Some(1));
+    assert_eq!(sent(PeerCall::ViewSince(0)), Some(1));
+    assert_eq!(sent(PeerCall::View), Some(1));
+    // The calls of hosts of the previous builds.
+    for (version, expected) in [(None, Some(1)), (Some(0), Some(1)), (Some(1), None)] {
+        let reply = fetch_view(&host, &PreviousRequest { configuration: version });
+        assert_eq!(reply.configuration.map(|c| c.version), expected, "{version:?}");
+    }
     let reply = fetch_view(&host, &());
     assert!(reply.configuration.is_some(), "a host of the previous build asks for everything");
 }
 
+/// The call of the previous build.
+#[derive(serde::Serialize)]
+struct PreviousRequest {
+    configuration: Option<u64>,
+}
+
 /// The reply of the previous build, field by field.
 #[derive(serde::Serialize)]
 struct PreviousReply {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod limits;
 pub mod prefill_queue;
 pub mod progress;
+pub mod request_pacer;
 pub mod reservations;
 pub mod retry_budget;
 pub mod retry_window;
