Divide the budget of extra sends by all listed hosts

What callers saw: nothing so far. Servers would have got more extra sends than the deployment's budget allows while hosts do not hear of each other.

Cause: each host divided the fixed part of the budget by the hosts that it had heard of in the last ten seconds. A host that has just started, and each host that is cut off, took all of it.

A host that has died counts until the platform removes its entry, some seconds longer than before.

--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -34,9 +34,6 @@
 /// How long a host counts as live after its last digest.
 const LIVENESS_TIMEOUT: Duration = Duration::from_secs(3);
 
-/// How long a host counts towards the split of budgets after its last digest.
-const BUDGET_TIMEOUT: Duration = Duration::from_secs(10);
-
 /// The number of hosts that must report a server unreachable for others to act on it.
 const MIN_UNREACHABLE_REPORTS: usize = 2;
 
@@ -141,11 +138,9 @@
     }
 
     /// Returns the number of hosts that share the deployment's budgets, including this
-    /// one.
+    /// one and those of which it does not hear: they may be serving all the same.
     pub fn budget_hosts(&self) -> usize {
-        let now = self.clock.now();
-        let recent = |p: &&Peer| is_recent(p, now, BUDGET_TIMEOUT);
-        1 + self.peers.lock().values().filter(recent).count()
+        self.live_and_listed().1
     }
 
     /// Returns this host's rank among the live hosts ordered by name, from 0. Work
--- a/crates/gateway/tests/calls.rs
+++ b/crates/gateway/tests/calls.rs
@@ -6,12 +6,13 @@
 
 use std::io::{Read, Write};
 use std::net::TcpStream;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use aspenloft_gateway::roster::ServerRole::Plain;
 use common::{
-    READ_TIMEOUT, Scripted, TestHost, body, configuration, entry, free_addr, header, not_run,
-    read_message, sealed, status, wait_for,
+    MemoryStore, READ_TIMEOUT, Scripted, TestHost, body, configuration, entry, free_addr, header,
+    not_run, read_message, sealed, status, wait_for,
 };
 
 fn get(path: &str, id: &str) -> String {
@@ -269,3 +270,30 @@
     caller.write_all(get("/many/", "b").as_bytes()).expect("send");
     assert_eq!(body(&read_message(&mut caller).expect("answer")), "b");
 }
+
+/// A host that had not heard of the others yet, or was cut off from them, took the whole
+/// budget of extra sends for itself.
+#[test]
+fn a_host_that_hears_of_nobody_uses_the_whole_budget_of_extra_sends() {
+    const REQUESTS: usize = 10;
+    let servers: Vec<Scripted> = (0..2).map(|_| Scripted::start(|_, req| not_run(req))).collect();
+    let store = Arc::new(MemoryStore::default());
+    store.write("configuration", &configuration(1));
+    for (number, server) in servers.iter().enumerate() {
+        let name = format!("s{number}");
+        store.write(&format!("servers/{name}"), &entry(&name, server.addr, Plain));
+    }
+    for number in 2..=10 {
+        let name = format!("h{number}");
+        let listed =
+            serde_json::json!({ "name": name, "addr": free_addr(), "data_centre": "dc-a" });
+        store.write(&format!("aspenloft/hosts/{name}"), &listed);
+    }
+    let host = TestHost::start_with_slack("h1", store, 10);
+    host.wait_ready();
+    for number in 0..REQUESTS {
+        host.send(&post("/once/", &format!("a{number}"), "x"));
+    }
+    let extra = servers.iter().map(Scripted::count).sum::<usize>() - REQUESTS;
+    assert!(extra <= REQUESTS / 5 + 1, "{extra} extra sends by one of ten hosts");
+}
