Log the versions of engines and the requests that take up a stream

Entries of servers now have their version, requests the attempt that they take up; hosts log both. Nothing is decided by them yet.

Views between hosts carry the versions in a last field, which hosts of the previous build do not read; theirs decode without versions. Tested in both directions with the formats of the two previous builds.

--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -21,6 +21,9 @@
     pub timeout: Option<Duration>,
     /// The size of a model request; `None` for other requests.
     pub generation: Option<GenerationSize>,
+    /// The attempt that brought the first event of the stream that this request takes up;
+    /// `None` if it takes up no stream.
+    pub resumes: Option<Name>,
 }
 
 /// `GenerationSize` is the size of a model request, as the caller states it.
--- a/crates/gateway/src/generation/mod.rs
+++ b/crates/gateway/src/generation/mod.rs
@@ -78,6 +78,9 @@
         requested: GenerationSize,
         engine: &EngineProfile,
     ) -> Result<Response<ResponseBody>, Error> {
+        if let Some(first) = &inbound.metadata.resumes {
+            log::info!(event = "taken_up", request = inbound.log_id(), first = &**first; "");
+        }
         let size = estimate_size(requested);
         self.demand.record_request(&inbound.service, size);
         if self.peers.is_poisonous_request(inbound.fingerprint()) {
@@ -143,8 +146,9 @@
         let decode = &*placement.decode.entry.instance;
         let prefill = placement.prefill.as_ref().map_or("-", |p| &*p.entry.instance);
         log::info!(
-            event = "placed", request = inbound.log_id(), decode, prefill, waited_ms = waited,
-            prompt = size.prompt, answer = size.expected; ""
+            event = "placed", request = inbound.log_id(), decode, prefill,
+            version = &*placement.decode.entry.version, waited_ms = waited, prompt = size.prompt,
+            answer = size.expected; ""
         );
     }
 
--- a/crates/gateway/src/generation/relay.rs
+++ b/crates/gateway/src/generation/relay.rs
@@ -198,7 +198,7 @@
         match generations.send(&self.inbound, &server, permit, phase, remaining).await {
             Ok(response) if response.head.status.is_success() && response.metadata.sealed => {
                 let instance = &*server.entry.instance;
-                log::info!(event = "resumed", request = self.inbound.log_id(), server = instance, after = self.splitter.events(); "");
+                log::info!(event = "resumed", request = self.inbound.log_id(), server = instance, version = &*server.entry.version, after = self.splitter.events(); "");
                 let _stream_count = StreamGuard::begin(&server, generations.clock.now());
                 self.upstream = Some(Upstream { response, server, runs: runs + 1, _stream_count });
                 true
--- a/crates/gateway/src/peers/digest.rs
+++ b/crates/gateway/src/peers/digest.rs
@@ -1,11 +1,13 @@
 //! The `digest` module defines the messages between hosts.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
-use aspenloft_core::errors::Result;
-use aspenloft_core::prelude::Host;
+use aspenloft_core::errors::{Error, Result};
+use aspenloft_core::prelude::{Host, Name};
 use aspenloft_core::suspects::Fingerprint;
 use aspenloft_transport::frames;
+use bytes::BytesMut;
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
 
@@ -13,7 +15,7 @@
 use crate::demand::DemandDigest;
 use crate::loads::LoadDigest;
 use crate::permits::PermitRequest;
-use crate::roster::ServerEntry;
+use crate::roster::{ServerEntry, ServerRole};
 use crate::server_limits::LimitNotice;
 
 /// `Digest` is the state that a host sends to the others in one datagram.
@@ -70,7 +72,7 @@
 
 /// `ViewReply` is a host's complete view, for a host that does not watch the key-value
 /// service.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct ViewReply {
     /// The revision of the key-value service to which the view corresponds.
     pub revision: u64,
@@ -87,33 +89,122 @@
 }
 
 /// `KeptServer` is a server that a host keeps for a while although its entry is missing.
-#[serde_as]
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct KeptServer {
     /// The entry that is missing.
     pub entry: ServerEntry,
     /// How much longer the server is kept. It is a duration because hosts' clocks differ.
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub remaining: Duration,
 }
 
+/// The encoding of a reply. Hosts of previous builds, which run beside this one during a
+/// release, send it without the last fields and do not read them.
+#[derive(Debug, Serialize, Deserialize)]
+struct WireReply {
+    revision: u64,
+    configuration: Option<Configuration>,
+    hosts: Vec<Host>,
+    servers: Vec<WireEntry>,
+    kept: Vec<WireKept>,
+    /// The versions of the servers, those in `kept` after the others.
+    versions: Vec<Name>,
+}
+
+/// The reply of the previous build, without versions.
+#[derive(Debug, Deserialize)]
+struct WireReplyWithKept {
+    revision: u64,
+    configuration: Option<Configuration>,
+    hosts: Vec<Host>,
+    servers: Vec<WireEntry>,
+    kept: Vec<WireKept>,
+}
+
 /// The reply of hosts that list the servers that they keep among the others.
 #[derive(Debug, Deserialize)]
-struct ViewReplyWithoutKept {
+struct WireReplyWithoutKept {
     revision: u64,
     configuration: Option<Configuration>,
     hosts: Vec<Host>,
-    servers: Vec<ServerEntry>,
+    servers: Vec<WireEntry>,
+}
+
+/// The encoding of an entry without its version.
+#[derive(Debug, Serialize, Deserialize)]
+struct WireEntry {
+    instance: Name,
+    born_ms: u64,
+    service: Name,
+    addr: SocketAddr,
+    data_centre: Name,
+    slots: usize,
+    role: ServerRole,
+    leaving: bool,
+}
+
+#[serde_as]
+#[derive(Debug, Serialize, Deserialize)]
+struct WireKept {
+    entry: WireEntry,
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    remaining: Duration,
+}
+
+impl WireEntry {
+    /// Splits the version off `entry`.
+    fn split(entry: ServerEntry) -> (WireEntry, Name) {
+        let ServerEntry { instance, born_ms, service, addr, data_centre, version, .. } = entry;
+        let ServerEntry { slots, role, leaving, .. } = entry;
+        let wire =
+            WireEntry { instance, born_ms, service, addr, data_centre, slots, role, leaving };
+        (wire, version)
+    }
+
+    fn join(self, version: Name) -> ServerEntry {
+        let WireEntry { instance, born_ms, service, addr, data_centre, slots, role, leaving } =
+            self;
+        ServerEntry { instance, born_ms, service, addr, data_centre, version, slots, role, leaving }
+    }
 }
 
 impl ViewReply {
-    /// Decodes a reply. Hosts of the previous build, which run beside this one during a
-    /// release, send it without the last field.
+    /// Appends the reply to `buf` as one frame.
+    pub fn encode(self, buf: &mut BytesMut) -> Result<()> {
+        let ViewReply { revision, configuration, hosts, servers, kept } = self;
+        let (servers, mut versions): (Vec<_>, Vec<_>) =
+            servers.into_iter().map(WireEntry::split).unzip();
+        let kept = kept.into_iter().map(|KeptServer { entry, remaining }| {
+            let (entry, version) = WireEntry::split(entry);
+            versions.push(version);
+            WireKept { entry, remaining }
+        });
+        let kept = kept.collect();
+        frames::encode(&WireReply { revision, configuration, hosts, servers, kept, versions }, buf)
+    }
+
+    /// Decodes a reply. The versions are empty in one of a previous build.
     pub fn decode(body: &[u8]) -> Result<ViewReply> {
-        frames::decode(body).or_else(|_| {
-            let reply: ViewReplyWithoutKept = frames::decode(body)?;
-            let ViewReplyWithoutKept { revision, configuration, hosts, servers } = reply;
-            Ok(ViewReply { revision, configuration, hosts, servers, kept: Vec::new() })
-        })
+        let wire: WireReply = frames::decode(body)
+            .or_else(|_| {
+                let reply: WireReplyWithKept = frames::decode(body)?;
+                let WireReplyWithKept { revision, configuration, hosts, servers, kept } = reply;
+                let versions = Vec::new();
+                Ok(WireReply { revision, configuration, hosts, servers, kept, versions })
+            })
+            .or_else(|_: Error| {
+                let reply: WireReplyWithoutKept = frames::decode(body)?;
+                let WireReplyWithoutKept { revision, configuration, hosts, servers } = reply;
+                let (kept, versions) = Default::default();
+                Ok(WireReply { revision, configuration, hosts, servers, kept, versions })
+            })?;
+        let WireReply { revision, configuration, hosts, servers, kept, versions } = wire;
+        let mut versions = versions.into_iter().chain(std::iter::repeat(Name::from("")));
+        let mut join = |entry: WireEntry| entry.join(versions.next().unwrap_or_default());
+        let servers = servers.into_iter().map(&mut join).collect();
+        let kept = kept
+            .into_iter()
+            .map(|WireKept { entry, remaining }| KeptServer { entry: join(entry), remaining })
+            .collect();
+        Ok(ViewReply { revision, configuration, hosts, servers, kept })
     }
 }
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -248,8 +248,8 @@
         let mut buf = BytesMut::new();
         // Hosts of the previous build may send an empty call for the whole view.
         match frames::decode(body).unwrap_or(PeerCall::View) {
-            PeerCall::View => frames::encode(&self.peers.view_reply(None), &mut buf)?,
-            PeerCall::ViewSince(v) => frames::encode(&self.peers.view_reply(Some(v)), &mut buf)?,
+            PeerCall::View => self.peers.view_reply(None).encode(&mut buf)?,
+            PeerCall::ViewSince(v) => self.peers.view_reply(Some(v)).encode(&mut buf)?,
             PeerCall::Permit(req) => frames::encode(&self.permits.serve(&req), &mut buf)?,
         }
         Ok(buf.freeze())
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -29,6 +29,9 @@
     pub addr: SocketAddr,
     /// The data centre in which the server runs.
     pub data_centre: Name,
+    /// The version of the server's software; empty if unknown. It is unrelated to the
+    /// version of a model's weights.
+    pub version: Name,
     /// The number of requests that the server runs concurrently.
     pub slots: usize,
     /// The kind of work that the server takes.
@@ -192,8 +195,13 @@
     /// because an entry that is read again after an outage may be out of date.
     pub fn updated_server(&self, mut entry: ServerEntry) -> Option<Arc<Server>> {
         let listed = self.by_instance.get(&entry.instance);
-        entry.leaving |=
-            listed.is_some_and(|s| s.entry.born_ms == entry.born_ms && s.entry.leaving);
+        if let Some(same) = listed.filter(|s| s.entry.born_ms == entry.born_ms) {
+            entry.leaving |= same.entry.leaving;
+            // Hosts of the previous build pass entries on without the version.
+            if entry.version.is_empty() {
+                entry.version = same.entry.version.clone();
+            }
+        }
         if listed.is_some_and(|server| server.entry == entry && server.kept_until.is_none()) {
             return None;
         }
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -219,9 +219,9 @@
     /// and a reader holds a snapshot of it.
     fn list(&mut self, entry: ServerEntry, source: UpdateSource, revision: Version) {
         let Some(server) = self.roster.updated_server(entry) else { return };
-        let ServerEntry { instance, leaving, .. } = &server.entry;
+        let ServerEntry { instance, leaving, version, .. } = &server.entry;
         log::info!(
-            event = "server_listed", server = &**instance, leaving = *leaving,
+            event = "server_listed", server = &**instance, version = &**version, leaving = *leaving,
             source = source.to_string().as_str(), revision; ""
         );
         Arc::make_mut(&mut self.roster).insert(server);
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -69,6 +69,7 @@
             id: text(&head.headers, "id").map(Name::from),
             timeout: timeout_ms.map(Duration::from_millis),
             generation,
+            resumes: text(&head.headers, "resumes").map(Name::from),
         })
     }
 
@@ -497,6 +498,7 @@
         service: service.into(),
         addr,
         data_centre: "dc-a".into(),
+        version: "v1".into(),
         slots: 4,
         role,
         leaving: false,
--- a/crates/gateway/tests/common/peer.rs
+++ b/crates/gateway/tests/common/peer.rs
@@ -35,7 +35,7 @@
         loop {
             if let Some(reply) = self.reply.lock().clone() {
                 let mut buf = BytesMut::new();
-                frames::encode(&reply, &mut buf).expect("a reply");
+                reply.encode(&mut buf).expect("a reply");
                 let _ = tx.try_send(buf.freeze());
                 return;
             }
--- a/crates/gateway/tests/view_exchange.rs
+++ b/crates/gateway/tests/view_exchange.rs
@@ -3,13 +3,14 @@
 
 mod common;
 
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use aspenloft_core::prelude::Host;
+use aspenloft_core::prelude::{Host, Name};
 use aspenloft_gateway::configuration::Configuration;
 use aspenloft_gateway::peers::{Digest, KeptServer, PeerCall, ViewReply};
 use aspenloft_gateway::roster::ServerEntry;
-use aspenloft_gateway::roster::ServerRole::Plain;
+use aspenloft_gateway::roster::ServerRole::{self, Plain};
 use aspenloft_transport::frames;
 use bytes::{Bytes, BytesMut};
 use common::peer::{ScriptedPeer, fetch_view, send_digests};
@@ -167,31 +168,76 @@
 }
 
 /// The reply of the previous build, field by field.
-#[derive(serde::Serialize)]
+#[derive(serde::Serialize, serde::Deserialize)]
 struct PreviousReply {
     revision: u64,
     configuration: Option<Configuration>,
     hosts: Vec<Host>,
-    servers: Vec<ServerEntry>,
+    servers: Vec<PreviousEntry>,
+    kept: Vec<(PreviousEntry, u64)>,
+}
+
+/// The reply of the build before that, which had no kept servers.
+#[derive(serde::Serialize)]
+struct ReplyWithoutKept {
+    revision: u64,
+    configuration: Option<Configuration>,
+    hosts: Vec<Host>,
+    servers: Vec<PreviousEntry>,
+}
+
+/// An entry without a version.
+#[derive(Debug, Clone, PartialEq, serde::Serialize, serde::Deserialize)]
+struct PreviousEntry {
+    instance: Name,
+    born_ms: u64,
+    service: Name,
+    addr: SocketAddr,
+    data_centre: Name,
+    slots: usize,
+    role: ServerRole,
+    leaving: bool,
+}
+
+fn previous_entry(entry: ServerEntry) -> PreviousEntry {
+    let ServerEntry { instance, born_ms, service, addr, data_centre, .. } = entry;
+    let ServerEntry { slots, role, leaving, .. } = entry;
+    PreviousEntry { instance, born_ms, service, addr, data_centre, slots, role, leaving }
 }
 
 #[test]
 fn replies_are_decoded_across_builds() {
-    let servers = vec![entry("s1", free_addr(), Plain)];
-    let kept = KeptServer { entry: servers[0].clone(), remaining: Duration::from_millis(900) };
+    let server = entry("s1", free_addr(), Plain);
+    let kept = KeptServer { entry: server.clone(), remaining: Duration::from_millis(900) };
+    let (configuration, hosts) = (Some(configuration(1)), Vec::new());
     let reply = ViewReply {
         revision: 7,
-        configuration: Some(configuration(1)),
-        hosts: Vec::new(),
-        servers: servers.clone(),
-        kept: vec![kept],
+        configuration: configuration.clone(),
+        hosts: hosts.clone(),
+        servers: vec![server.clone()],
+        kept: vec![kept.clone()],
     };
-    assert_eq!(ViewReply::decode(&body(&reply)).expect("a reply"), reply);
-    let ViewReply { revision, configuration, hosts, .. } = reply.clone();
-    let previous = PreviousReply { revision, configuration, hosts, servers };
-    let decoded = ViewReply::decode(&body(&previous)).expect("a reply");
-    assert_eq!(decoded, ViewReply { kept: Vec::new(), ..reply.clone() });
-    assert!(ViewReply::decode(&body(&reply)[..20]).is_err());
+    let mut buf = BytesMut::new();
+    reply.clone().encode(&mut buf).expect("a frame");
+    let encoded = frames::split_frame(&mut buf).expect("a frame").expect("a whole frame");
+    assert_eq!(ViewReply::decode(&encoded).expect("a reply"), reply);
+    let read: PreviousReply =
+        frames::decode(&encoded).expect("a reply that the previous build reads");
+    let previous = previous_entry(server.clone());
+    assert_eq!(
+        (&read.servers, &read.kept),
+        (&vec![previous.clone()], &vec![(previous.clone(), 900)])
+    );
+    // Entries of previous builds have no version.
+    let unversioned = ServerEntry { version: "".into(), ..server };
+    let unversioned_kept = KeptServer { entry: unversioned.clone(), ..kept };
+    let expected = ViewReply { servers: vec![unversioned], kept: vec![unversioned_kept], ..reply };
+    assert_eq!(ViewReply::decode(&body(&read)).expect("a reply"), expected);
+    let servers = vec![previous];
+    let oldest = ReplyWithoutKept { revision: 7, configuration, hosts, servers };
+    let decoded = ViewReply::decode(&body(&oldest)).expect("a reply");
+    assert_eq!(decoded, ViewReply { kept: Vec::new(), ..expected });
+    assert!(ViewReply::decode(&encoded[..20]).is_err());
 }
 
 fn body(message: &impl serde::Serialize) -> Bytes {
