Show that streams go on at another version than the one that began them

Three tests fail on the current code: within a response, at another host, and at a host that has just started.

--- /dev/null
+++ b/crates/gateway/tests/stream_versions.rs
@@ -0,0 +1,196 @@
+//! Tests that a stream only goes on at the version of the engines' software that began it,
+//! within a response and when a caller takes it up again at any host.
+
+mod common;
+
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use aspenloft_gateway::roster::ServerEntry;
+use aspenloft_gateway::roster::ServerRole::Decode;
+use common::{
+    MemoryStore, Scripted, TestHost, body, configuration, entry, header, status, wait_for,
+};
+
+const EVENTS: u32 = 6;
+
+fn request(id: &str) -> String {
+    format!(
+        "POST /resume/ HTTP/1.1\r\nhost: app.test\r\nid: {id}\r\ntokens: 1000,200\r\ncontent-length: 1\r\n\r\nx"
+    )
+}
+
+/// Returns a request that takes up the stream that the attempt `first` began.
+fn take_up(id: &str, first: &str, after: u32) -> String {
+    let resumes = format!("\r\nresumes: {first}\r\nafter: {after}\r\ntokens:");
+    request(id).replace("\r\ntokens:", &resumes)
+}
+
+fn stream_head(req: &str) -> String {
+    let id = header(req, "id").unwrap_or_default();
+    format!("HTTP/1.1 200 OK\r\nid: {id}\r\nseal: s\r\ntransfer-encoding: chunked\r\n\r\n")
+}
+
+/// Returns one event as a chunk; its data names the version of the engine.
+fn event(number: u32, version: &str) -> String {
+    let event = format!("id: {number}\ndata: {version}\n\n");
+    format!("{:x}\r\n{event}\r\n", event.len())
+}
+
+fn after(req: &str) -> u32 {
+    header(req, "after").and_then(|id| id.parse().ok()).unwrap_or(0)
+}
+
+/// An engine at `version` that sends a whole stream, or what is left of one.
+fn engine(version: &'static str) -> Scripted {
+    Scripted::start(move |_, req| {
+        let events: String = (after(req) + 1..=EVENTS).map(|n| event(n, version)).collect();
+        format!("{}{events}0\r\n\r\n", stream_head(req)).into_bytes()
+    })
+}
+
+/// An engine at `version` that breaks off each stream that it begins after two events.
+fn breaking_engine(version: &'static str) -> Scripted {
+    Scripted::serve(move |_, req, stream| {
+        let last = if after(req) == 0 { 2 } else { EVENTS };
+        let events: String = (after(req) + 1..=last).map(|n| event(n, version)).collect();
+        let end = if last == EVENTS { "0\r\n\r\n" } else { "" };
+        let _ = write!(stream, "{}{events}{end}", stream_head(req));
+        // The events reach the host before the connection breaks.
+        std::thread::sleep(Duration::from_millis(50));
+        last == EVENTS
+    })
+}
+
+fn at_version(name: &str, server: &Scripted, version: &str) -> ServerEntry {
+    ServerEntry { version: version.into(), ..entry(name, server.addr, Decode) }
+}
+
+/// Starts hosts that follow one store with `servers` in it.
+fn start_hosts(names: &[&str], servers: &[ServerEntry]) -> (Arc<MemoryStore>, Vec<TestHost>) {
+    let store = Arc::new(MemoryStore::default());
+    store.write("configuration", &configuration(1));
+    for server in servers {
+        store.write(&format!("servers/{}", server.instance), server);
+    }
+    let hosts: Vec<TestHost> =
+        names.iter().map(|name| TestHost::start(name, store.for_another_host())).collect();
+    hosts.iter().for_each(TestHost::wait_ready);
+    (store, hosts)
+}
+
+/// Returns the versions that the events of `response` name, without repetitions.
+fn versions(response: &str) -> Vec<String> {
+    let data = body(response).lines().filter_map(|line| line.strip_prefix("data: "));
+    let mut versions: Vec<String> = data.map(str::to_string).collect();
+    versions.dedup();
+    versions
+}
+
+/// Sends `req`, reads up to the event `last` and closes the connection.
+fn read_events(host: &TestHost, req: &str, last: u32) -> String {
+    let mut stream = TcpStream::connect(host.callers).expect("connect");
+    stream.set_read_timeout(Some(common::READ_TIMEOUT)).expect("timeout");
+    stream.write_all(req.as_bytes()).expect("send");
+    let mut response = String::new();
+    let mut buf = [0; 4096];
+    while !response.contains(&format!("id: {last}\n")) {
+        let read = stream.read(&mut buf).expect("a response");
+        assert!(read > 0, "closed after {response}");
+        response.push_str(&String::from_utf8_lossy(&buf[..read]));
+    }
+    response
+}
+
+/// The stream went on at any engine with room, whatever its version.
+#[test]
+fn a_broken_stream_goes_on_at_another_version() {
+    let (first, newer, same) = (breaking_engine("v1"), engine("v2"), engine("v1"));
+    let remote = |server: ServerEntry| ServerEntry { data_centre: "dc-b".into(), ..server };
+    // The engines differ in preference, so that the stream begins at the first one.
+    let servers = [
+        at_version("d1", &first, "v1"),
+        ServerEntry { slots: 1, ..remote(at_version("d2", &newer, "v2")) },
+    ];
+    let (store, hosts) = start_hosts(&["h1"], &servers);
+    let response = hosts[0].send(&request("a"));
+    assert!(versions(&response).len() <= 1, "{response}");
+    assert!(!response.ends_with("0\r\n\r\n"), "no engine at v1 is left: {response}");
+    store.write("servers/d3", &remote(at_version("d3", &same, "v1")));
+    std::thread::sleep(Duration::from_millis(200));
+    let mut whole = 0;
+    for number in 0..4 {
+        let response = hosts[0].send(&request(&format!("b{number}")));
+        assert!(versions(&response).len() <= 1, "{response}");
+        whole += usize::from(response.ends_with("0\r\n\r\n"));
+    }
+    assert_eq!(whole, 4, "streams go on at v1 while an engine at v1 has room");
+}
+
+/// Starts hosts with these names and an engine at v1, begins streams through the first of
+/// them, and then adds an engine at v2, which all hosts prefer.
+fn begin_before_a_release(
+    names: &[&str],
+    old: &Scripted,
+    new: &Scripted,
+) -> (Arc<MemoryStore>, Vec<TestHost>) {
+    let (store, hosts) = start_hosts(names, &[at_version("d1", old, "v1")]);
+    for number in 0..BEGUN {
+        let begun = read_events(&hosts[0], &request(&format!("a{number}")), 2);
+        assert_eq!(versions(&begun), ["v1"]);
+    }
+    let remote = ServerEntry { data_centre: "dc-b".into(), ..at_version("d1", old, "v1") };
+    store.write("servers/d1", &remote);
+    store.write("servers/d2", &at_version("d2", new, "v2"));
+    std::thread::sleep(Duration::from_millis(300));
+    (store, hosts)
+}
+
+/// The number of streams that [`begin_before_a_release`] begins.
+const BEGUN: usize = 6;
+
+/// A stream that a caller took up was placed like a new one.
+#[test]
+fn a_stream_that_is_taken_up_goes_on_at_another_version() {
+    let (old, new) = (engine("v1"), engine("v2"));
+    let (store, hosts) = begin_before_a_release(&["h1", "h2", "h3"], &old, &new);
+    assert_eq!(versions(&hosts[1].send(&request("n"))), ["v2"], "new streams prefer v2");
+    for number in 0..BEGUN {
+        let req = take_up(&format!("b{number}"), &format!("a{number}"), 2);
+        let response = hosts[number % 3].send(&req);
+        assert_eq!((status(&response).as_str(), versions(&response)), ("200", vec!["v1".into()]));
+    }
+    // Taken up again, by the first attempt's id, after the second attempt broke off.
+    let response = hosts[2].send(&take_up("c", "a1", 4));
+    assert_eq!(versions(&response), ["v1"], "{response}");
+    // No engine of the version is left: the request is refused at once.
+    store.remove("servers/d1");
+    std::thread::sleep(Duration::from_millis(200));
+    let began = Instant::now();
+    let response = hosts[0].send(&take_up("d", "a0", 2));
+    assert_eq!(status(&response), "503", "{response}");
+    assert_eq!(header(&response, "retry-after"), None, "{response}");
+    assert!(began.elapsed() < Duration::from_millis(400), "{:?}", began.elapsed());
+}
+
+/// Only the host that began a stream knew the version, and it may be gone.
+#[test]
+fn a_host_that_has_just_started_takes_up_a_stream_at_any_version() {
+    let (old, new) = (engine("v1"), engine("v2"));
+    let (store, _hosts) = begin_before_a_release(&["h1", "h2"], &old, &new);
+    let late = TestHost::start("h3", store.for_another_host());
+    late.wait_ready();
+    wait_for("the new host to hear of the others", || {
+        let response = late.send(&take_up("probe", "a0", 2));
+        assert!(versions(&response).iter().all(|version| version == "v1"), "{response}");
+        status(&response) == "200"
+    });
+    for number in 0..BEGUN {
+        let response = late.send(&take_up(&format!("b{number}"), &format!("a{number}"), 2));
+        assert_eq!((status(&response).as_str(), versions(&response)), ("200", vec!["v1".into()]));
+    }
+    let response = late.send(&take_up("c", "never-begun", 2));
+    assert_eq!(status(&response), "503", "{response}");
+}
