Let streams go on only at the version of the engines that began them

Cause: an engine's version was not part of the choice of an engine, and the version at which a stream began was known to nobody. The class: the identity of what produced a state is lost when the state is continued elsewhere.

The version is now a need of the request. Hosts record at which version each stream began and send each other the records with their digests, so any host can take a stream up, also when the host that began it is gone; one that has just started asks three others. A host that does not know the version refuses at once. In the queue a request that needs a version does not hold up those that do not.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -11,6 +11,7 @@
     DecodeLoad, MEMORY_SHARE, PrefillLoad, choose_decode, choose_prefill, hosts_ahead,
     placed_before, preference_penalty,
 };
+use aspenloft_policy::stream_versions::VersionTag;
 use aspenloft_policy::waiting::{self, ArrivalDecision, WaitOptions, WaitingRequest};
 use async_std::task;
 use futures::channel::oneshot;
@@ -63,10 +64,26 @@
     pub run: RunGuard,
 }
 
+/// `RunNeeds` is what a request needs of its decode engine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RunNeeds {
+    /// The size of the request.
+    pub size: RunSize,
+    /// The version of the software that the engine must have, for a stream that goes on.
+    pub version: Option<VersionTag>,
+}
+
+impl RunNeeds {
+    /// Returns whether `server` has the version that is needed.
+    fn version_matches(&self, server: &Server) -> bool {
+        self.version.is_none_or(|version| version.continues_at(server.version))
+    }
+}
+
 struct QueuedRequest {
     waiter: WaitingRequest,
     service: Name,
-    size: RunSize,
+    needs: RunNeeds,
     tx: oneshot::Sender<Option<Placement>>,
 }
 
@@ -103,8 +120,9 @@
         self: &Arc<Self>,
         inbound: &InboundRequest,
         engine: &EngineProfile,
-        size: RunSize,
+        needs: RunNeeds,
     ) -> Result<Placement, Error> {
+        let size = needs.size;
         // Engines refuse such a request as they do when they are full, so it gets the
         // same error.
         if size.prompt >= engine.memory_tokens {
@@ -113,32 +131,33 @@
         let max_expected =
             ((engine.memory_tokens as f64 * MEMORY_SHARE) as u64).saturating_sub(size.prompt);
         let size = RunSize { expected: size.expected.min(max_expected).max(1), ..size };
+        let needs = RunNeeds { size, ..needs };
         let now = self.clock.now();
         if self.queue.lock().is_empty()
-            && let Some(placement) = self.try_place(&inbound.service, size, now)
+            && let Some(placement) = self.try_place(&inbound.service, needs, now)
         {
             return Ok(placement);
         }
-        self.wait(inbound, size, now).await
+        self.wait(inbound, needs, now).await
     }
 
     /// Places a request again that the engine of its first placement did not accept.
     pub async fn place_again(
         self: &Arc<Self>,
         inbound: &InboundRequest,
-        size: RunSize,
+        needs: RunNeeds,
     ) -> Result<Placement, Error> {
         let now = self.clock.now();
-        match self.try_place(&inbound.service, size, now) {
+        match self.try_place(&inbound.service, needs, now) {
             Some(placement) => Ok(placement),
-            None => self.wait(inbound, size, now).await,
+            None => self.wait(inbound, needs, now).await,
         }
     }
 
     async fn wait(
         self: &Arc<Self>,
         inbound: &InboundRequest,
-        size: RunSize,
+        needs: RunNeeds,
         now: Instant,
     ) -> Result<Placement, Error> {
         let (tx, rx) = oneshot::channel();
@@ -149,7 +168,7 @@
             due: inbound.arrived + inbound.route.target_latency,
             deadline: inbound.deadline,
         };
-        let expected = self.expected_wait(&inbound.service, now);
+        let expected = self.expected_wait(&inbound.service, needs, now);
         if let ArrivalDecision::Refuse(expected) =
             waiting::decide_arrival(&waiter, expected, now, &self.options)
         {
@@ -161,16 +180,16 @@
         }
         self.enqueue(
             inbound,
-            QueuedRequest { waiter, service: inbound.service.clone(), size, tx },
+            QueuedRequest { waiter, service: inbound.service.clone(), needs, tx },
         )?;
         let placed = rx.await.ok().flatten();
         let waited = self.clock.now().saturating_duration_since(now);
         self.metrics.waited(waited);
         placed.ok_or_else(|| {
-            let expected = self.expected_wait(&inbound.service, self.clock.now());
+            let expected = self.expected_wait(&inbound.service, needs, self.clock.now());
             let message = format!(
                 "no engine had capacity for a prompt of {} tokens within {} ms",
-                size.prompt,
+                needs.size.prompt,
                 waited.as_millis()
             );
             self.overload_error(inbound, &message, expected)
@@ -178,8 +197,9 @@
     }
 
     /// Returns the expected wait for capacity of a request that arrives now.
-    fn expected_wait(&self, service: &Name, now: Instant) -> Duration {
-        let servers = self.eligible_servers(service, ServerRole::Decode, now, &[]);
+    fn expected_wait(&self, service: &Name, needs: RunNeeds, now: Instant) -> Duration {
+        let mut servers = self.eligible_servers(service, ServerRole::Decode, now, &[]);
+        servers.retain(|server| needs.version_matches(server));
         let mut runs = self.loads.runs(now);
         let on_eligible = servers.iter().filter_map(|server| runs.remove(&server.key));
         let remaining: Vec<u64> = on_eligible.flatten().map(|run| run.remaining).collect();
@@ -243,33 +263,55 @@
         let waiters: Vec<WaitingRequest> = queue.iter().map(|w| w.waiter).collect();
         for id in waiting::placement_order(&waiters, now, &self.options) {
             let Some(next) = queue.iter().find(|w| w.waiter.id == id) else { continue };
-            let Some(placement) = self.try_place(&next.service, next.size, now) else { return };
+            let Some(placement) = self.try_place(&next.service, next.needs, now) else {
+                // Engines of another version may have room for those behind it.
+                if next.needs.version.is_some() {
+                    continue;
+                }
+                return;
+            };
             let _ = remove_queued(queue, id).map(|w| w.tx.send(Some(placement)));
         }
     }
 
-    fn try_place(&self, service: &Name, size: RunSize, now: Instant) -> Option<Placement> {
-        let decode = self.choose_decode_engine(service, size, now, &[])?;
+    fn try_place(&self, service: &Name, needs: RunNeeds, now: Instant) -> Option<Placement> {
+        let decode = self.choose_decode_engine(service, needs, now, &[])?;
         let prefill = self.choose_prefill_engine(service, &decode, now, &[]);
         for server in prefill.iter().chain([&decode]) {
             server.state.health(|h| h.record_dispatch(now));
         }
-        let run = self.loads.begin_run(decode.key, size, now);
+        let run = self.loads.begin_run(decode.key, needs.size, now);
         Some(Placement { decode, prefill, run })
     }
 
-    /// Returns the best decode engine for a request of `size`, except those in `tried`.
+    /// Tells whether an engine could take over a stream that began at `version`, though it
+    /// may be full or unreachable now.
+    pub fn has_version(&self, service: &Name, version: VersionTag) -> bool {
+        let (roster, now) = (self.view.roster(), self.clock.now());
+        roster.all().any(|s| {
+            s.entry.service == *service
+                && s.entry.role == ServerRole::Decode
+                && s.is_staying(now)
+                && version.continues_at(s.version)
+        })
+    }
+
+    /// Returns the best decode engine for a request with `needs`, except those in `tried`.
     pub fn choose_decode_engine(
         &self,
         service: &Name,
-        size: RunSize,
+        needs: RunNeeds,
         now: Instant,
         tried: &[Name],
     ) -> Option<Arc<Server>> {
         let configuration = self.view.configuration()?;
         let profile = configuration.services.get(service)?.engine.as_ref()?;
         let mut servers = self.eligible_servers(service, ServerRole::Decode, now, tried);
-        servers.retain(|s| !s.state.is_full(now) && self.permits.known_wait(s).is_zero());
+        servers.retain(|s| {
+            needs.version_matches(s)
+                && !s.state.is_full(now)
+                && self.permits.known_wait(s).is_zero()
+        });
         let mut runs = self.loads.runs(now);
         let waiting_hosts = self.loads.waiting_hosts(now);
         let group = self.peers.group();
@@ -292,7 +334,7 @@
                 ),
             })
             .collect();
-        choose_decode(&loads, size.forecast()).map(|index| servers[index].clone())
+        choose_decode(&loads, needs.size.forecast()).map(|index| servers[index].clone())
     }
 
     /// Records that a decode engine refused a request. Returns whether the engine seems
--- a/crates/gateway/src/generation/decode.rs
+++ b/crates/gateway/src/generation/decode.rs
@@ -15,9 +15,8 @@
 use crate::call::send_error;
 use crate::configuration::EngineProfile;
 use crate::dialect::Phase;
-use crate::dispatch::Placement;
+use crate::dispatch::{Placement, RunNeeds};
 use crate::http::{BackendResponse, FailureCause, SendFailure};
-use crate::loads::RunSize;
 use crate::permits::SendPermit;
 use crate::request::InboundRequest;
 use crate::roster::Server;
@@ -68,7 +67,7 @@
         placement: &Placement,
         permit: SendPermit,
         kv_cache: Option<KvCacheGuard>,
-        size: RunSize,
+        needs: RunNeeds,
         engine: &EngineProfile,
     ) -> Result<Accepted, Error> {
         let mut search = EngineSearch {
@@ -87,11 +86,12 @@
             }
             if !self.is_staying(&search.server, now) {
                 // The engine started to leave during the prefill.
-                self.select_next_engine(inbound, placement, size, &mut search, true).await?;
+                self.select_next_engine(inbound, placement, needs, &mut search, true).await?;
             }
             let Some(permit) = self.permit_for(inbound, &mut search).await else {
                 let may_wait = search.runs == 0;
-                if self.select_next_engine(inbound, placement, size, &mut search, may_wait).await? {
+                if self.select_next_engine(inbound, placement, needs, &mut search, may_wait).await?
+                {
                     continue;
                 }
                 break;
@@ -120,7 +120,9 @@
             };
             let may_wait = search.runs == 0;
             if try_another
-                && !self.select_next_engine(inbound, placement, size, &mut search, may_wait).await?
+                && !self
+                    .select_next_engine(inbound, placement, needs, &mut search, may_wait)
+                    .await?
             {
                 break;
             }
@@ -226,19 +228,20 @@
         &self,
         inbound: &InboundRequest,
         placement: &Placement,
-        size: RunSize,
+        needs: RunNeeds,
         search: &mut EngineSearch,
         may_wait: bool,
     ) -> Result<bool, Error> {
         search.tried.push(search.server.entry.instance.clone());
         let now = self.clock.now();
-        let next = self.dispatcher.choose_decode_engine(&inbound.service, size, now, &search.tried);
+        let next =
+            self.dispatcher.choose_decode_engine(&inbound.service, needs, now, &search.tried);
         search.server = match next {
             Some(next) => next,
             None if may_wait => {
                 // While the request waits, it must not count on its previous engine.
                 placement.run.reassign(NO_SERVER);
-                self.dispatcher.place_again(inbound, size).await?.decode
+                self.dispatcher.place_again(inbound, needs).await?.decode
             }
             None => return Ok(false),
         };
--- a/crates/gateway/src/generation/mod.rs
+++ b/crates/gateway/src/generation/mod.rs
@@ -14,6 +14,7 @@
 use aspenloft_core::errors::{Error, ErrorCode};
 use aspenloft_core::execution::Execution;
 use aspenloft_core::prelude::{Arc, SharedClock};
+use aspenloft_policy::stream_versions::{VersionTag, stream_key};
 use http::Response;
 use http_body_util::{BodyExt, StreamBody};
 
@@ -21,7 +22,7 @@
 use crate::configuration::EngineProfile;
 use crate::demand::DemandTracker;
 use crate::dialect::{Dialect, GenerationSize, Phase, SendMetadata};
-use crate::dispatch::{Dispatcher, Placement};
+use crate::dispatch::{Dispatcher, Placement, RunNeeds};
 use crate::http::{BackendClient, BackendResponse, FailureCause, SendFailure};
 use crate::loads::{EngineLoads, RunSize};
 use crate::metrics::Metrics;
@@ -31,6 +32,7 @@
 use crate::responses::{ResponseBody, full_body, relayed_response};
 use crate::retries::RetryBudgets;
 use crate::roster::{Server, StreamGuard};
+use crate::stream_versions::StreamVersions;
 use crate::view::View;
 
 pub use memory::engine_request;
@@ -54,6 +56,8 @@
     pub peers: Arc<Peers>,
     /// The requests and prompts on each engine.
     pub loads: Arc<EngineLoads>,
+    /// The versions at which streams began.
+    pub streams: Arc<StreamVersions>,
     /// The host's metrics.
     pub metrics: Arc<Metrics>,
     /// The average demand of requests.
@@ -78,10 +82,9 @@
         requested: GenerationSize,
         engine: &EngineProfile,
     ) -> Result<Response<ResponseBody>, Error> {
-        if let Some(first) = &inbound.metadata.resumes {
-            log::info!(event = "taken_up", request = inbound.log_id(), first = &**first; "");
-        }
         let size = estimate_size(requested);
+        let version = self.stream_version(&inbound).await?;
+        let needs = RunNeeds { size, version };
         self.demand.record_request(&inbound.service, size);
         if self.peers.is_poisonous_request(inbound.fingerprint()) {
             let error = Error::new(
@@ -90,12 +93,12 @@
             );
             return Err(error.execution(Execution::Unknown));
         }
-        let (placement, permit) = self.place(&inbound, engine, size).await?;
+        let (placement, permit) = self.place(&inbound, engine, needs).await?;
         self.log_placed(&inbound, &placement, size);
         let placed = self.clock.now();
         let kv_cache = self.prefill(&inbound, &placement, requested.prompt_tokens, engine).await?;
         let prefilled = self.clock.now();
-        let accepted = self.decode(&inbound, &placement, permit, kv_cache, size, engine).await?;
+        let accepted = self.decode(&inbound, &placement, permit, kv_cache, needs, engine).await?;
         let Accepted { response, server, runs } = accepted;
         if !response.head.status.is_success() {
             return self.relay_failure(&inbound, response).await;
@@ -113,22 +116,50 @@
             inbound,
             placement.run,
             upstream,
-            size,
+            needs,
             engine.tokens_per_event,
         );
         Ok(relayed_response(&head, StreamBody::new(relay.into_stream()).boxed_unsync()))
     }
 
+    /// Returns the version at which the stream began that the request takes up, or `None`
+    /// if it takes up none. Returns an error if the stream cannot go on: its version is
+    /// not known, or no engine of that version is left.
+    async fn stream_version(&self, inbound: &InboundRequest) -> Result<Option<VersionTag>, Error> {
+        let Some(first) = &inbound.metadata.resumes else { return Ok(None) };
+        log::info!(event = "taken_up", request = inbound.log_id(), first = &**first; "");
+        let service = &inbound.service;
+        let key = stream_key(service, first);
+        let version = match self.streams.version(service, key) {
+            Some(version) => Some(version),
+            None => self.peers.ask_stream_version(service, key).await.map_err(|e| {
+                let message = format!("the version at which stream {first} began: {}", e.message);
+                Error::new(ErrorCode::NoBackend, message).retry_after(ENGINE_RETRY_AFTER)
+            })?,
+        };
+        let Some(version) = version else {
+            let message = format!("no host knows the version at which stream {first} began");
+            return Err(Error::new(ErrorCode::NoBackend, message));
+        };
+        if !self.dispatcher.has_version(service, version) {
+            let message = format!(
+                "service {service} has no engine of the version at which stream {first} began"
+            );
+            return Err(Error::new(ErrorCode::NoBackend, message));
+        }
+        Ok(Some(version))
+    }
+
     /// Places the request on engines. The permit for the decode engine comes before the
     /// prefill, whose result would be lost without it.
     async fn place(
         &self,
         inbound: &InboundRequest,
         engine: &EngineProfile,
-        size: RunSize,
+        needs: RunNeeds,
     ) -> Result<(Placement, SendPermit), Error> {
         loop {
-            let placement = self.dispatcher.place(inbound, engine, size).await?;
+            let placement = self.dispatcher.place(inbound, engine, needs).await?;
             let max_wait = inbound.permit_wait(self.clock.now());
             match self.permits.acquire(&placement.decode, max_wait).await {
                 Ok(permit) => return Ok((placement, permit)),
--- a/crates/gateway/src/generation/relay.rs
+++ b/crates/gateway/src/generation/relay.rs
@@ -16,9 +16,10 @@
 use super::GenerationHandler;
 use crate::configuration::RepeatPolicy;
 use crate::dialect::Phase;
+use crate::dispatch::RunNeeds;
 use crate::events::EventSplitter;
 use crate::http::BackendResponse;
-use crate::loads::{RunGuard, RunSize};
+use crate::loads::RunGuard;
 use crate::permits::SendPermit;
 use crate::request::InboundRequest;
 use crate::responses::Truncated;
@@ -58,7 +59,7 @@
     inbound: Arc<InboundRequest>,
     run: RunGuard,
     upstream: Option<Upstream>,
-    size: RunSize,
+    needs: RunNeeds,
     tokens_per_event: u64,
     splitter: EventSplitter,
     started_at: Instant,
@@ -68,6 +69,8 @@
     /// timer for each event costs more than relaying the event.
     deadline: BoxFuture<'static, ()>,
     end: Option<StreamEnd>,
+    /// Whether the version of the stream has been recorded.
+    version_recorded: bool,
 }
 
 type FrameResult = Result<Frame<Bytes>, Truncated>;
@@ -78,7 +81,7 @@
         inbound: Arc<InboundRequest>,
         run: RunGuard,
         upstream: Upstream,
-        size: RunSize,
+        needs: RunNeeds,
         tokens_per_event: u64,
     ) -> EventRelay {
         let splitter = EventSplitter::default();
@@ -91,7 +94,7 @@
             inbound,
             run,
             upstream,
-            size,
+            needs,
             tokens_per_event,
             splitter,
             started_at,
@@ -99,6 +102,7 @@
             longest_pause: Duration::ZERO,
             deadline,
             end,
+            version_recorded: false,
         }
     }
 
@@ -117,7 +121,10 @@
         loop {
             match self.read().await {
                 Ok(events) if events.is_empty() => {}
-                Ok(events) => return Some(Ok(Frame::data(events))),
+                Ok(events) => {
+                    self.record_version();
+                    return Some(Ok(Frame::data(events)));
+                }
                 Err(StreamEnd::Complete) => {
                     self.finish(StreamEnd::Complete);
                     return None;
@@ -131,6 +138,21 @@
         }
     }
 
+    /// Records the version at which the stream began, once its first events are there.
+    fn record_version(&mut self) {
+        let Some(upstream) = self.upstream.as_ref().filter(|_| !self.version_recorded) else {
+            return;
+        };
+        self.version_recorded = true;
+        let version = upstream.server.version;
+        self.needs.version = Some(version);
+        let metadata = &self.inbound.metadata;
+        if let Some(first) = metadata.resumes.as_ref().or(metadata.id.as_ref()) {
+            self.generations.streams.record(&self.inbound.service, first, version);
+            self.generations.loads.notify();
+        }
+    }
+
     /// Reads the next frame from the engine and returns the events that it completes.
     async fn read(&mut self) -> Result<Bytes, StreamEnd> {
         let Some(upstream) = self.upstream.as_mut() else { return Err(StreamEnd::Broken) };
@@ -188,7 +210,7 @@
 
     async fn resume_on_another(&mut self, tried: Vec<Name>, runs: u32) -> bool {
         let generations = self.generations.clone();
-        let engine = permitted_engine(&generations, &self.inbound, self.size, tried);
+        let engine = permitted_engine(&generations, &self.inbound, self.needs, tried);
         let Some((server, permit)) = engine.await else { return false };
         let now = generations.clock.now();
         self.run.reassign(server.key);
@@ -262,13 +284,13 @@
 async fn permitted_engine(
     generations: &GenerationHandler,
     inbound: &InboundRequest,
-    size: RunSize,
+    needs: RunNeeds,
     mut tried: Vec<Name>,
 ) -> Option<(Arc<Server>, SendPermit)> {
     let GenerationHandler { dispatcher, permits, clock, .. } = generations;
     loop {
         let server =
-            dispatcher.choose_decode_engine(&inbound.service, size, clock.now(), &tried)?;
+            dispatcher.choose_decode_engine(&inbound.service, needs, clock.now(), &tried)?;
         match permits.acquire(&server, MAX_PERMIT_WAIT).await {
             Ok(permit) => return Some((server, permit)),
             Err(_) => tried.push(server.entry.instance.clone()),
--- a/crates/gateway/src/loads.rs
+++ b/crates/gateway/src/loads.rs
@@ -274,7 +274,8 @@
         self.state.lock().peers.insert(host.clone(), (now, digest));
     }
 
-    fn notify(&self) {
+    /// Has the next digest sent soon.
+    pub fn notify(&self) {
         // A full channel already holds a signal that covers this change.
         let _ = self.changed.try_send(());
     }
--- a/crates/gateway/src/peers/digest.rs
+++ b/crates/gateway/src/peers/digest.rs
@@ -6,6 +6,7 @@
 use aspenloft_core::errors::{Error, Result};
 use aspenloft_core::prelude::{Host, Name};
 use aspenloft_core::suspects::Fingerprint;
+use aspenloft_policy::stream_versions::StreamRecord;
 use aspenloft_transport::frames;
 use bytes::BytesMut;
 use serde::{Deserialize, Serialize};
@@ -51,6 +52,8 @@
     pub leaving: bool,
     /// The limits of servers that the sender knows.
     pub limits: Vec<LimitNotice>,
+    /// The streams that the sender began or took up lately.
+    pub streams: Vec<StreamRecord>,
 }
 
 /// `PeerCall` is a call of one host to another.
@@ -68,6 +71,9 @@
     ///
     /// [`PermitReply`]: crate::permits::PermitReply
     Permit(PermitRequest),
+    /// Asks at which version the stream of a service with this key began. The reply is an
+    /// optional [`VersionTag`](aspenloft_policy::stream_versions::VersionTag).
+    StreamVersion(Name, u64),
 }
 
 /// `ViewReply` is a host's complete view, for a host that does not watch the key-value
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -5,8 +5,9 @@
 use std::time::Duration;
 
 use aspenloft_core::errors::{Result, invalid, unavailable};
-use aspenloft_core::prelude::{Arc, Host};
+use aspenloft_core::prelude::{Arc, Host, Name};
 use aspenloft_policy::host_groups::{group_interval, remote_interval};
+use aspenloft_policy::stream_versions::{Scope, VersionTag};
 use aspenloft_transport::frames;
 use aspenloft_transport::mesh::{FrameHandler, PeerLink};
 use async_std::channel::{Receiver, Sender};
@@ -15,9 +16,11 @@
 use async_std::task;
 use async_trait::async_trait;
 use bytes::{Bytes, BytesMut};
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
 
 use super::digest::{Digest, DigestSupplement, KeptServer, PeerCall, ViewReply};
-use super::{LIVENESS_TIMEOUT, Peer, Peers, is_recent};
+use super::{LIVENESS_TIMEOUT, LocalState, Peer, Peers, is_recent};
 use crate::configuration::Configuration;
 use crate::permits::{PermitReply, PermitRequest, Permits};
 
@@ -32,7 +35,7 @@
 const MAX_DIGEST_BYTES: usize = 1_400;
 
 /// The part of a datagram that is reserved for the supplement of a digest, in bytes.
-const MAX_SUPPLEMENT_BYTES: usize = 300;
+const MAX_SUPPLEMENT_BYTES: usize = 600;
 
 /// The timeout for fetching a peer's view.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(700);
@@ -40,6 +43,15 @@
 /// The timeout of a request for a permit: some round trips between data centres.
 const PERMIT_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// The timeout of the question at which version a stream began.
+const STREAM_VERSION_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// The number of hosts that are asked for the version of a stream.
+const MAX_ASKED: usize = 3;
+
+/// The maximum number of stream records in one digest.
+const MAX_STREAM_RECORDS: usize = 20;
+
 /// How long digests report a disconnect: long enough for several digests, so that a
 /// lost one does not matter.
 const DISCONNECT_REPORT_PERIOD: Duration = Duration::from_secs(2);
@@ -60,6 +72,24 @@
         frames::decode(&self.call(home, &PeerCall::Permit(*req), PERMIT_TIMEOUT).await?)
     }
 
+    /// Asks other hosts at which version the stream of `service` with `key` began. Returns
+    /// an error if none answers.
+    pub async fn ask_stream_version(&self, service: &Name, key: u64) -> Result<Option<VersionTag>> {
+        let call = PeerCall::StreamVersion(service.clone(), key);
+        let hosts = self.longest_running(MAX_ASKED);
+        let mut calls: FuturesUnordered<_> =
+            hosts.iter().map(|host| self.call(host, &call, STREAM_VERSION_TIMEOUT)).collect();
+        let mut outcome = Err(unavailable("no other host answered"));
+        while let Some(reply) = calls.next().await {
+            match reply.and_then(|body| frames::decode::<Option<VersionTag>>(&body)) {
+                Ok(Some(version)) => return Ok(Some(version)),
+                Ok(None) => outcome = Ok(None),
+                Err(_) => {}
+            }
+        }
+        outcome
+    }
+
     async fn call(&self, host: &Host, call: &PeerCall, limit: Duration) -> Result<Bytes> {
         let mut buf = BytesMut::new();
         frames::encode(call, &mut buf)?;
@@ -95,11 +125,13 @@
             let now = self.clock.now();
             let mut recipients = in_group;
             let pause = group_interval(MIN_INTERVAL, recipients.len());
+            let mut scope = Scope::Group;
             if now >= remote_due {
                 remote_due = now + remote_interval(remote.len());
                 recipients.extend(remote);
+                scope = Scope::All;
             }
-            if let Ok(datagram) = self.encode_digest() {
+            if let Ok(datagram) = self.encode_digest(scope) {
                 for addr in recipients {
                     if let Err(e) = socket.send_to(&datagram, addr).await {
                         log::debug!(event = "digest_unsent", error = e.to_string().as_str(); "");
@@ -125,7 +157,8 @@
         (in_group, addresses(remote))
     }
 
-    fn encode_digest(&self) -> Result<Bytes> {
+    fn encode_digest(&self, scope: Scope) -> Result<Bytes> {
+        let supplement = self.encode_supplement(scope)?;
         let mut digest = Digest {
             host: self.local.clone(),
             seq: self.seq.fetch_add(1, Ordering::SeqCst) + 1,
@@ -144,8 +177,8 @@
         loop {
             let mut buf = BytesMut::new();
             frames::encode(&digest, &mut buf)?;
-            if buf.len() <= MAX_DIGEST_BYTES - MAX_SUPPLEMENT_BYTES {
-                self.encode_supplement(&mut buf)?;
+            if buf.len() + supplement.len() <= MAX_DIGEST_BYTES {
+                buf.extend_from_slice(&supplement);
                 return Ok(buf.freeze());
             }
             // The digest is too large for one datagram: half of the load is left out, until
@@ -157,18 +190,22 @@
         }
     }
 
-    /// Appends the supplement, without the oldest limits if it is too large.
-    fn encode_supplement(&self, buf: &mut BytesMut) -> Result<()> {
-        let roster = self.state.view.roster();
-        let limits = self.state.limits.notices(|key| roster.by_key(key).is_some());
-        let mut supplement = DigestSupplement { leaving: self.state.shutdown.is_leaving(), limits };
-        let digest_bytes = buf.len();
+    /// Encodes the supplement of a digest, without the oldest limits if it is too large.
+    fn encode_supplement(&self, scope: Scope) -> Result<Bytes> {
+        let LocalState { view, limits, streams, shutdown, .. } = &self.state;
+        streams.observe();
+        let roster = view.roster();
+        let mut supplement = DigestSupplement {
+            leaving: shutdown.is_leaving(),
+            limits: limits.notices(|key| roster.by_key(key).is_some()),
+            streams: streams.take_unsent(scope, MAX_STREAM_RECORDS),
+        };
         loop {
-            frames::encode(&supplement, buf)?;
-            if buf.len() - digest_bytes <= MAX_SUPPLEMENT_BYTES {
-                return Ok(());
+            let mut buf = BytesMut::new();
+            frames::encode(&supplement, &mut buf)?;
+            if buf.len() <= MAX_SUPPLEMENT_BYTES {
+                return Ok(buf.freeze());
             }
-            buf.truncate(digest_bytes);
             let half = supplement.limits.len() / 2;
             supplement.limits.truncate(half);
         }
@@ -250,6 +287,10 @@
         match frames::decode(body).unwrap_or(PeerCall::View) {
             PeerCall::View => self.peers.view_reply(None).encode(&mut buf)?,
             PeerCall::ViewSince(v) => self.peers.view_reply(Some(v)).encode(&mut buf)?,
+            PeerCall::StreamVersion(service, key) => {
+                let version = self.peers.state.streams.version(&service, key);
+                frames::encode(&version, &mut buf)?;
+            }
             PeerCall::Permit(req) => frames::encode(&self.permits.serve(&req), &mut buf)?,
         }
         Ok(buf.freeze())
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -26,6 +26,7 @@
 use crate::roster::Server;
 use crate::server_limits::ServerLimits;
 use crate::shutdown::Shutdown;
+use crate::stream_versions::StreamVersions;
 use crate::view::View;
 
 pub use digest::{Digest, DigestSupplement, KeptServer, PeerCall, ViewReply};
@@ -54,8 +55,8 @@
     revision: u64,
     follows: bool,
     unreachable: Vec<u64>,
-    /// Whether the host's build books requests to servers with a limit.
-    books_permits: bool,
+    /// Whether the host's build sends supplements, and so answers all calls.
+    answers_calls: bool,
     /// Whether the host is shutting down.
     leaving: bool,
     /// When the last digest arrived.
@@ -77,6 +78,8 @@
     pub view: Arc<View>,
     /// The limits of servers.
     pub limits: Arc<ServerLimits>,
+    /// The versions at which streams began.
+    pub streams: Arc<StreamVersions>,
     /// The shutdown of this host.
     pub shutdown: Arc<Shutdown>,
 }
@@ -209,7 +212,7 @@
             revision: 0,
             follows: false,
             unreachable: Vec::new(),
-            books_permits: false,
+            answers_calls: false,
             leaving: false,
             last_digest: None,
             silence_logged: false,
@@ -333,7 +336,7 @@
                 revision: digest.revision,
                 follows: digest.follows,
                 unreachable: digest.unreachable,
-                books_permits: same_process.is_some_and(|p| p.books_permits),
+                answers_calls: same_process.is_some_and(|p| p.answers_calls),
                 leaving: same_process.is_some_and(|p| p.leaving),
                 last_digest: Some(now),
                 silence_logged: false,
@@ -352,7 +355,10 @@
     /// Applies the supplement of a digest of the host `name`.
     fn apply_supplement(&self, name: &str, supplement: &DigestSupplement) {
         if let Some(peer) = self.peers.lock().get_mut(name) {
-            (peer.books_permits, peer.leaving) = (true, supplement.leaving);
+            (peer.answers_calls, peer.leaving) = (true, supplement.leaving);
+        }
+        if !supplement.streams.is_empty() {
+            self.state.streams.record_peer(&supplement.streams);
         }
         if !supplement.limits.is_empty() {
             let roster = self.state.view.roster();
@@ -371,7 +377,7 @@
         let peers = self.peers.lock();
         let able = peers
             .values()
-            .filter(|p| p.books_permits && !p.leaving && is_recent(p, now, LIVENESS_TIMEOUT));
+            .filter(|p| p.answers_calls && !p.leaving && is_recent(p, now, LIVENESS_TIMEOUT));
         let rank = |host: &Host| {
             let local = host.data_centre == server.entry.data_centre;
             (local, xxh3_64_with_seed(host.name.as_bytes(), server.key))
@@ -381,6 +387,17 @@
         best.filter(|host| leaving || rank(host) > rank(&self.local)).cloned()
     }
 
+    /// Returns up to `max` live hosts that answer calls, those that have run longest first:
+    /// they know most of what happened before this host started.
+    fn longest_running(&self, max: usize) -> Vec<Host> {
+        let now = self.clock.now();
+        let peers = self.peers.lock();
+        let able = |p: &&Peer| p.answers_calls && is_recent(p, now, LIVENESS_TIMEOUT);
+        let mut able: Vec<&Peer> = peers.values().filter(able).collect();
+        able.sort_by(|a, b| (a.born_ms, &a.host.name).cmp(&(b.born_ms, &b.host.name)));
+        able.iter().take(max).map(|p| p.host.clone()).collect()
+    }
+
     /// Returns the number of live hosts and of those that are listed or live, both
     /// including this one.
     pub fn live_and_listed(&self) -> (usize, usize) {
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -10,6 +10,7 @@
 
 use aspenloft_core::prelude::{Arc, Name};
 use aspenloft_policy::server_health::ServerHealth;
+use aspenloft_policy::stream_versions::VersionTag;
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
@@ -59,6 +60,8 @@
     /// A hash of the instance and the process start time, which identifies the server
     /// in messages between hosts.
     pub key: u64,
+    /// The tag of the version in the entry.
+    pub version: VersionTag,
     /// The observed state.
     pub state: Arc<ServerState>,
     /// Until when the server is kept although its entry is missing, because the
@@ -156,7 +159,8 @@
 impl Server {
     fn new(entry: ServerEntry, state: Arc<ServerState>) -> Arc<Server> {
         let key = xxh3_64(entry.instance.as_bytes()) ^ entry.born_ms;
-        Arc::new(Server { entry, key, state, kept_until: None })
+        let version = VersionTag::of(&entry.version);
+        Arc::new(Server { entry, key, version, state, kept_until: None })
     }
 
     /// Tells whether the server may get new work: it is staying and seems reachable.
@@ -217,9 +221,9 @@
 
     /// Keeps the server until `until` although its entry is missing.
     pub fn keep(&mut self, server: &Server, until: Instant) {
-        let Server { entry, key, state, .. } = server;
-        let (entry, state) = (entry.clone(), state.clone());
-        self.insert(Arc::new(Server { entry, key: *key, state, kept_until: Some(until) }));
+        let Server { entry, key, version, state, .. } = server;
+        let (entry, state, kept_until) = (entry.clone(), state.clone(), Some(until));
+        self.insert(Arc::new(Server { entry, key: *key, version: *version, state, kept_until }));
     }
 
     /// Removes the server, if it is listed.
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -34,6 +34,7 @@
 use crate::server_limits::ServerLimits;
 use crate::settings::Settings;
 use crate::shutdown::Shutdown;
+use crate::stream_versions::StreamVersions;
 use crate::sync::{StoreSync, SyncOptions, SyncState};
 use crate::view::View;
 
@@ -87,11 +88,13 @@
     let seeds = settings.seeds.iter().map(|seed| SocketAddr::new(seed.ip(), peers_port)).collect();
     let shutdown = Arc::<Shutdown>::default();
     let limits = ServerLimits::new(clock.clone(), metrics.clone());
+    let streams = StreamVersions::new(clock.clone(), view.clone());
     let local_state = LocalState {
         loads: loads.clone(),
         demand: demand.clone(),
         view: view.clone(),
         limits: limits.clone(),
+        streams: streams.clone(),
         shutdown: shutdown.clone(),
     };
     let peers = Peers::new(host, clock.clone(), local_state, seeds);
@@ -168,6 +171,7 @@
         retries: retries.clone(),
         peers: peers.clone(),
         loads,
+        streams,
         metrics: metrics.clone(),
         clock: clock.clone(),
     });
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -24,5 +24,6 @@
 pub mod route;
 pub mod server_health;
 pub mod service_choice;
+pub mod stream_versions;
 pub mod suspects;
 pub mod waiting;
