Take a stream up at the service that began it

What callers saw: on a route whose requests are divided between services, a stream that was taken up went to another service by chance, and now is refused there.

Cause: the service is drawn from the attempt's id, and a stream that is taken up is another attempt. It is now drawn from the attempt that began the stream.

Evidence: a_stream_that_is_taken_up_goes_to_another_service_of_its_route, which failed before.

--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -216,7 +216,9 @@
         let route = route.ok_or_else(|| {
             Error::new(ErrorCode::NotFound, format!("no route for host {host} and path {path}"))
         })?;
-        let hash = metadata.id.as_ref().map_or(0, |id| xxh3_64(id.as_bytes()));
+        // A stream that is taken up goes to the service that began it.
+        let drawn_from = metadata.resumes.as_ref().or(metadata.id.as_ref());
+        let hash = drawn_from.map_or(0, |id| xxh3_64(id.as_bytes()));
         let service = route.pick_service(hash).cloned().ok_or_else(|| {
             Error::new(ErrorCode::NoBackend, format!("route {} has no service", route.name))
         })?;
--- a/crates/gateway/tests/stream_versions.rs
+++ b/crates/gateway/tests/stream_versions.rs
@@ -194,3 +194,33 @@
     let response = late.send(&take_up("c", "never-begun", 2));
     assert_eq!(status(&response), "503", "{response}");
 }
+
+/// The id of the second attempt drew another service than that of the first.
+#[test]
+fn a_stream_that_is_taken_up_goes_to_another_service_of_its_route() {
+    let (first, second) = (engine("v1"), engine("v1"));
+    let store = Arc::new(MemoryStore::default());
+    let mut split = configuration(1);
+    split.services.insert("model-2".into(), split.services["model"].clone());
+    for route in &mut split.routes {
+        if &*route.name == "resume" {
+            route.services = vec![("model".into(), 1), ("model-2".into(), 1)];
+        }
+    }
+    store.write("configuration", &split);
+    store.write("servers/d1", &at_version("d1", &first, "v1"));
+    let other = ServerEntry { service: "model-2".into(), ..at_version("d2", &second, "v1") };
+    store.write("servers/d2", &other);
+    let host = TestHost::start("h1", store);
+    host.wait_ready();
+    for number in 0..10 {
+        let id = format!("a{number}");
+        let before = first.count();
+        read_events(&host, &request(&id), 2);
+        let at_first = first.count() > before;
+        let before = first.count();
+        let response = host.send(&take_up(&format!("b{number}"), &id, 2));
+        assert_eq!(status(&response), "200", "{response}");
+        assert_eq!(first.count() > before, at_first, "{id} changed its service");
+    }
+}
