Hand KV caches only to engines of the version that wrote them

A decode engine without a prefill engine of its version processes prompts itself, at half the speed, and counts as slower in the choice.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -50,6 +50,10 @@
 /// that successive orders differ.
 const TURN_ORDER_MULTIPLIER: u64 = 0x9e37_79b9_7f4a_7c15;
 
+/// How much slower a decode engine counts that has to process prompts itself while there
+/// are prefill engines of other versions.
+const PREFILL_SLOWDOWN: f64 = 1.0;
+
 /// The share of an engine's memory in use below which it has ample free memory.
 const AMPLE_MEMORY_SHARE: f64 = 0.8;
 
@@ -312,6 +316,11 @@
                 && !s.state.is_full(now)
                 && self.permits.known_wait(s).is_zero()
         });
+        let prefill_engines = self.view.roster().available(service, ServerRole::Prefill, now);
+        let must_prefill = |decode: &Server| {
+            !prefill_engines.is_empty()
+                && prefill_engines.iter().all(|prefill| prefill.version != decode.version)
+        };
         let mut runs = self.loads.runs(now);
         let waiting_hosts = self.loads.waiting_hosts(now);
         let group = self.peers.group();
@@ -325,7 +334,9 @@
                 capacity: profile.memory_tokens,
                 runs: runs.remove(&server.key).unwrap_or_default(),
                 local: group.has_engine(server.key, &server.entry.data_centre),
-                slowdown: 1.0 + server.state.health(|h| h.failure_rate(now)),
+                slowdown: 1.0
+                    + server.state.health(|h| h.failure_rate(now))
+                    + if must_prefill(server) { PREFILL_SLOWDOWN } else { 0.0 },
                 preference_penalty: self.preference(server),
                 placed_before: placed_before(
                     self.waiting_hosts_ahead(server, order, &waiting_hosts),
@@ -352,7 +363,8 @@
     }
 
     /// Returns the best prefill engine for a request that is decoded on `decode`, except
-    /// those in `tried`.
+    /// those in `tried`. It has the same version, because the KV cache that one version
+    /// writes may not fit another.
     pub fn choose_prefill_engine(
         &self,
         service: &Name,
@@ -361,7 +373,7 @@
         tried: &[Name],
     ) -> Option<Arc<Server>> {
         let mut servers = self.eligible_servers(service, ServerRole::Prefill, now, tried);
-        servers.retain(|server| self.permits.known_wait(server).is_zero());
+        servers.retain(|s| s.version == decode.version && self.permits.known_wait(s).is_zero());
         let queued = self.loads.prefill_tokens(now);
         let group = self.peers.group();
         let in_decode_group = |server: &Server| {
--- a/crates/gateway/src/generation/decode.rs
+++ b/crates/gateway/src/generation/decode.rs
@@ -234,9 +234,13 @@
     ) -> Result<bool, Error> {
         search.tried.push(search.server.entry.instance.clone());
         let now = self.clock.now();
-        let next =
-            self.dispatcher.choose_decode_engine(&inbound.service, needs, now, &search.tried);
-        search.server = match next {
+        let choose = |needs| {
+            self.dispatcher.choose_decode_engine(&inbound.service, needs, now, &search.tried)
+        };
+        // Another engine can only use the KV cache at the version that wrote it.
+        let cached = search.kv_cache.as_ref().map(KvCacheGuard::version);
+        let with_cache = RunNeeds { version: needs.version.or(cached), ..needs };
+        search.server = match choose(with_cache).or_else(|| choose(needs)) {
             Some(next) => next,
             None if may_wait => {
                 // While the request waits, it must not count on its previous engine.
@@ -246,7 +250,9 @@
             None => return Ok(false),
         };
         placement.run.reassign(search.server.key);
-        search.kv_cache = search.kv_cache.take().filter(|cache| !cache.is_stale(self.clock.now()));
+        let (version, now) = (search.server.version, self.clock.now());
+        search.kv_cache =
+            search.kv_cache.take().filter(|c| !c.is_stale(now) && c.version() == version);
         Ok(true)
     }
 
--- a/crates/gateway/src/generation/memory.rs
+++ b/crates/gateway/src/generation/memory.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use aspenloft_core::prelude::Arc;
+use aspenloft_policy::stream_versions::VersionTag;
 use async_std::task;
 use http::Request;
 use http_body_util::Full;
@@ -59,6 +60,11 @@
         now >= self.stale_at
     }
 
+    /// Returns the version of the engine that wrote the KV cache.
+    pub(super) fn version(&self) -> VersionTag {
+        self.server.version
+    }
+
     /// Returns the reference with which a decode engine fetches the KV cache.
     pub(super) fn cache_ref(&self) -> KvCacheRef {
         let handle = self.handle.clone().unwrap_or_default();
--- a/crates/gateway/tests/stream_versions.rs
+++ b/crates/gateway/tests/stream_versions.rs
@@ -9,9 +9,10 @@
 use std::time::{Duration, Instant};
 
 use aspenloft_gateway::roster::ServerEntry;
-use aspenloft_gateway::roster::ServerRole::Decode;
+use aspenloft_gateway::roster::ServerRole::{Decode, Prefill};
 use common::{
-    MemoryStore, Scripted, TestHost, body, configuration, entry, header, status, wait_for,
+    MemoryStore, Scripted, TestHost, body, configuration, entry, header, not_run, sealed, status,
+    wait_for,
 };
 
 const EVENTS: u32 = 6;
@@ -224,3 +225,44 @@
         assert_eq!(first.count() > before, at_first, "{id} changed its service");
     }
 }
+
+/// The KV cache that an engine of one version wrote was read by one of another version.
+#[test]
+fn a_prompt_is_read_at_one_version_and_continued_at_another() {
+    let (prefill, decode) = (Scripted::start(|_, req| sealed(req, "200 OK", "kv")), engine("v2"));
+    let prefill_entry = entry("p1", prefill.addr, Prefill);
+    let servers = [prefill_entry.clone(), at_version("d1", &decode, "v2")];
+    let (store, hosts) = start_hosts(&["h1"], &servers);
+    assert_eq!(versions(&hosts[0].send(&request("a"))), ["v2"]);
+    assert_eq!(prefill.count(), 0, "an engine at v1 reads no prompt for one at v2");
+    store.write("servers/p1", &ServerEntry { version: "v2".into(), born_ms: 2, ..prefill_entry });
+    std::thread::sleep(Duration::from_millis(200));
+    assert_eq!(versions(&hosts[0].send(&request("b"))), ["v2"]);
+    assert_eq!(prefill.count(), 1);
+    let seen = decode.seen.lock();
+    let memory: Vec<Option<String>> = seen.iter().map(|req| header(req, "memory")).collect();
+    assert_eq!(memory, [None, Some("kv".to_string())]);
+}
+
+/// After a refusal the KV cache went to an engine of another version.
+#[test]
+fn a_kv_cache_goes_to_an_engine_of_another_version_after_a_refusal() {
+    let prefill = Scripted::start(|_, req| sealed(req, "200 OK", "kv"));
+    let (full, newer) = (Scripted::start(|_, req| not_run(req)), engine("v2"));
+    // The engine in another data centre is less preferred.
+    let remote = |server: ServerEntry| ServerEntry { data_centre: "dc-b".into(), ..server };
+    let servers = [
+        entry("p1", prefill.addr, Prefill),
+        at_version("d1", &full, "v1"),
+        remote(at_version("d2", &newer, "v2")),
+    ];
+    let (_, hosts) = start_hosts(&["h1"], &servers);
+    for number in 0..6 {
+        assert_eq!(status(&hosts[0].send(&request(&format!("a{number}")))), "200");
+    }
+    let with_memory = |server: &Scripted| {
+        server.seen.lock().iter().filter(|r| header(r, "memory").is_some()).count()
+    };
+    assert!(full.count() > 0);
+    assert_eq!(with_memory(&newer), 0, "v2 got memory of v1");
+}
