Cut off servers that send bytes without end

What callers would have seen: a host that keeps reading interim responses or zeros of a chunk's size at full speed, also after the caller got its answer; a host whose memory is used up by responses, 349 MiB with 24 servers; an endless stream of events up to the deadline.

Cause: the HTTP parser bounds each part of a message, but not how many parts come; and responses were bounded one by one, at 8 MiB each, but not together.

Connections are read within an allowance: for a head, for the framing of a body, and for a stream by the tokens that were asked for. Beyond it reads fail, which closes the connection. Refusals are read up to 16 KiB, pages of the store up to 4 MiB.

--- a/crates/gateway/src/body_budget.rs
+++ b/crates/gateway/src/body_budget.rs
@@ -1,5 +1,6 @@
-//! The `body_budget` module limits the memory that request bodies take. Bodies are
-//! buffered in full so that a request can be sent again.
+//! The `body_budget` module limits the memory that buffered bodies take. Request bodies
+//! are buffered in full so that a request can be sent again, and response bodies so that it
+//! is sent again if the response breaks off.
 
 use std::sync::atomic::{AtomicUsize, Ordering};
 
@@ -37,10 +38,25 @@
     pub fn reserve(self: &Arc<Self>, length: Option<u64>) -> Option<BodyReservation> {
         let length =
             length.map_or(UNKNOWN_LENGTH_BYTES, |l| usize::try_from(l).unwrap_or(usize::MAX));
+        self.add(length).then(|| BodyReservation { budget: self.clone(), length })
+    }
+
+    fn add(&self, length: usize) -> bool {
         let updated = self.reserved.fetch_update(Ordering::SeqCst, Ordering::SeqCst, |reserved| {
             reserved.checked_add(length).filter(|sum| *sum <= self.limit)
         });
-        updated.ok().map(|_| BodyReservation { budget: self.clone(), length })
+        updated.is_ok()
+    }
+}
+
+impl BodyReservation {
+    /// Grows the reservation to `length` bytes. Returns false when the limit would be
+    /// exceeded.
+    pub fn grow_to(&mut self, length: usize) -> bool {
+        let more = length.saturating_sub(self.length);
+        let grown = self.budget.add(more);
+        self.length += if grown { more } else { 0 };
+        grown
     }
 }
 
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -11,11 +11,11 @@
 use http::{Response, response};
 
 use crate::dialect::{Dialect, Phase, SendMetadata};
-use crate::http::{BackendClient, FailureCause, SendFailure};
+use crate::http::{BackendClient, FailureCause, SendFailure, WholeBody};
 use crate::peers::Peers;
 use crate::permits::{LimitReached, Permits, SendPermit};
 use crate::request::InboundRequest;
-use crate::responses::{ResponseBody, full_body, relayed_response};
+use crate::responses::{ResponseBody, relayed_response, whole_body};
 use crate::retries::RetryBudgets;
 use crate::roster::{Server, ServerRole};
 use crate::view::View;
@@ -60,7 +60,7 @@
 /// The outcome of one send.
 enum SendOutcome {
     /// A complete response.
-    Complete(response::Parts, Bytes),
+    Complete(response::Parts, WholeBody),
     /// The server stated that it did not run the call.
     Refused,
     /// No usable response.
@@ -83,7 +83,7 @@
         let mut arrived = false;
         let mut error = Error::new(ErrorCode::NoBackend, "no server of the service is available")
             .retry_after(SERVER_RETRY_AFTER);
-        let mut server_error: Option<(response::Parts, Bytes)> = None;
+        let mut server_error: Option<(response::Parts, WholeBody)> = None;
         while tried.len() < MAX_SENDS {
             if inbound.remaining(self.clock.now()).is_zero() {
                 break;
@@ -105,7 +105,7 @@
             arrived |= sent.reached_server();
             match sent {
                 SendOutcome::Complete(head, body) if !head.status.is_server_error() => {
-                    return Ok(relayed_response(&head, full_body(body)));
+                    return Ok(relayed_response(&head, whole_body(body)));
                 }
                 SendOutcome::Complete(head, body) => {
                     runs += 1;
@@ -132,7 +132,7 @@
             }
         }
         match server_error {
-            Some((head, body)) => Ok(relayed_response(&head, full_body(body))),
+            Some((head, body)) => Ok(relayed_response(&head, whole_body(body))),
             None => Err(if runs > 0 { error.execution(Execution::Unknown) } else { error }),
         }
     }
--- a/crates/gateway/src/generation/mod.rs
+++ b/crates/gateway/src/generation/mod.rs
@@ -29,7 +29,7 @@
 use crate::peers::Peers;
 use crate::permits::{Permits, SendPermit};
 use crate::request::InboundRequest;
-use crate::responses::{ResponseBody, full_body, relayed_response};
+use crate::responses::{ResponseBody, relayed_response, whole_body};
 use crate::retries::RetryBudgets;
 use crate::roster::{Server, StreamGuard};
 use crate::stream_versions::StreamVersions;
@@ -240,13 +240,13 @@
             .read_body(response, MAX_RESPONSE_BYTES, remaining)
             .await
             .map_err(send_error)?;
-        Ok(relayed_response(&head, full_body(body)))
+        Ok(relayed_response(&head, whole_body(body)))
     }
 
     /// Reads the body of a refusal so that its connection can be reused.
     async fn discard(&self, refusal: BackendResponse) {
         // When the body cannot be read, only the connection is lost.
-        let _ = self.client.read_body(refusal, MAX_RESPONSE_BYTES, DISCARD_TIMEOUT).await;
+        let _ = self.client.read_body(refusal, MAX_REFUSAL_BYTES, DISCARD_TIMEOUT).await;
     }
 }
 
@@ -263,6 +263,9 @@
     error.execution(Execution::NotRun).retry_after(ENGINE_RETRY_AFTER)
 }
 
+/// The maximum size of the body of a refusal, in bytes.
+const MAX_REFUSAL_BYTES: usize = 16 * 1024;
+
 /// The timeout for reading the body of a refusal.
 const DISCARD_TIMEOUT: Duration = Duration::from_millis(200);
 
--- a/crates/gateway/src/generation/prefill.rs
+++ b/crates/gateway/src/generation/prefill.rs
@@ -142,7 +142,8 @@
             let failure = SendFailure { execution, cause: FailureCause::WrongResponse };
             return Err(Unusable::Failed(failure));
         }
-        let handle = self.dialect.read_prefill_response(&body).map_err(|_| Unusable::Unreadable)?;
+        let handle =
+            self.dialect.read_prefill_response(&body.bytes).map_err(|_| Unusable::Unreadable)?;
         let took = self.clock.now().saturating_duration_since(began);
         self.demand.record_prefill(&inbound.service, tokens, took);
         let stale_at = self.clock.now() + engine.handle_life.mul_f64(USABLE_LIFETIME_SHARE);
--- a/crates/gateway/src/generation/relay.rs
+++ b/crates/gateway/src/generation/relay.rs
@@ -19,12 +19,27 @@
 use crate::dispatch::RunNeeds;
 use crate::events::EventSplitter;
 use crate::http::BackendResponse;
-use crate::loads::RunGuard;
+use crate::loads::{RunGuard, RunSize};
 use crate::permits::SendPermit;
 use crate::request::InboundRequest;
 use crate::responses::Truncated;
 use crate::roster::{Server, StreamGuard};
 
+/// The number of events without tokens that a stream may have, such as one at its end.
+const MAX_EXTRA_EVENTS: u64 = 16;
+
+/// The number of bytes that a stream may have beside those of its tokens.
+const STREAM_BASE_BYTES: usize = 256 * 1024;
+
+/// The number of bytes that an event with one token may have, with the framing.
+const MAX_BYTES_PER_TOKEN: usize = 4 * 1024;
+
+/// Returns the number of bytes that an engine may send for a stream of `size`.
+fn max_stream_bytes(size: RunSize) -> usize {
+    let tokens = usize::try_from(size.max_output).unwrap_or(usize::MAX);
+    tokens.saturating_mul(MAX_BYTES_PER_TOKEN).saturating_add(STREAM_BASE_BYTES)
+}
+
 /// How long a broken stream may wait for an engine that limits its requests.
 const MAX_PERMIT_WAIT: Duration = Duration::from_millis(500);
 
@@ -85,6 +100,8 @@
         tokens_per_event: u64,
     ) -> EventRelay {
         let splitter = EventSplitter::default();
+        let max_bytes = max_stream_bytes(needs.size);
+        upstream.response.connection.reads.set(max_bytes);
         let upstream = Some(upstream);
         let started_at = generations.clock.now();
         let end = None;
@@ -170,7 +187,10 @@
                 self.last_frame_at = now;
                 let events = frame.data_ref().map(|data| self.splitter.push(data));
                 self.run.record_progress(self.splitter.events() * self.tokens_per_event);
-                if self.splitter.is_overlong() {
+                // Each event has at least one token.
+                let too_many =
+                    self.splitter.events() > self.needs.size.max_output + MAX_EXTRA_EVENTS;
+                if self.splitter.is_overlong() || too_many {
                     return Err(StreamEnd::Broken);
                 }
                 Ok(events.unwrap_or_default())
@@ -219,6 +239,7 @@
         let remaining = self.inbound.remaining(now);
         match generations.send(&self.inbound, &server, permit, phase, remaining).await {
             Ok(response) if response.head.status.is_success() && response.metadata.sealed => {
+                response.connection.reads.set(max_stream_bytes(self.needs.size));
                 let instance = &*server.entry.instance;
                 log::info!(event = "resumed", request = self.inbound.log_id(), server = instance, version = &*server.entry.version, after = self.splitter.events(); "");
                 let _stream_count = StreamGuard::begin(&server, generations.clock.now());
--- a/crates/gateway/src/http/client.rs
+++ b/crates/gateway/src/http/client.rs
@@ -14,6 +14,7 @@
 use hyper::body::Incoming;
 
 use super::pool::{Connection, Pool};
+use crate::body_budget::{BodyBudget, BodyReservation};
 use crate::dialect::{Dialect, ResponseMetadata};
 use crate::permits::SendPermit;
 use crate::roster::{InFlightGuard, Server};
@@ -88,23 +89,45 @@
     pub in_flight: InFlightGuard,
 }
 
+/// `WholeBody` is the body of a response, with the reservation of its memory.
+#[derive(Debug, Default)]
+pub struct WholeBody {
+    /// The body.
+    pub bytes: Bytes,
+    /// The reservation; `None` for a small body.
+    pub reservation: Option<BodyReservation>,
+}
+
+/// The size up to which a response body needs no reservation, so that servers with endless
+/// responses do not keep small ones of others from being read.
+const UNRESERVED_BYTES: usize = 64 * 1024;
+
+/// The number of bytes that a byte of a body may take on the connection, as in chunks of one
+/// byte each, with their sizes and line ends.
+const MAX_FRAMING_FACTOR: usize = 8;
+
+/// The number of bytes that a server may send before those of a body.
+const MIN_BODY_ALLOWANCE: usize = 256 * 1024;
+
 /// `BackendClient` sends requests to backend servers.
 #[derive(Clone)]
 pub struct BackendClient {
     pool: Arc<Pool>,
     dialect: Arc<dyn Dialect>,
     limits: Arc<ServerLimits>,
+    memory: Arc<BodyBudget>,
 }
 
 impl BackendClient {
     /// Creates a client that uses the connections of `pool` and records the rates that
-    /// servers name in `limits`.
+    /// servers name in `limits`. Response bodies are read within `memory`.
     pub fn new(
         pool: Arc<Pool>,
         dialect: Arc<dyn Dialect>,
         limits: Arc<ServerLimits>,
+        memory: Arc<BodyBudget>,
     ) -> BackendClient {
-        BackendClient { pool, dialect, limits }
+        BackendClient { pool, dialect, limits, memory }
     }
 
     /// Sends `req` of the attempt `id` to `server`, for which `permit` was issued, and waits
@@ -170,19 +193,66 @@
     }
 
     /// Reads the body of a response, which must not exceed `max_bytes` bytes, and returns
-    /// the connection to the pool. A body that ends early is a failure.
+    /// the connection to the pool. A body that ends early is a failure, and so is one for
+    /// which there is no memory.
     pub async fn read_body(
         &self,
         response: BackendResponse,
         max_bytes: usize,
         limit: Duration,
-    ) -> Result<Bytes, SendFailure> {
+    ) -> Result<WholeBody, SendFailure> {
         let BackendResponse { metadata, body, connection, .. } = response;
-        let whole = timeout(limit, http_body_util::Limited::new(body, max_bytes).collect()).await;
+        let whole = timeout(limit, self.collect(body, &connection, max_bytes)).await;
         let whole = whole.map_err(|_| SendFailure::unknown(FailureCause::Timeout))?;
-        let whole = whole.map_err(|_| SendFailure::unknown(FailureCause::Cut))?;
+        let whole = whole.ok_or(SendFailure::unknown(FailureCause::Cut))?;
         self.pool.put_back(connection, metadata.keep_alive);
-        Ok(whole.to_bytes())
+        Ok(whole)
+    }
+
+    /// Collects a body. Returns `None` if it ends early, is too large, or there is no memory
+    /// for it.
+    async fn collect(
+        &self,
+        mut body: Incoming,
+        connection: &Connection,
+        max_bytes: usize,
+    ) -> Option<WholeBody> {
+        connection.reads.set(MIN_BODY_ALLOWANCE);
+        let mut bytes: Vec<u8> = Vec::new();
+        let mut reservation: Option<BodyReservation> = None;
+        while let Some(frame) = body.frame().await {
+            let Ok(data) = frame.ok()?.into_data() else { continue };
+            connection.reads.add(data.len().saturating_mul(MAX_FRAMING_FACTOR));
+            let length = bytes.len() + data.len();
+            if length > max_bytes {
+                return None;
+            }
+            if length > bytes.capacity() {
+                let capacity =
+                    length.max(bytes.capacity() * 5 / 4).next_multiple_of(UNRESERVED_BYTES);
+                if capacity > UNRESERVED_BYTES && !self.reserve(&mut reservation, capacity) {
+                    return None;
+                }
+                bytes.reserve_exact(capacity - bytes.len());
+            }
+            bytes.extend_from_slice(&data);
+        }
+        Some(WholeBody { bytes: bytes.into(), reservation })
+    }
+
+    /// Reserves memory for a body of `capacity` bytes; false if there is none.
+    fn reserve(&self, reservation: &mut Option<BodyReservation>, capacity: usize) -> bool {
+        let reserved = match reservation {
+            Some(reservation) => reservation.grow_to(capacity),
+            None => {
+                *reservation = self.memory.reserve(Some(capacity as u64));
+                reservation.is_some()
+            }
+        };
+        if !reserved {
+            log::warn!(event = "response_memory_used_up", bytes = capacity; "");
+        }
+        reserved
     }
 
     /// Returns the connection to the pool after the body of its response has been read.
--- a/crates/gateway/src/http/json.rs
+++ b/crates/gateway/src/http/json.rs
@@ -21,8 +21,9 @@
 /// The timeout for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// The maximum size of a response in bytes: one page of base64-encoded items.
-const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
+/// The maximum size of a response in bytes: one page of base64-encoded items, which holds
+/// about 1 MB.
+const MAX_RESPONSE_BYTES: usize = 4 * 1024 * 1024;
 
 /// The maximum number of idle connections. A watch and a lease renewal often run at the
 /// same time.
--- /dev/null
+++ b/crates/gateway/src/http/metered.rs
@@ -0,0 +1,91 @@
+//! The `metered` module limits the bytes that are read from a connection to a backend
+//! server, whatever they are. The HTTP parser bounds each part of a message, but not how
+//! many interim responses, leading zeros or chunks come one after the other.
+
+use std::io::{Error, ErrorKind, Result};
+use std::pin::Pin;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::task::{Context, Poll};
+
+use aspenloft_core::prelude::Arc;
+use futures::io::{AsyncRead, AsyncWrite};
+
+/// `ReadAllowance` is the number of bytes that may still be read from one connection.
+#[derive(Debug, Default)]
+pub struct ReadAllowance(AtomicUsize);
+
+impl ReadAllowance {
+    /// Sets the number of bytes that may be read from now on.
+    pub fn set(&self, bytes: usize) {
+        self.0.store(bytes, Ordering::SeqCst);
+    }
+
+    /// Allows `bytes` more bytes to be read.
+    pub fn add(&self, bytes: usize) {
+        let _ = self.0.fetch_update(Ordering::SeqCst, Ordering::SeqCst, |left| {
+            Some(left.saturating_add(bytes))
+        });
+    }
+
+    fn remaining(&self) -> usize {
+        self.0.load(Ordering::SeqCst)
+    }
+
+    fn consume(&self, bytes: usize) {
+        // Only the task of the connection reads, so a concurrent change is a new allowance.
+        let _ =
+            self.0.fetch_update(Ordering::SeqCst, Ordering::SeqCst, |left| left.checked_sub(bytes));
+    }
+}
+
+/// `MeteredStream` is a connection from which only an allowance of bytes can be read. Beyond
+/// it, reads fail, which closes the connection.
+#[derive(Debug)]
+pub struct MeteredStream<S> {
+    inner: S,
+    allowance: Arc<ReadAllowance>,
+}
+
+impl<S> MeteredStream<S> {
+    /// Limits what is read from `inner` to `allowance`.
+    pub fn new(inner: S, allowance: Arc<ReadAllowance>) -> MeteredStream<S> {
+        MeteredStream { inner, allowance }
+    }
+}
+
+impl<S: AsyncRead + Unpin> AsyncRead for MeteredStream<S> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut [u8],
+    ) -> Poll<Result<usize>> {
+        let length = buf.len().min(self.allowance.remaining());
+        if length == 0 && !buf.is_empty() {
+            let error = Error::new(ErrorKind::InvalidData, "the server sends too many bytes");
+            return Poll::Ready(Err(error));
+        }
+        let read = Pin::new(&mut self.inner).poll_read(cx, &mut buf[..length]);
+        if let Poll::Ready(Ok(bytes)) = &read {
+            self.allowance.consume(*bytes);
+        }
+        read
+    }
+}
+
+impl<S: AsyncWrite + Unpin> AsyncWrite for MeteredStream<S> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<Result<usize>> {
+        Pin::new(&mut self.inner).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
+        Pin::new(&mut self.inner).poll_flush(cx)
+    }
+
+    fn poll_close(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
+        Pin::new(&mut self.inner).poll_close(cx)
+    }
+}
--- a/crates/gateway/src/http/mod.rs
+++ b/crates/gateway/src/http/mod.rs
@@ -4,7 +4,8 @@
 pub mod client;
 pub mod headers;
 pub mod json;
+pub mod metered;
 pub mod pool;
 
-pub use client::{BackendClient, BackendResponse, FailureCause, SendFailure};
+pub use client::{BackendClient, BackendResponse, FailureCause, SendFailure, WholeBody};
 pub use pool::{Pool, PoolOptions};
--- a/crates/gateway/src/http/pool.rs
+++ b/crates/gateway/src/http/pool.rs
@@ -15,6 +15,7 @@
 use parking_lot::Mutex;
 use smol_hyper::rt::FuturesIo;
 
+use super::metered::{MeteredStream, ReadAllowance};
 use crate::metrics::Metrics;
 
 /// `PoolOptions` holds the timeouts and limits of a pool.
@@ -60,11 +61,14 @@
     /// Whether the connection has been used before. It may have been closed by the
     /// server meanwhile.
     pub reused: bool,
+    /// The number of bytes that the server may still send.
+    pub reads: Arc<ReadAllowance>,
 }
 
 #[derive(Debug)]
 struct IdleConnection {
     sender: SendRequest<Full<Bytes>>,
+    reads: Arc<ReadAllowance>,
     expires_at: Instant,
 }
 
@@ -86,7 +90,7 @@
     /// has been sent.
     pub async fn take(&self, addr: SocketAddr) -> std::io::Result<Connection> {
         match self.take_idle(addr) {
-            Some(sender) => Ok(Connection { sender, addr, reused: true }),
+            Some(connection) => Ok(connection),
             None => self.open(addr).await,
         }
     }
@@ -98,19 +102,23 @@
             socket::connect(addr, self.options.connect_timeout, &self.options.silence).await?;
         let mut builder = http1::Builder::new();
         builder.max_buf_size(MAX_BUFFER_BYTES);
+        let reads = Arc::<ReadAllowance>::default();
+        reads.set(MAX_HEAD_BYTES);
+        let stream = MeteredStream::new(stream, reads.clone());
         let handshake = builder.handshake(FuturesIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(std::io::Error::other)?;
         task::spawn(async move {
             // Requests and bodies on the connection report its failure.
             let _ = connection.await;
         });
-        Ok(Connection { sender, addr, reused: false })
+        Ok(Connection { sender, addr, reused: false, reads })
     }
 
     /// Keeps `connection` for later requests after its response has been read, for as
     /// long as the server keeps it open.
     pub fn put_back(self: &Arc<Self>, connection: Connection, server_keeps: Option<Duration>) {
-        let Connection { mut sender, addr, .. } = connection;
+        let Connection { mut sender, addr, reads, .. } = connection;
+        reads.set(MAX_HEAD_BYTES);
         let keep_for =
             server_keeps.unwrap_or(self.options.idle_timeout).min(self.options.idle_timeout);
         let keep_for = keep_for.saturating_sub(self.options.close_margin);
@@ -118,13 +126,13 @@
             return;
         }
         if sender.is_ready() {
-            self.keep(addr, sender, keep_for);
+            self.keep(addr, sender, reads, keep_for);
             return;
         }
         let pool = self.clone();
         task::spawn(async move {
             if matches!(timeout(pool.options.ready_timeout, sender.ready()).await, Ok(Ok(()))) {
-                pool.keep(addr, sender, keep_for);
+                pool.keep(addr, sender, reads, keep_for);
             }
         });
     }
@@ -144,23 +152,30 @@
         });
     }
 
-    fn keep(&self, addr: SocketAddr, sender: SendRequest<Full<Bytes>>, keep_for: Duration) {
+    fn keep(
+        &self,
+        addr: SocketAddr,
+        sender: SendRequest<Full<Bytes>>,
+        reads: Arc<ReadAllowance>,
+        keep_for: Duration,
+    ) {
         let expires_at = self.clock.now() + keep_for;
         let mut idle = self.idle.lock();
         let kept = idle.entry(addr).or_default();
         if kept.len() < self.options.max_idle_per_server {
-            kept.push(IdleConnection { sender, expires_at });
+            kept.push(IdleConnection { sender, reads, expires_at });
         }
     }
 
-    fn take_idle(&self, addr: SocketAddr) -> Option<SendRequest<Full<Bytes>>> {
+    fn take_idle(&self, addr: SocketAddr) -> Option<Connection> {
         let now = self.clock.now();
         let mut idle = self.idle.lock();
         let kept = idle.get_mut(&addr)?;
         // The most recently used connection is the least likely to have been closed.
         while let Some(idle) = kept.pop() {
             if idle.expires_at > now && idle.sender.is_ready() {
-                return Some(idle.sender);
+                let IdleConnection { sender, reads, .. } = idle;
+                return Some(Connection { sender, addr, reused: true, reads });
             }
         }
         None
@@ -169,3 +184,7 @@
 
 /// The maximum size of the read buffer of a connection, in bytes.
 const MAX_BUFFER_BYTES: usize = 64 * 1024;
+
+/// The number of bytes that a server may send up to the end of a head: the longest head,
+/// some interim responses, and the part of the body that is read with it.
+const MAX_HEAD_BYTES: usize = 4 * MAX_BUFFER_BYTES;
--- a/crates/gateway/src/orders/mod.rs
+++ b/crates/gateway/src/orders/mod.rs
@@ -299,7 +299,7 @@
         let response = sent.map_err(failed)?;
         let status = response.head.status.as_u16();
         let body = self.client.read_body(response, MAX_RESPONSE_BYTES, CALL_TIMEOUT).await;
-        Ok((status, body.map_err(failed)?))
+        Ok((status, body.map_err(failed)?.bytes))
     }
 }
 
--- a/crates/gateway/src/responses.rs
+++ b/crates/gateway/src/responses.rs
@@ -4,6 +4,9 @@
 //! The status of an error response depends on whether the request may have been
 //! executed: `Retry-After` is only sent for a request that has not run and will not.
 
+use std::convert::Infallible;
+use std::pin::Pin;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 use aspenloft_core::errors::{Error, ErrorCode};
@@ -15,8 +18,11 @@
 use http::{HeaderValue, Response, StatusCode, response};
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full};
+use hyper::body::{Body, Frame, SizeHint};
 
+use crate::body_budget::BodyReservation;
 use crate::dialect::Dialect;
+use crate::http::WholeBody;
 use crate::http::headers::end_to_end;
 
 /// `ResponseBody` is the body of any response to a caller.
@@ -36,6 +42,40 @@
     Full::new(body.into()).map_err(|never| match never {}).boxed_unsync()
 }
 
+/// Returns a body that consists of a backend server's `body` and keeps the reservation of
+/// its memory until the caller has read it.
+pub fn whole_body(body: WholeBody) -> ResponseBody {
+    let WholeBody { bytes, reservation } = body;
+    let body = ReservedBody { inner: Full::new(bytes), _reservation: reservation };
+    body.map_err(|never| match never {}).boxed_unsync()
+}
+
+/// A body that keeps the reservation of its memory.
+struct ReservedBody {
+    inner: Full<Bytes>,
+    _reservation: Option<BodyReservation>,
+}
+
+impl Body for ReservedBody {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        Pin::new(&mut self.inner).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.inner.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.inner.size_hint()
+    }
+}
+
 /// Returns a backend server's response for the caller, with the status and the
 /// end-to-end headers of `head` unmodified, and `body`.
 pub fn relayed_response(head: &response::Parts, body: ResponseBody) -> Response<ResponseBody> {
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -132,7 +132,12 @@
 
     let pool = Pool::new(PoolOptions::default(), clock.clone(), metrics.clone());
     task::spawn(sweep(pool.clone()));
-    let client = BackendClient::new(pool, platform.dialect.clone(), limits);
+    let client = BackendClient::new(
+        pool,
+        platform.dialect.clone(),
+        limits,
+        BodyBudget::new(settings.memory_mb),
+    );
     let allowance = RetryAllowance {
         ratio: settings.retries.ratio,
         slack: settings.retries.slack,
