Order the last engine of its version last to change its role

What callers would have seen: streams of that version that can go on nowhere while two engines of it serve, and prompts read by decode engines.

Cause: the choice of the engine that changes its role looked at data centres and names only. Evidence: the_last_engine_of_its_version_in_a_role_is_ordered_to_leave_it, which failed before.

--- a/crates/gateway/src/orders/mod.rs
+++ b/crates/gateway/src/orders/mod.rs
@@ -187,13 +187,19 @@
             std::cmp::Ordering::Greater => (ServerRole::Decode, ServerRole::Prefill),
             std::cmp::Ordering::Equal => return None,
         };
-        // The engine is taken from the data centre with the most engines in that role.
+        // The engine is taken from the data centre with the most engines in that role, but
+        // if possible not the last one of its version: its streams could go on nowhere.
         let in_role = engines.iter().filter(|s| role(s) == from);
+        let is_last = |s: &Server| {
+            let same = engines.iter().filter(|o| role(o) == from && o.version == s.version);
+            same.count() == 1
+        };
         let colocated = |s: &Server| {
             let same_role = engines.iter().filter(|o| role(o) == from);
             same_role.filter(|o| o.entry.data_centre == s.entry.data_centre).count()
         };
-        let server = in_role.max_by_key(|s| (colocated(s), s.entry.instance.clone()))?;
+        let server =
+            in_role.max_by_key(|s| (!is_last(s), colocated(s), s.entry.instance.clone()))?;
         if pending.contains_key(&server.key) {
             return None;
         }
--- a/crates/gateway/tests/orders.rs
+++ b/crates/gateway/tests/orders.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use aspenloft_gateway::roster::ServerEntry;
-use aspenloft_gateway::roster::ServerRole::{Decode, Prefill};
+use aspenloft_gateway::roster::ServerRole::{self, Decode, Prefill};
 use common::{Scripted, TestHost, entry, header, sealed, status, wait_for};
 
 /// The orders that the prefill engines of a test have received.
@@ -45,21 +45,21 @@
     format!("{head}{:x}\r\n{event}\r\n0\r\n\r\n", event.len()).into_bytes()
 }
 
-/// Four prefill engines serve two decode engines with long outputs, under a load that
-/// leaves none of them idle. An order that arrives while prompts are queued would make
-/// the engine refuse them.
-#[test]
-fn an_engine_is_ordered_to_change_its_role_once_it_has_processed_its_prompts() {
-    let counts = Arc::<OrderCounts>::default();
-    let prefills: Vec<Scripted> = (0..4).map(|_| prefill_engine(&counts)).collect();
-    let decodes: Vec<Scripted> = (0..2).map(|_| Scripted::start(|_, req| stream(req))).collect();
-    let named = |kind: &str, engines: &[Scripted], role| -> Vec<ServerEntry> {
-        let engines = engines.iter().enumerate();
-        engines.map(|(n, e)| entry(&format!("{kind}{n}"), e.addr, role)).collect()
-    };
-    let mut servers = named("p", &prefills, Prefill);
-    servers.extend(named("d", &decodes, Decode));
-    let host = TestHost::with_servers(&servers);
+/// Returns entries with these names and versions for `engines`.
+fn named(names: &[(&str, &str)], engines: &[Scripted], role: ServerRole) -> Vec<ServerEntry> {
+    let engines = names.iter().zip(engines);
+    engines
+        .map(|((name, version), engine)| ServerEntry {
+            version: (*version).into(),
+            ..entry(name, engine.addr, role)
+        })
+        .collect()
+}
+
+/// Sends requests with long outputs to a host with `servers` until an engine has received
+/// an order. Returns how many were refused.
+fn load_until_order(servers: &[ServerEntry], counts: &OrderCounts) -> usize {
+    let host = TestHost::with_servers(servers);
     let done = Arc::new(AtomicBool::new(false));
     let callers: Vec<_> = (0..8)
         .map(|caller| {
@@ -81,11 +81,41 @@
             })
         })
         .collect();
-    let began = Instant::now();
     wait_for("an order", || counts.orders.load(Ordering::SeqCst) > 0);
     done.store(true, Ordering::SeqCst);
-    let refused: usize = callers.into_iter().map(|c| c.join().expect("caller")).sum();
-    assert_eq!(refused, 0);
+    callers.into_iter().map(|c| c.join().expect("caller")).sum()
+}
+
+/// Four prefill engines serve two decode engines with long outputs, under a load that
+/// leaves none of them idle. An order that arrives while prompts are queued would make
+/// the engine refuse them.
+#[test]
+fn an_engine_is_ordered_to_change_its_role_once_it_has_processed_its_prompts() {
+    let counts = Arc::<OrderCounts>::default();
+    let prefills: Vec<Scripted> = (0..4).map(|_| prefill_engine(&counts)).collect();
+    let decodes: Vec<Scripted> = (0..2).map(|_| Scripted::start(|_, req| stream(req))).collect();
+    let names = [("p0", "v1"), ("p1", "v1"), ("p2", "v1"), ("p3", "v1")];
+    let mut servers = named(&names, &prefills, Prefill);
+    servers.extend(named(&[("d0", "v1"), ("d1", "v1")], &decodes, Decode));
+    let began = Instant::now();
+    assert_eq!(load_until_order(&servers, &counts), 0);
     let during_prompts = counts.orders_during_prompts.load(Ordering::SeqCst);
     assert_eq!(during_prompts, 0, "after {:?}", began.elapsed());
 }
+
+/// The other engines of the version then have nobody to exchange KV caches with.
+#[test]
+fn the_last_engine_of_its_version_in_a_role_is_ordered_to_leave_it() {
+    let counts = Arc::<OrderCounts>::default();
+    let prefills: Vec<Scripted> = (0..4).map(|_| prefill_engine(&counts)).collect();
+    let decodes: Vec<Scripted> = (0..2).map(|_| Scripted::start(|_, req| stream(req))).collect();
+    let names = [("p0", "v2"), ("p1", "v2"), ("p2", "v2"), ("p3", "v1")];
+    let mut servers = named(&names, &prefills, Prefill);
+    servers.extend(named(&[("d0", "v1"), ("d1", "v2")], &decodes, Decode));
+    load_until_order(&servers, &counts);
+    let ordered =
+        |server: &Scripted| server.seen.lock().iter().any(|r| r.starts_with("POST /order"));
+    let ordered: Vec<bool> = prefills.iter().map(ordered).collect();
+    assert_eq!(ordered.iter().filter(|ordered| **ordered).count(), 1);
+    assert!(!ordered[3], "the only prefill engine at v1");
+}
