Take streams up without a record where there is a single version

What callers would have seen: after all hosts had restarted, no stream could be taken up for 30 s, though engines had a single version, and one that names no first attempt went on at any version.

Cause: only the host's own time of observation counted. Now the start of the servers counts as well, and the timeout of the routes says how long streams last. A request with Last-Event-Id that names no first attempt is one whose stream nobody knows. Only streams that may go on elsewhere are recorded, and the questions to other hosts are bounded, so made-up ids cost them little.

Limited servers are asked with the wait that the request can bear at once where all servers of a service name limits.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -157,23 +157,26 @@
                 self.view.roster().available(&inbound.service, ServerRole::Plain, now);
             servers.retain(|s| !excluded.contains(&s.entry.instance));
             // A request only waits for a server with a limit if there is no other server.
-            let is_free = |s: &Arc<Server>| self.permits.known_wait(s).is_zero();
-            let max_wait = match servers.iter().any(is_free) {
-                true => {
-                    servers.retain(is_free);
-                    Duration::ZERO
-                }
+            let max_wait = match servers.iter().any(|s| !self.permits.is_limited(s)) {
+                true => Duration::ZERO,
                 false => inbound.permit_wait(now),
             };
+            let waits = servers.iter().map(|s| self.permits.known_wait(s));
+            reached = waits.fold(reached, |reached, wait| {
+                let retry_after = wait.saturating_sub(max_wait);
+                if retry_after.is_zero() {
+                    reached
+                } else {
+                    sooner(reached, LimitReached { retry_after })
+                }
+            });
+            servers.retain(|s| self.permits.known_wait(s) <= max_wait);
             let Some(server) = self.choose(&servers, now) else {
                 return reached.map_or(Ok(None), Err);
             };
             match self.permits.acquire(&server, max_wait).await {
                 Ok(permit) => return Ok(Some((server, permit))),
                 // Another server may be free, or become free sooner.
-                Err(limit) if max_wait.is_zero() => {
-                    reached = sooner(reached, limit);
-                }
                 Err(limit) => {
                     reached = sooner(reached, limit);
                     excluded.push(server.entry.instance.clone());
--- a/crates/gateway/src/generation/relay.rs
+++ b/crates/gateway/src/generation/relay.rs
@@ -164,7 +164,10 @@
         let version = upstream.server.version;
         self.needs.version = Some(version);
         let metadata = &self.inbound.metadata;
-        if let Some(first) = metadata.resumes.as_ref().or(metadata.id.as_ref()) {
+        let resumable = self.inbound.route.repeat == RepeatPolicy::ResumableStream;
+        if let Some(first) = metadata.resumes.as_ref().or(metadata.id.as_ref())
+            && resumable
+        {
             self.generations.streams.record(&self.inbound.service, first, version);
             self.generations.loads.notify();
         }
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -49,6 +49,10 @@
 /// The number of hosts that are asked for the version of a stream.
 const MAX_ASKED: usize = 3;
 
+/// The maximum number of such questions at the same time, so that made-up ids cost other
+/// hosts little.
+const MAX_QUESTIONS: usize = 32;
+
 /// The maximum number of stream records in one digest.
 const MAX_STREAM_RECORDS: usize = 20;
 
@@ -75,6 +79,10 @@
     /// Asks other hosts at which version the stream of `service` with `key` began. Returns
     /// an error if none answers.
     pub async fn ask_stream_version(&self, service: &Name, key: u64) -> Result<Option<VersionTag>> {
+        let _open = self.questions.clone();
+        if Arc::strong_count(&self.questions) > MAX_QUESTIONS + 1 {
+            return Err(unavailable("too many streams are being asked for"));
+        }
         let call = PeerCall::StreamVersion(service.clone(), key);
         let hosts = self.longest_running(MAX_ASKED);
         let mut calls: FuturesUnordered<_> =
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -97,6 +97,8 @@
     peers: Mutex<HashMap<Name, Peer>>,
     links: Mutex<HashMap<Name, Arc<PeerLink>>>,
     options: Arc<MeshOptions>,
+    /// Has a clone for each question for the version of a stream that is open.
+    questions: Arc<()>,
 }
 
 impl Peers {
@@ -121,6 +123,7 @@
             peers: Mutex::default(),
             links: Mutex::default(),
             options: Arc::default(),
+            questions: Arc::default(),
         })
     }
 
--- a/crates/gateway/src/permits.rs
+++ b/crates/gateway/src/permits.rs
@@ -111,6 +111,11 @@
         Arc::new(Permits { limits, peers, view, clock, pacers: Mutex::default() })
     }
 
+    /// Returns whether `server` limits its requests.
+    pub fn is_limited(&self, server: &Server) -> bool {
+        self.limits.is_limited(server)
+    }
+
     /// Returns how long a request to `server` has to wait at least, as far as this host
     /// knows.
     pub fn known_wait(&self, server: &Server) -> Duration {
--- a/crates/gateway/src/server_limits.rs
+++ b/crates/gateway/src/server_limits.rs
@@ -218,7 +218,10 @@
 
     /// Tells whether `server` limits its requests.
     pub fn is_limited(&self, server: &Server) -> bool {
-        self.with_state(|state, _| state.known.get(&server.key).is_some_and(|l| l.per_s.is_some()))
+        !self.is_empty()
+            && self.with_state(|state, _| {
+                state.known.get(&server.key).is_some_and(|limit| limit.per_s.is_some())
+            })
     }
 
     /// Returns how long a request to `server` has to wait at least, as far as this host
--- a/crates/gateway/src/stream_versions.rs
+++ b/crates/gateway/src/stream_versions.rs
@@ -4,6 +4,7 @@
 use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
+use aspenloft_core::clock::unix_millis;
 use aspenloft_core::prelude::{Arc, Name, SharedClock};
 use aspenloft_policy::stream_versions::{
     Scope, StreamRecord, StreamTable, VersionHistory, VersionTag, stream_key,
@@ -13,9 +14,8 @@
 use crate::roster::Roster;
 use crate::view::View;
 
-/// How long a service must have had a single version for all its streams to have begun
-/// at that version: twice as long as callers keep to a stream.
-const SINGLE_VERSION_PERIOD: Duration = Duration::from_secs(30);
+/// How long the streams of a service are assumed to last while there is no configuration.
+const DEFAULT_LIFETIME: Duration = Duration::from_secs(30);
 
 /// `StreamVersions` holds the versions of streams as this host knows them.
 pub struct StreamVersions {
@@ -59,13 +59,38 @@
     }
 
     /// Returns the version at which the stream of `service` with `key` began, if this host
-    /// knows it.
+    /// knows it: from a record, or because the service has had a single version for longer
+    /// than its streams last.
     pub fn version(&self, service: &str, key: u64) -> Option<VersionTag> {
         self.observe();
-        let recorded = self.table.lock().version(key);
-        let now = self.clock.now();
-        let history = &self.history.lock().history;
-        recorded.or_else(|| history.only_version(service, SINGLE_VERSION_PERIOD, now))
+        if let Some(version) = self.table.lock().version(key) {
+            return Some(version);
+        }
+        let lifetime = self.lifetime(service);
+        let only = self.history.lock().history.only_version(service, lifetime, self.clock.now());
+        only.or_else(|| self.settled_version(service, lifetime))
+    }
+
+    /// Returns how long streams of `service` last: callers keep to one no longer than the
+    /// timeout of its route.
+    fn lifetime(&self, service: &str) -> Duration {
+        let Some(configuration) = self.view.configuration() else { return DEFAULT_LIFETIME };
+        let routes = configuration.routes.iter();
+        let serving = routes.filter(|r| r.services.iter().any(|(name, _)| &**name == service));
+        serving.map(|route| route.timeout).max().unwrap_or(DEFAULT_LIFETIME)
+    }
+
+    /// Returns the only version of `service` if a server of it started more than `lifetime`
+    /// ago. It serves hosts that have no history, as after all hosts have restarted.
+    fn settled_version(&self, service: &str, lifetime: Duration) -> Option<VersionTag> {
+        let roster = self.view.roster();
+        let servers: Vec<_> = roster.all().filter(|s| &*s.entry.service == service).collect();
+        let version = servers.first()?.version;
+        let single = servers.iter().all(|server| version.continues_at(server.version));
+        let now_ms = unix_millis(self.clock.system_time());
+        let started_by = now_ms.saturating_sub(lifetime.as_millis() as u64);
+        let settled = servers.iter().any(|s| (1..=started_by).contains(&s.entry.born_ms));
+        (single && settled).then_some(version)
     }
 
     /// Records the versions of the servers that are listed now. It must be called at least
--- a/crates/gateway/tests/stream_versions.rs
+++ b/crates/gateway/tests/stream_versions.rs
@@ -6,7 +6,7 @@
 use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
 use aspenloft_gateway::roster::ServerEntry;
 use aspenloft_gateway::roster::ServerRole::{Decode, Prefill};
@@ -266,3 +266,22 @@
     assert!(full.count() > 0);
     assert_eq!(with_memory(&newer), 0, "v2 got memory of v1");
 }
+
+/// After all hosts had restarted, no stream was taken up though there was a single version.
+#[test]
+fn a_stream_of_which_no_host_knows_is_refused_at_a_single_version() {
+    let only = engine("v1");
+    let now_ms = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).expect("a time");
+    let born_ms = u64::try_from(now_ms.as_millis()).expect("milliseconds");
+    let settled = at_version("d1", &only, "v1");
+    let (store, hosts) = start_hosts(&["h1"], &[ServerEntry { born_ms, ..settled.clone() }]);
+    let response = hosts[0].send(&take_up("a", "unknown", 2));
+    assert_eq!(status(&response), "503", "another version may just have left: {response}");
+    store.write("servers/d1", &settled);
+    std::thread::sleep(Duration::from_millis(200));
+    let response = hosts[0].send(&take_up("b", "unknown", 2));
+    assert_eq!((status(&response).as_str(), versions(&response)), ("200", vec!["v1".into()]));
+    store.write("servers/d2", &at_version("d2", &only, "v2"));
+    std::thread::sleep(Duration::from_millis(200));
+    assert_eq!(status(&hosts[0].send(&take_up("c", "other", 2))), "503");
+}
