Keep a digest within one datagram whatever a host has to say

What callers would have seen: a host that stops answering. A digest over 1,400 bytes without any load was encoded again and again without end, from some 150 unreachable servers; the supplement with limits and streams would have brought that down to some 85.

Cause: only the load was shortened, and the loop had no other end.

Lists are halved in a fixed order until the digest fits, the load first. A digest names at most 64 unreachable servers, others each time, and says how many there are, so that receivers keep what earlier ones named.

--- a/crates/gateway/src/peers/digest.rs
+++ b/crates/gateway/src/peers/digest.rs
@@ -44,6 +44,29 @@
     pub breaks: Vec<(Fingerprint, u64)>,
 }
 
+impl Digest {
+    /// Leaves half of the least useful list out that is not empty. Returns false if there is
+    /// none.
+    pub(super) fn halve(&mut self) -> bool {
+        let LoadDigest { runs, prefills, .. } = &mut self.loads;
+        if !runs.is_empty() || !prefills.is_empty() {
+            runs.truncate(runs.len() / 2);
+            prefills.truncate(prefills.len() / 2);
+        } else if !self.demand.is_empty() {
+            self.demand.truncate(self.demand.len() / 2);
+        } else if !self.unreachable.is_empty() {
+            self.unreachable.truncate(self.unreachable.len() / 2);
+        } else if !self.breaks.is_empty() {
+            self.breaks.truncate(self.breaks.len() / 2);
+        } else if !self.loads.switching.is_empty() {
+            self.loads.switching.truncate(self.loads.switching.len() / 2);
+        } else {
+            return false;
+        }
+        true
+    }
+}
+
 /// `DigestSupplement` follows a digest in the same datagram. It is a frame of its own,
 /// which hosts of the previous build do not read.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
@@ -54,6 +77,9 @@
     pub limits: Vec<LimitNotice>,
     /// The streams that the sender began or took up lately.
     pub streams: Vec<StreamRecord>,
+    /// How many servers the sender cannot reach. If the digest names fewer, the next ones
+    /// name the others in turn.
+    pub unreachable: usize,
 }
 
 /// `PeerCall` is a call of one host to another.
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use aspenloft_core::errors::{Result, invalid, unavailable};
+use aspenloft_core::errors::{Result, internal, invalid, unavailable};
 use aspenloft_core::prelude::{Arc, Host, Name};
 use aspenloft_policy::host_groups::{group_interval, remote_interval};
 use aspenloft_policy::stream_versions::{Scope, VersionTag};
@@ -37,6 +37,9 @@
 /// The part of a datagram that is reserved for the supplement of a digest, in bytes.
 const MAX_SUPPLEMENT_BYTES: usize = 600;
 
+/// The maximum number of unreachable servers in one digest.
+const MAX_UNREACHABLE: usize = 64;
+
 /// The timeout for fetching a peer's view.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(700);
 
@@ -165,8 +168,11 @@
         (in_group, addresses(remote))
     }
 
+    /// Encodes a digest. What does not fit into a datagram is left out: the load first, as the
+    /// next digest comes soon, then the averages and the servers that cannot be reached.
     fn encode_digest(&self, scope: Scope) -> Result<Bytes> {
-        let supplement = self.encode_supplement(scope)?;
+        let (unreachable_count, unreachable) = self.unreachable(MAX_UNREACHABLE);
+        let supplement = self.encode_supplement(scope, unreachable_count)?;
         let mut digest = Digest {
             host: self.local.clone(),
             seq: self.seq.fetch_add(1, Ordering::SeqCst) + 1,
@@ -175,31 +181,41 @@
             follows: self.follows.load(Ordering::SeqCst),
             loads: self.state.loads.digest(),
             demand: self.state.demand.digest(),
-            unreachable: self.unreachable(),
+            unreachable,
             breaks: self.crashes.lock().recent(
                 self.clock.now(),
                 DISCONNECT_REPORT_PERIOD,
                 MAX_DISCONNECTS,
             ),
         };
+        let mut truncated = unreachable_count > digest.unreachable.len();
         loop {
             let mut buf = BytesMut::new();
             frames::encode(&digest, &mut buf)?;
             if buf.len() + supplement.len() <= MAX_DIGEST_BYTES {
                 buf.extend_from_slice(&supplement);
+                self.log_truncated(truncated, unreachable_count);
                 return Ok(buf.freeze());
             }
-            // The digest is too large for one datagram: half of the load is left out, until
-            // the rest fits.
-            let half = digest.loads.runs.len() / 2;
-            digest.loads.runs.truncate(half);
-            let half = digest.loads.prefills.len() / 2;
-            digest.loads.prefills.truncate(half);
+            truncated = true;
+            if !digest.halve() {
+                return Err(internal(format!(
+                    "a digest without its lists has {} bytes",
+                    buf.len()
+                )));
+            }
+        }
+    }
+
+    /// Logs when digests begin or cease to leave something out.
+    fn log_truncated(&self, truncated: bool, unreachable: usize) {
+        if self.truncated.swap(truncated, Ordering::SeqCst) != truncated {
+            log::info!(event = "digest_truncated", truncated, unreachable; "");
         }
     }
 
     /// Encodes the supplement of a digest, without the oldest limits if it is too large.
-    fn encode_supplement(&self, scope: Scope) -> Result<Bytes> {
+    fn encode_supplement(&self, scope: Scope, unreachable: usize) -> Result<Bytes> {
         let LocalState { view, limits, streams, shutdown, .. } = &self.state;
         streams.observe();
         let roster = view.roster();
@@ -207,6 +223,7 @@
             leaving: shutdown.is_leaving(),
             limits: limits.notices(|key| roster.by_key(key).is_some()),
             streams: streams.take_unsent(scope, MAX_STREAM_RECORDS),
+            unreachable,
         };
         loop {
             let mut buf = BytesMut::new();
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -10,7 +10,7 @@
 
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 use aspenloft_core::prelude::{Arc, Host, Name, SharedClock};
@@ -38,6 +38,10 @@
 /// The number of hosts that must report a server unreachable for others to act on it.
 const MIN_UNREACHABLE_REPORTS: usize = 2;
 
+/// How long a server counts as unreachable for a host whose digests do not hold all such
+/// servers: as long as it takes to name 2,000 of them in turn.
+const UNREACHABLE_TTL: Duration = Duration::from_secs(9);
+
 /// The maximum age of the last digest of a host on whose watch of the key-value service
 /// others rely: three digests of an idle host.
 const FOLLOWER_TIMEOUT: Duration = Duration::from_millis(800);
@@ -55,6 +59,9 @@
     revision: u64,
     follows: bool,
     unreachable: Vec<u64>,
+    /// The servers that earlier digests named, with the time, while one digest does not hold
+    /// all of them.
+    unreachable_before: HashMap<u64, Instant>,
     /// Whether the host's build sends supplements, and so answers all calls.
     answers_calls: bool,
     /// Whether the host is shutting down.
@@ -67,6 +74,24 @@
     failed_at: Option<Instant>,
 }
 
+impl Peer {
+    /// Keeps what the last digest named for a while if that is not all of `total`.
+    fn record_unreachable(&mut self, total: usize, now: Instant) {
+        if self.unreachable.len() >= total {
+            self.unreachable_before.clear();
+            return;
+        }
+        self.unreachable_before.extend(self.unreachable.iter().map(|server| (*server, now)));
+        self.unreachable_before
+            .retain(|_, at| now.saturating_duration_since(*at) < UNREACHABLE_TTL);
+    }
+
+    /// Returns the keys of the servers that the host cannot reach.
+    fn unreachable(&self) -> HashSet<u64> {
+        self.unreachable.iter().chain(self.unreachable_before.keys()).copied().collect()
+    }
+}
+
 /// `LocalState` is the state of this host that it shares with the others.
 #[derive(Clone)]
 pub struct LocalState {
@@ -97,6 +122,10 @@
     peers: Mutex<HashMap<Name, Peer>>,
     links: Mutex<HashMap<Name, Arc<PeerLink>>>,
     options: Arc<MeshOptions>,
+    /// How many unreachable servers have been named in digests that did not hold all.
+    unreachable_from: AtomicUsize,
+    /// Whether the last digest left something out.
+    truncated: AtomicBool,
     /// Has a clone for each question for the version of a stream that is open.
     questions: Arc<()>,
 }
@@ -123,6 +152,8 @@
             peers: Mutex::default(),
             links: Mutex::default(),
             options: Arc::default(),
+            unreachable_from: AtomicUsize::new(0),
+            truncated: AtomicBool::new(false),
             questions: Arc::default(),
         })
     }
@@ -158,12 +189,21 @@
         live.filter(|p| p.host.name < self.local.name).count()
     }
 
-    /// Returns the keys of the servers that this host cannot reach.
-    fn unreachable(&self) -> Vec<u64> {
+    /// Returns the number of servers that this host cannot reach, and the keys of up to
+    /// `max` of them, others each time.
+    fn unreachable(&self, max: usize) -> (usize, Vec<u64>) {
         let now = self.clock.now();
         let roster = self.state.view.roster();
         let unreachable = roster.all().filter(|s| !s.seems_reachable(now));
-        unreachable.map(|s| s.key).collect()
+        let mut keys: Vec<u64> = unreachable.map(|s| s.key).collect();
+        let total = keys.len();
+        if total > max {
+            keys.sort_unstable();
+            let from = self.unreachable_from.fetch_add(max, Ordering::SeqCst) % total;
+            keys.rotate_left(from);
+            keys.truncate(max);
+        }
+        (total, keys)
     }
 
     /// Returns the keys of the servers that several other hosts cannot reach. A report by
@@ -173,8 +213,8 @@
         let peers = self.peers.lock();
         let live = peers.values().filter(|p| is_recent(p, now, LIVENESS_TIMEOUT));
         let mut reports: HashMap<u64, usize> = HashMap::new();
-        for server in live.flat_map(|p| &p.unreachable) {
-            *reports.entry(*server).or_default() += 1;
+        for server in live.flat_map(Peer::unreachable) {
+            *reports.entry(server).or_default() += 1;
         }
         let confirmed = reports.into_iter().filter(|(_, hosts)| *hosts >= MIN_UNREACHABLE_REPORTS);
         confirmed.map(|(server, _)| server).collect()
@@ -215,6 +255,7 @@
             revision: 0,
             follows: false,
             unreachable: Vec::new(),
+            unreachable_before: HashMap::new(),
             answers_calls: false,
             leaving: false,
             last_digest: None,
@@ -339,6 +380,9 @@
                 revision: digest.revision,
                 follows: digest.follows,
                 unreachable: digest.unreachable,
+                unreachable_before: same_process
+                    .map(|p| p.unreachable_before.clone())
+                    .unwrap_or_default(),
                 answers_calls: same_process.is_some_and(|p| p.answers_calls),
                 leaving: same_process.is_some_and(|p| p.leaving),
                 last_digest: Some(now),
@@ -357,8 +401,10 @@
 
     /// Applies the supplement of a digest of the host `name`.
     fn apply_supplement(&self, name: &str, supplement: &DigestSupplement) {
+        let now = self.clock.now();
         if let Some(peer) = self.peers.lock().get_mut(name) {
             (peer.answers_calls, peer.leaving) = (true, supplement.leaving);
+            peer.record_unreachable(supplement.unreachable, now);
         }
         if !supplement.streams.is_empty() {
             self.state.streams.record_peer(&supplement.streams);
