Place streams that are taken up before new ones

What callers would have seen: after an engine of the older of two versions fails, its streams are taken up faster than its few engines have room, and wait behind new requests that have all engines to choose from.

Cause: the queue knew urgency and arrival only; a request whose choice is narrow was placed last. Evidence: a_stream_that_goes_on_waits_behind_new_ones, which failed before.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -167,6 +167,7 @@
         let (tx, rx) = oneshot::channel();
         let waiter = WaitingRequest {
             id: 0,
+            continues: needs.version.is_some(),
             priority: inbound.route.priority,
             arrived: inbound.arrived,
             due: inbound.arrived + inbound.route.target_latency,
@@ -208,8 +209,9 @@
         let on_eligible = servers.iter().filter_map(|server| runs.remove(&server.key));
         let remaining: Vec<u64> = on_eligible.flatten().map(|run| run.remaining).collect();
         let limited = servers.iter().map(|server| self.permits.known_wait(server)).min();
-        waiting::expected_wait(remaining, self.loads.waiting(now), self.loads.step())
-            .max(limited.unwrap_or_default())
+        // Streams that go on are placed before all others.
+        let ahead = if needs.version.is_some() { 0 } else { self.loads.waiting(now) };
+        waiting::expected_wait(remaining, ahead, self.loads.step()).max(limited.unwrap_or_default())
     }
 
     fn overload_error(&self, inbound: &InboundRequest, message: &str, expected: Duration) -> Error {
--- a/crates/policy/src/waiting.rs
+++ b/crates/policy/src/waiting.rs
@@ -41,6 +41,8 @@
 pub struct WaitingRequest {
     /// Identifies the request on this host.
     pub id: u64,
+    /// Whether it goes on with a stream, which few engines may do, instead of beginning one.
+    pub continues: bool,
     /// The priority of its row as set by the operator; 0 is placed first.
     pub priority: u8,
     /// When it arrived.
@@ -102,14 +104,15 @@
     }
 }
 
-/// Returns the ids of the waiting requests in the order of placement.
+/// Returns the ids of the waiting requests in the order of placement. Streams that go on
+/// come first: only engines of their version may take them, and callers have part of them.
 pub fn placement_order(
     requests: &[WaitingRequest],
     now: Instant,
     options: &WaitOptions,
 ) -> Vec<u64> {
     let mut queue: Vec<&WaitingRequest> = requests.iter().collect();
-    queue.sort_by_key(|w| (!w.meets_target(now, options), w.priority, w.arrived));
+    queue.sort_by_key(|w| (!w.continues, !w.meets_target(now, options), w.priority, w.arrived));
     queue.into_iter().map(|w| w.id).collect()
 }
 
--- a/crates/policy/tests/overload.rs
+++ b/crates/policy/tests/overload.rs
@@ -15,6 +15,7 @@
 
 fn waiting_request(id: u64, arrived: Instant) -> WaitingRequest {
     WaitingRequest {
+        continues: false,
         id,
         priority: 1,
         arrived,
@@ -204,3 +205,13 @@
     health.record_dispatch(now);
     assert!(!health.is_paused(now), "a server that answers needs no probe");
 }
+
+/// A stream that was taken up waited behind new ones, which had all engines to choose from.
+#[test]
+fn a_stream_that_goes_on_waits_behind_new_ones() {
+    let now = Instant::now();
+    let urgent = WaitingRequest { priority: 0, ..waiting_request(1, now) };
+    let late = now + Duration::from_millis(100);
+    let taken_up = WaitingRequest { continues: true, ..waiting_request(2, late) };
+    assert_eq!(placement_order(&[urgent, taken_up], late, &WaitOptions::default()), [2, 1]);
+}
