--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -318,10 +318,9 @@
                 && !s.state.is_full(now)
                 && self.permits.known_wait(s).is_zero()
         });
-        let prefill_engines = self.view.roster().available(service, ServerRole::Prefill, now);
+        let prefill_versions = self.prefill_versions(service, &servers, now);
         let must_prefill = |decode: &Server| {
-            !prefill_engines.is_empty()
-                && prefill_engines.iter().all(|prefill| prefill.version != decode.version)
+            !prefill_versions.is_empty() && !prefill_versions.contains(&decode.version)
         };
         let mut runs = self.loads.runs(now);
         let waiting_hosts = self.loads.waiting_hosts(now);
@@ -350,6 +349,21 @@
         choose_decode(&loads, needs.size.forecast()).map(|index| servers[index].clone())
     }
 
+    /// Returns the versions of the prefill engines, if `decode` are engines of several
+    /// versions; otherwise nothing depends on them.
+    fn prefill_versions(
+        &self,
+        service: &Name,
+        decode: &[Arc<Server>],
+        now: Instant,
+    ) -> Vec<VersionTag> {
+        if decode.windows(2).all(|pair| pair[0].version == pair[1].version) {
+            return Vec::new();
+        }
+        let engines = self.view.roster().available(service, ServerRole::Prefill, now);
+        engines.iter().map(|engine| engine.version).collect()
+    }
+
     /// Records that a decode engine refused a request. Returns whether the engine seems
     /// to have ample free memory, in which case the refusal has another cause.
     pub fn record_refusal(&self, server: &Server, capacity: u64, now: Instant) -> bool {
--- a/crates/gateway/src/generation/mod.rs
+++ b/crates/gateway/src/generation/mod.rs
@@ -133,7 +133,8 @@
         let version = match self.streams.version(service, key) {
             Some(version) => Some(version),
             None => self.peers.ask_stream_version(service, key).await.map_err(|e| {
-                let message = format!("the version at which stream {first} began: {}", e.message);
+                let message =
+                    format!("cannot find the version at which stream {first} began: {}", e.message);
                 Error::new(ErrorCode::NoBackend, message).retry_after(ENGINE_RETRY_AFTER)
             })?,
         };
--- a/crates/gateway/src/server_limits.rs
+++ b/crates/gateway/src/server_limits.rs
@@ -202,6 +202,9 @@
     /// Returns the limits to tell other hosts, the newest first, and forgets those of
     /// servers for which `is_listed` does not hold.
     pub fn notices(&self, is_listed: impl Fn(u64) -> bool) -> Vec<LimitNotice> {
+        if self.is_empty() {
+            return Vec::new();
+        }
         self.with_state(|state, now| {
             state.known.retain(|server, limit| {
                 let lifted_long_ago = limit.per_s.is_none()
