Do not let requests of one service hold up another in the queue

What callers saw: model requests of a service with room waited up to a second while those of another, whose engines limit their requests or are full, were queued before them.

Cause: the queue stopped at the first request that could not be placed, and new requests were placed at once only while it was empty, whatever their services.

Evidence: the_limit_of_one_service_holds_up_another, 973 ms before, allowed 300. Within a service the order stays.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -137,7 +137,7 @@
         let size = RunSize { expected: size.expected.min(max_expected).max(1), ..size };
         let needs = RunNeeds { size, ..needs };
         let now = self.clock.now();
-        if self.queue.lock().is_empty()
+        if !self.has_queued(&inbound.service)
             && let Some(placement) = self.try_place(&inbound.service, needs, now)
         {
             return Ok(placement);
@@ -145,6 +145,11 @@
         self.wait(inbound, needs, now).await
     }
 
+    /// Returns whether a request for `service` is queued, which goes before a new one.
+    fn has_queued(&self, service: &Name) -> bool {
+        self.queue.lock().iter().any(|queued| queued.service == *service)
+    }
+
     /// Places a request again that the engine of its first placement did not accept.
     pub async fn place_again(
         self: &Arc<Self>,
@@ -267,14 +272,19 @@
             let _ = remove_queued(queue, id).map(|w| w.tx.send(None));
         }
         let waiters: Vec<WaitingRequest> = queue.iter().map(|w| w.waiter).collect();
+        let mut without_room: Vec<Name> = Vec::new();
         for id in waiting::placement_order(&waiters, now, &self.options) {
             let Some(next) = queue.iter().find(|w| w.waiter.id == id) else { continue };
+            if without_room.contains(&next.service) {
+                continue;
+            }
             let Some(placement) = self.try_place(&next.service, next.needs, now) else {
-                // Engines of another version may have room for those behind it.
-                if next.needs.version.is_some() {
-                    continue;
+                // Those behind it do not overtake it, but engines of another version may
+                // have room for them.
+                if next.needs.version.is_none() {
+                    without_room.push(next.service.clone());
                 }
-                return;
+                continue;
             };
             let _ = remove_queued(queue, id).map(|w| w.tx.send(Some(placement)));
         }
--- a/crates/gateway/tests/server_limits.rs
+++ b/crates/gateway/tests/server_limits.rs
@@ -7,6 +7,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
+use aspenloft_gateway::roster::ServerEntry;
 use aspenloft_gateway::roster::ServerRole::{self, Plain};
 use common::peer::ScriptedPeer;
 use common::{MemoryStore, Scripted, TestHost, configuration, entry, sealed};
@@ -206,3 +207,44 @@
     assert!(decoded >= 5, "{decoded} requests in 3 s");
     assert!(read <= decoded + 1, "{read} prompts read for {decoded} requests");
 }
+
+/// Requests of one service waited in the queue behind those of another without capacity.
+#[test]
+fn the_limit_of_one_service_holds_up_another() {
+    let stream = |req: &str| sealed(req, "200 OK", "id: 1\ndata: x\n\n");
+    let limited = Scripted::start(move |_, req| with_limit(stream(req), "0.8"));
+    let free = Scripted::start(move |_, req| stream(req));
+    let store = Arc::new(MemoryStore::default());
+    let mut two = configuration(1);
+    two.services.insert("model-2".into(), two.services["model"].clone());
+    let mut route = two.routes.iter().find(|r| &*r.name == "stream").expect("a route").clone();
+    (route.name, route.path_prefix) = ("other".into(), "/other/".into());
+    route.services = vec![("model-2".into(), 1)];
+    two.routes.push(route);
+    // Requests are kept in the queue in the order of arrival while they can meet their target.
+    two.routes.iter_mut().for_each(|route| route.target_latency = Duration::from_millis(1_500));
+    store.write("configuration", &two);
+    store.write("servers/d1", &entry("d1", limited.addr, ServerRole::Decode));
+    let other =
+        ServerEntry { service: "model-2".into(), ..entry("d2", free.addr, ServerRole::Decode) };
+    store.write("servers/d2", &other);
+    let host = TestHost::start("h1", store);
+    host.wait_ready();
+    let generation = |path: &str, id: &str| {
+        format!("GET {path} HTTP/1.1\r\nhost: app.test\r\nid: {id}\r\ntokens: 100,10\r\n\r\n")
+    };
+    assert_eq!(common::status(&host.send(&generation("/stream/", "first"))), "200");
+    std::thread::scope(|scope| {
+        for number in 0..4 {
+            let (host, generation) = (&host, &generation);
+            scope.spawn(move || host.send(&generation("/stream/", &format!("a{number}"))));
+        }
+        std::thread::sleep(Duration::from_millis(50));
+        for number in 0..10 {
+            let began = Instant::now();
+            let response = host.send(&generation("/other/", &format!("b{number}")));
+            assert_eq!(common::status(&response), "200", "{response}");
+            assert!(began.elapsed() < Duration::from_millis(300), "{:?}", began.elapsed());
+        }
+    });
+}
