--- a/crates/gateway/src/http/json.rs
+++ b/crates/gateway/src/http/json.rs
@@ -11,7 +11,7 @@
 use async_std::task;
 use bytes::Bytes;
 use http::header::{CONTENT_TYPE, HOST};
-use http::{HeaderValue, Method, Request};
+use http::{HeaderMap, HeaderValue, Method, Request};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1::{self, SendRequest};
 use parking_lot::Mutex;
@@ -34,10 +34,16 @@
 pub struct JsonResponse {
     /// The HTTP status code.
     pub status: u16,
+    headers: HeaderMap,
     body: Bytes,
 }
 
 impl JsonResponse {
+    /// Returns the value of the header `name`, if it is there and is text.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name).and_then(|value| value.to_str().ok()).map(str::trim)
+    }
+
     /// Deserializes the body.
     pub fn json<T: DeserializeOwned>(&self) -> Result<T> {
         serde_json::from_slice(&self.body)
@@ -96,11 +102,11 @@
             unavailable(format!("{}: {e}", self.addr)).execution(Execution::Unknown)
         };
         let response = sent.map_err(|e| call_failed(&e))?;
-        let status = response.status().as_u16();
-        let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES).collect().await;
+        let (head, body) = response.into_parts();
+        let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
         let body = body.map_err(|e| call_failed(&e))?.to_bytes();
         self.put_back(sender);
-        Ok(JsonResponse { status, body })
+        Ok(JsonResponse { status: head.status.as_u16(), headers: head.headers, body })
     }
 
     async fn open(&self) -> Result<SendRequest<Full<Bytes>>> {
