--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -5,7 +5,7 @@
 
 pub mod peer;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::sync::Arc;
@@ -168,6 +168,15 @@
     changes: Vec<(Version, Change)>,
     down: bool,
     compacted: Version,
+    leases: HashSet<LeaseId>,
+    next_lease: LeaseId,
+    restores: u64,
+}
+
+/// A copy of the service's items, from which it can come back.
+pub struct StoreCopy {
+    revision: Version,
+    items: BTreeMap<String, Versioned>,
 }
 
 impl MemoryStore {
@@ -213,6 +222,29 @@
         self.state.lock().down = down;
     }
 
+    /// Returns a copy of the items as they are now.
+    pub fn copy(&self) -> StoreCopy {
+        let state = self.state.lock();
+        StoreCopy { revision: state.revision, items: state.items.clone() }
+    }
+
+    /// Brings the service back from `copy`: what was written since is gone, and so are all
+    /// leases. Its revisions are given out again.
+    pub fn restore(&self, copy: &StoreCopy) {
+        let mut state = self.state.lock();
+        state.revision = copy.revision;
+        state.items = copy.items.clone();
+        state.changes.clear();
+        state.compacted = copy.revision;
+        state.leases.clear();
+        state.restores += 1;
+    }
+
+    /// Returns the value of `key`.
+    pub fn value(&self, key: &str) -> Option<String> {
+        self.state.lock().items.get(key).map(|item| item.value.clone())
+    }
+
     /// Compacts all changes up to now, so that they can no longer be watched.
     pub fn compact(&self) {
         let mut state = self.state.lock();
@@ -240,6 +272,7 @@
     async fn changes(&self, _prefix: &str, after: Version, wait: Duration) -> Result<Changes> {
         let end = Instant::now() + wait;
         let timeout = end + Duration::from_secs(2);
+        let restores = self.state.lock().restores;
         loop {
             self.check()?;
             if Instant::now() >= timeout {
@@ -247,7 +280,10 @@
             }
             if !self.silent.load(Ordering::SeqCst) {
                 let state = self.state.lock();
-                if after < state.compacted {
+                if state.restores != restores {
+                    return Err(aspenloft_core::errors::unavailable("cut"));
+                }
+                if after < state.compacted || after > state.revision {
                     return Ok(Changes::Compacted);
                 }
                 let newer = state.changes.iter().filter(|(at, _)| *at > after);
@@ -292,12 +328,16 @@
 
     async fn grant(&self, _ttl: Duration) -> Result<LeaseId> {
         self.check()?;
-        Ok(1)
+        let mut state = self.state.lock();
+        state.next_lease += 1;
+        let lease = state.next_lease;
+        state.leases.insert(lease);
+        Ok(lease)
     }
 
-    async fn renew(&self, _lease: LeaseId) -> Result<bool> {
+    async fn renew(&self, lease: LeaseId) -> Result<bool> {
         self.check()?;
-        Ok(true)
+        Ok(self.state.lock().leases.contains(&lease))
     }
 }
 
