Compare positions in the key-value service by era before revision

Callers saw requests refused as an older configuration allows, and requests that reached servers which had announced that they leave.

Cause: hosts took revisions as ever rising. Hosts that take views from others heard of no higher revision.

A position is an era, which each response of the service names, and a revision; it is compared in this order everywhere, so what was read before a return is older than all that is read after it. A watch never goes on across eras. Messages between hosts carry the era at their end, where the previous build does not read.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod host;
 pub mod ids;
 pub mod pieces;
+pub mod position;
 pub mod prelude;
 pub mod secret;
 pub mod suspects;
--- a/crates/core/src/prelude.rs
+++ b/crates/core/src/prelude.rs
@@ -10,4 +10,5 @@
 pub use crate::finding::{Finding, Findings};
 pub use crate::host::Host;
 pub use crate::ids::{Name, RequestId, ReservationId};
+pub use crate::position::{Era, Position};
 pub use crate::units::Tokens;
--- a/crates/gateway/src/peers/digest.rs
+++ b/crates/gateway/src/peers/digest.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use aspenloft_core::errors::{Error, Result};
-use aspenloft_core::prelude::{Host, Name};
+use aspenloft_core::prelude::{Era, Host, Name, Position};
 use aspenloft_core::suspects::Fingerprint;
 use aspenloft_policy::stream_versions::StreamRecord;
 use aspenloft_transport::frames;
@@ -29,7 +29,8 @@
     pub seq: u64,
     /// When the sender's process started, in milliseconds since the Unix epoch.
     pub born_ms: u64,
-    /// The revision of the key-value service up to which the sender has changes.
+    /// The revision of the key-value service up to which the sender has changes. The era to
+    /// which it belongs is in the supplement.
     pub revision: u64,
     /// Whether the sender watches the key-value service itself and is connected to it.
     pub follows: bool,
@@ -80,6 +81,37 @@
     /// How many servers the sender cannot reach. If the digest names fewer, the next ones
     /// name the others in turn.
     pub unreachable: usize,
+    /// The era of the sender's revision; `None` if the sender's build does not know eras.
+    pub era: Option<Era>,
+}
+
+/// The supplement of the previous build.
+#[derive(Debug, Deserialize)]
+struct SupplementWithoutEra {
+    leaving: bool,
+    limits: Vec<LimitNotice>,
+    streams: Vec<StreamRecord>,
+    unreachable: usize,
+}
+
+impl DigestSupplement {
+    /// Decodes a supplement. The last fields are empty in one of the previous build, which in
+    /// turn does not read them.
+    pub fn decode(body: &[u8]) -> Result<DigestSupplement> {
+        frames::decode(body).or_else(|_: Error| {
+            let supplement: SupplementWithoutEra = frames::decode(body)?;
+            let SupplementWithoutEra { leaving, limits, streams, unreachable } = supplement;
+            Ok(DigestSupplement { leaving, limits, streams, unreachable, era: None })
+        })
+    }
+}
+
+/// Returns the position of another host that is at `revision` and names `era`, for a host at
+/// `own`. A host of the previous build names no era; its position is only known while the
+/// service counts no eras.
+pub fn peer_position(era: Option<Era>, revision: u64, own: Era) -> Option<Position> {
+    let era = era.or((own == Era::default()).then_some(own))?;
+    Some(Position::new(era, revision))
 }
 
 /// `PeerCall` is a call of one host to another.
@@ -108,6 +140,8 @@
 pub struct ViewReply {
     /// The revision of the key-value service to which the view corresponds.
     pub revision: u64,
+    /// The era of the revision; `None` if the sender's build does not know eras.
+    pub era: Option<Era>,
     /// The configuration in force, unless the receiver has it already. It is by far the
     /// largest part of a view, and changes of servers are much more frequent.
     pub configuration: Option<Configuration>,
@@ -140,9 +174,21 @@
     kept: Vec<WireKept>,
     /// The versions of the servers, those in `kept` after the others.
     versions: Vec<Name>,
+    era: Option<Era>,
+}
+
+/// The reply of the previous build, without an era.
+#[derive(Debug, Deserialize)]
+struct WireReplyWithVersions {
+    revision: u64,
+    configuration: Option<Configuration>,
+    hosts: Vec<Host>,
+    servers: Vec<WireEntry>,
+    kept: Vec<WireKept>,
+    versions: Vec<Name>,
 }
 
-/// The reply of the previous build, without versions.
+/// The reply of the build before that, without versions.
 #[derive(Debug, Deserialize)]
 struct WireReplyWithKept {
     revision: u64,
@@ -200,9 +246,15 @@
 }
 
 impl ViewReply {
+    /// Returns the position to which the view corresponds, for a host whose own era is `own`;
+    /// `None` if it is not known.
+    pub fn position(&self, own: Era) -> Option<Position> {
+        peer_position(self.era, self.revision, own)
+    }
+
     /// Appends the reply to `buf` as one frame.
     pub fn encode(self, buf: &mut BytesMut) -> Result<()> {
-        let ViewReply { revision, configuration, hosts, servers, kept } = self;
+        let ViewReply { revision, era, configuration, hosts, servers, kept } = self;
         let (servers, mut versions): (Vec<_>, Vec<_>) =
             servers.into_iter().map(WireEntry::split).unzip();
         let kept = kept.into_iter().map(|KeptServer { entry, remaining }| {
@@ -211,25 +263,34 @@
             WireKept { entry, remaining }
         });
         let kept = kept.collect();
-        frames::encode(&WireReply { revision, configuration, hosts, servers, kept, versions }, buf)
+        let reply = WireReply { revision, configuration, hosts, servers, kept, versions, era };
+        frames::encode(&reply, buf)
     }
 
-    /// Decodes a reply. The versions are empty in one of a previous build.
+    /// Decodes a reply. In one of a previous build there is no era, and the versions may be
+    /// empty.
     pub fn decode(body: &[u8]) -> Result<ViewReply> {
+        let era = None;
         let wire: WireReply = frames::decode(body)
             .or_else(|_| {
+                let reply: WireReplyWithVersions = frames::decode(body)?;
+                let WireReplyWithVersions { revision, configuration, hosts, .. } = reply;
+                let WireReplyWithVersions { servers, kept, versions, .. } = reply;
+                Ok(WireReply { revision, configuration, hosts, servers, kept, versions, era })
+            })
+            .or_else(|_: Error| {
                 let reply: WireReplyWithKept = frames::decode(body)?;
                 let WireReplyWithKept { revision, configuration, hosts, servers, kept } = reply;
                 let versions = Vec::new();
-                Ok(WireReply { revision, configuration, hosts, servers, kept, versions })
+                Ok(WireReply { revision, configuration, hosts, servers, kept, versions, era })
             })
             .or_else(|_: Error| {
                 let reply: WireReplyWithoutKept = frames::decode(body)?;
                 let WireReplyWithoutKept { revision, configuration, hosts, servers } = reply;
                 let (kept, versions) = Default::default();
-                Ok(WireReply { revision, configuration, hosts, servers, kept, versions })
+                Ok(WireReply { revision, configuration, hosts, servers, kept, versions, era })
             })?;
-        let WireReply { revision, configuration, hosts, servers, kept, versions } = wire;
+        let WireReply { revision, configuration, hosts, servers, kept, versions, era } = wire;
         let mut versions = versions.into_iter().chain(std::iter::repeat(Name::from("")));
         let mut join = |entry: WireEntry| entry.join(versions.next().unwrap_or_default());
         let servers = servers.into_iter().map(&mut join).collect();
@@ -237,6 +298,6 @@
             .into_iter()
             .map(|WireKept { entry, remaining }| KeptServer { entry: join(entry), remaining })
             .collect();
-        Ok(ViewReply { revision, configuration, hosts, servers, kept })
+        Ok(ViewReply { revision, era, configuration, hosts, servers, kept })
     }
 }
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use aspenloft_core::errors::{Result, internal, invalid, unavailable};
-use aspenloft_core::prelude::{Arc, Host, Name};
+use aspenloft_core::prelude::{Arc, Era, Host, Name};
 use aspenloft_policy::host_groups::{group_interval, remote_interval};
 use aspenloft_policy::stream_versions::{Scope, VersionTag};
 use aspenloft_transport::frames;
@@ -172,12 +172,13 @@
     /// next digest comes soon, then the averages and the servers that cannot be reached.
     fn encode_digest(&self, scope: Scope) -> Result<Bytes> {
         let (unreachable_count, unreachable) = self.unreachable(MAX_UNREACHABLE);
-        let supplement = self.encode_supplement(scope, unreachable_count)?;
+        let position = self.state.view.position();
+        let supplement = self.encode_supplement(scope, unreachable_count, position.era)?;
         let mut digest = Digest {
             host: self.local.clone(),
             seq: self.seq.fetch_add(1, Ordering::SeqCst) + 1,
             born_ms: self.born_ms,
-            revision: self.state.view.revision(),
+            revision: position.revision,
             follows: self.follows.load(Ordering::SeqCst),
             loads: self.state.loads.digest(),
             demand: self.state.demand.digest(),
@@ -215,7 +216,7 @@
     }
 
     /// Encodes the supplement of a digest, without the oldest limits if it is too large.
-    fn encode_supplement(&self, scope: Scope, unreachable: usize) -> Result<Bytes> {
+    fn encode_supplement(&self, scope: Scope, unreachable: usize, era: Era) -> Result<Bytes> {
         let LocalState { view, limits, streams, shutdown, .. } = &self.state;
         streams.observe();
         let roster = view.roster();
@@ -224,6 +225,7 @@
             limits: limits.notices(|key| roster.by_key(key).is_some()),
             streams: streams.take_unsent(scope, MAX_STREAM_RECORDS),
             unreachable,
+            era: Some(era),
         };
         loop {
             let mut buf = BytesMut::new();
@@ -259,11 +261,14 @@
         let body =
             frames::split_frame(&mut buf)?.ok_or_else(|| invalid("the datagram is truncated"))?;
         let digest: Digest = frames::decode(&body)?;
+        let supplement = frames::split_frame(&mut buf)?;
+        let supplement = supplement.map(|body| DigestSupplement::decode(&body)).transpose()?;
         let name = digest.host.name.clone();
-        if self.apply_digest(digest)
-            && let Some(body) = frames::split_frame(&mut buf)?
+        let era = supplement.as_ref().and_then(|supplement| supplement.era);
+        if self.apply_digest(digest, era)
+            && let Some(supplement) = supplement
         {
-            self.apply_supplement(&name, &frames::decode(&body)?);
+            self.apply_supplement(&name, &supplement);
         }
         Ok(())
     }
@@ -280,7 +285,7 @@
     fn view_reply(&self, version: Option<u64>) -> ViewReply {
         let is_newer = |c: &Arc<Configuration>| version.is_none_or(|v| c.version > v);
         let configuration = self.state.view.configuration().filter(is_newer);
-        let (revision, roster) = self.state.view.versioned_roster();
+        let (position, roster) = self.state.view.positioned_roster();
         let now = self.clock.now();
         let kept = roster.all().filter_map(|server| {
             let remaining = server.kept_until?.saturating_duration_since(now);
@@ -288,7 +293,8 @@
         });
         let listed = roster.all().filter(|server| server.kept_until.is_none());
         ViewReply {
-            revision,
+            revision: position.revision,
+            era: Some(position.era),
             configuration: configuration.map(|c| Configuration::clone(&c)),
             hosts: self.listed_hosts(),
             servers: listed.map(|server| server.entry.clone()).collect(),
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -13,7 +13,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
-use aspenloft_core::prelude::{Arc, Host, Name, SharedClock};
+use aspenloft_core::prelude::{Arc, Era, Host, Name, Position, SharedClock};
 use aspenloft_core::suspects::Fingerprint;
 use aspenloft_policy::crash_tracker::CrashTracker;
 use aspenloft_policy::host_groups::HostGroup;
@@ -32,6 +32,8 @@
 pub use digest::{Digest, DigestSupplement, KeptServer, PeerCall, ViewReply};
 pub use exchange::PeerServer;
 
+use digest::peer_position;
+
 /// How long a host counts as live after its last digest.
 const LIVENESS_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -57,6 +59,8 @@
     born_ms: u64,
     seq: u64,
     revision: u64,
+    /// The era of `revision`; `None` if the host's build does not know eras.
+    era: Option<Era>,
     follows: bool,
     unreachable: Vec<u64>,
     /// The servers that earlier digests named, with the time, while one digest does not hold
@@ -75,6 +79,11 @@
 }
 
 impl Peer {
+    /// Returns the host's position, for a host whose own era is `own`.
+    fn position(&self, own: Era) -> Option<Position> {
+        peer_position(self.era, self.revision, own)
+    }
+
     /// Keeps what the last digest named for a while if that is not all of `total`.
     fn record_unreachable(&mut self, total: usize, now: Instant) {
         if self.unreachable.len() >= total {
@@ -253,6 +262,7 @@
             born_ms: 0,
             seq: 0,
             revision: 0,
+            era: None,
             follows: false,
             unreachable: Vec::new(),
             unreachable_before: HashMap::new(),
@@ -300,13 +310,16 @@
     }
 
     /// Returns the number of hosts in this host's group that precede it by name, watch
-    /// the key-value service and sent a digest recently.
+    /// the key-value service and sent a digest recently. Hosts whose positions are not known
+    /// do not count, as this host could not tell when they are ahead.
     pub fn preceding_followers(&self) -> usize {
-        let now = self.clock.now();
+        let (now, own) = (self.clock.now(), self.state.view.position());
         let peers = self.peers.lock();
         let group = self.group_among(&peers);
         let members = peers.values().filter(|p| group.has_host(&p.host.name, &p.host.data_centre));
-        let following = members.filter(|p| p.follows && is_recent(p, now, FOLLOWER_TIMEOUT));
+        let following = members.filter(|p| {
+            p.follows && p.position(own.era).is_some() && is_recent(p, now, FOLLOWER_TIMEOUT)
+        });
         following.filter(|p| p.host.name < self.local.name).count()
     }
 
@@ -318,25 +331,27 @@
         }
     }
 
-    /// Returns the live host with the highest revision of the key-value service, if that
+    /// Returns the live host with the highest position in the key-value service, if that
     /// is higher than this host's; of several, one in this host's data centre if possible.
     ///
-    /// Hosts that did not respond to a recent call come last, whatever their revision: the
+    /// Hosts that did not respond to a recent call come last, whatever their position: the
     /// digests of a host may arrive although it cannot be called. A host that has sent no
     /// digest since then has probably crashed and is not returned.
     pub fn peer_ahead(&self) -> Option<Host> {
-        let (now, own) = (self.clock.now(), self.state.view.revision());
+        let (now, own) = (self.clock.now(), self.state.view.position());
         let peers = self.peers.lock();
         let failed = |p: &Peer| {
             p.failed_at.is_some_and(|at| now.saturating_duration_since(at) < FAILED_CALL_PERIOD)
         };
         let heard_since =
             |p: &Peer| p.failed_at.is_none_or(|at| p.last_digest.is_some_and(|d| d > at));
-        let ahead = peers
-            .values()
-            .filter(|p| p.revision > own && is_recent(p, now, LIVENESS_TIMEOUT) && heard_since(p));
+        let live = peers.values().filter(|p| is_recent(p, now, LIVENESS_TIMEOUT) && heard_since(p));
+        let positions = live.filter_map(|p| Some((p, p.position(own.era)?)));
+        let ahead = positions.filter(|(_, position)| *position > own);
         let is_local = |p: &Peer| p.host.data_centre == self.local.data_centre;
-        ahead.max_by_key(|p| (!failed(p), p.revision, is_local(p))).map(|p| p.host.clone())
+        ahead
+            .max_by_key(|(p, position)| (!failed(p), *position, is_local(p)))
+            .map(|(p, _)| p.host.clone())
     }
 
     /// Logs the hosts that no longer count as live, once each, and removes those of them
@@ -355,9 +370,9 @@
         });
     }
 
-    /// Applies a digest of another host. Returns false if a newer one has been applied
-    /// already.
-    pub fn apply_digest(&self, digest: Digest) -> bool {
+    /// Applies a digest of another host, whose revision belongs to `era`. Returns false if a
+    /// newer one has been applied already.
+    pub fn apply_digest(&self, digest: Digest, era: Option<Era>) -> bool {
         if digest.host.name == self.local.name {
             return false;
         }
@@ -378,6 +393,7 @@
                 born_ms: digest.born_ms,
                 seq: digest.seq,
                 revision: digest.revision,
+                era,
                 follows: digest.follows,
                 unreachable: digest.unreachable,
                 unreachable_before: same_process
--- a/crates/gateway/src/sync/learn.rs
+++ b/crates/gateway/src/sync/learn.rs
@@ -11,7 +11,7 @@
 use crate::view::{Keep, ServerChange, UpdateSource};
 
 impl StoreSync {
-    /// Fetches the view of a host with a higher revision: at once if this host is not
+    /// Fetches the view of a host with a higher position: at once if this host is not
     /// connected to the service, otherwise after it has been behind for `max_lag`. Does
     /// not return.
     pub async fn catch_up_from_peers(self: Arc<Self>) {
@@ -33,9 +33,11 @@
             let took_ms = self.clock.now().saturating_duration_since(now).as_millis() as u64;
             match fetched {
                 Ok(reply) => {
+                    let (own, era) =
+                        (self.view.position().to_string(), reply.era.unwrap_or_default());
                     log::info!(
                         event = "peer_read", peer = &*host.name, revision = reply.revision,
-                        own = self.view.revision(), servers = reply.servers.len(), took_ms; ""
+                        era = era.0, own = own.as_str(), servers = reply.servers.len(), took_ms; ""
                     );
                     self.apply_view(reply, now);
                 }
@@ -52,18 +54,20 @@
     /// which servers are kept counts from then, so that it never ends later than it does
     /// on the other host.
     fn apply_view(&self, reply: ViewReply, requested_at: Instant) {
+        let own = self.view.position();
+        let Some(position) = reply.position(own.era) else { return };
         if let Some(configuration) = reply.configuration {
             self.view.apply_configuration(configuration);
         }
-        let revision = reply.revision;
         let servers = reply.servers.into_iter().map(ServerChange::Listed).collect();
         let kept = reply.kept.into_iter().map(|kept| (kept.entry, requested_at + kept.remaining));
         let keep = Keep::AsPeer(kept.collect());
-        if self.view.replace_servers(servers, revision, UpdateSource::Peer, &keep) {
+        if self.view.replace_servers(servers, position, UpdateSource::Peer, &keep) {
             self.peers.replace_listed(reply.hosts);
         } else {
-            let own = self.view.revision();
-            log::info!(event = "view_outdated", source = "peer", revision, own; "");
+            let (position, own) = (position.to_string(), own.to_string());
+            let (position, own) = (position.as_str(), own.as_str());
+            log::info!(event = "view_outdated", source = "peer", position, own; "");
         }
     }
 }
--- a/crates/gateway/src/sync/mod.rs
+++ b/crates/gateway/src/sync/mod.rs
@@ -10,8 +10,8 @@
 use std::time::{Duration, Instant};
 
 use aspenloft_core::errors::Result;
-use aspenloft_core::prelude::{Arc, Host, SharedClock};
-use aspenloft_protocol::platform::{Change, ChangeFeed, Changes, KeyValue, Version, Versioned};
+use aspenloft_core::prelude::{Arc, Host, Position, SharedClock};
+use aspenloft_protocol::platform::{Change, ChangeFeed, Changes, KeyValue, Versioned};
 use async_std::future::timeout;
 use async_std::task;
 use parking_lot::Mutex;
@@ -95,8 +95,10 @@
 /// Why a host stopped watching the service without a failure.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum StopReason {
-    /// The service has compacted the changes after the host's revision.
+    /// The service has compacted the changes after the host's position.
     Compacted,
+    /// The service has come back from an older copy.
+    Restored,
     /// Enough other hosts of the group watch the service.
     OthersSuffice,
 }
@@ -120,6 +122,7 @@
             self.wait_until_needed().await;
             match self.follow(&mut pause).await {
                 Ok(StopReason::Compacted) => log::info!(event = "store_compacted"; ""),
+                Ok(StopReason::Restored) => {}
                 Ok(StopReason::OthersSuffice) => log::info!(event = "store_left_to_others"; ""),
                 Err(e) => {
                     self.mark_disconnected(&e.to_string());
@@ -156,24 +159,20 @@
                 return Ok(StopReason::OthersSuffice);
             }
             let wait = self.options.watch_timeout;
-            match self.changes(self.view.revision(), wait, pause).await? {
+            match self.changes(wait, pause).await? {
                 Changes::Compacted => return Ok(StopReason::Compacted),
-                Changes::Since { changes, revision } => self.apply_changes(changes, revision),
+                Changes::Restored(_) => return Ok(StopReason::Restored),
+                Changes::Since { changes, position } => self.apply_changes(changes, position),
             }
         }
     }
 
-    /// Returns the changes after `revision`. A failed call is retried from the same
-    /// revision, which costs less than a new snapshot.
-    async fn changes(
-        &self,
-        revision: Version,
-        wait: Duration,
-        pause: &mut Duration,
-    ) -> Result<Changes> {
+    /// Returns the changes after the position of the view. A failed call is retried, which
+    /// costs less than a new snapshot.
+    async fn changes(&self, wait: Duration, pause: &mut Duration) -> Result<Changes> {
         let mut wait = wait;
         loop {
-            match self.call_watch(revision, wait).await {
+            match self.call_watch(self.view.position(), wait).await {
                 Ok(changes) => {
                     *pause = self.options.backoff.0;
                     self.mark_connected();
@@ -191,10 +190,10 @@
         }
     }
 
-    /// Calls for the changes after `revision`. While the response is late, this host counts
+    /// Calls for the changes after `after`. While the response is late, this host counts
     /// as disconnected, so that another one watches the service in its place.
-    async fn call_watch(&self, revision: Version, wait: Duration) -> Result<Changes> {
-        let mut call = self.feed.changes("", revision, wait);
+    async fn call_watch(&self, after: Position, wait: Duration) -> Result<Changes> {
+        let mut call = self.feed.changes("", after, wait);
         match timeout(wait + self.options.watch_grace, &mut call).await {
             Ok(result) => result,
             Err(_) => {
@@ -207,35 +206,41 @@
     async fn read_all(&self) -> Result<()> {
         let snapshot = self.feed.snapshot("").await?;
         self.mark_connected();
-        let revision = snapshot.revision;
+        let position = snapshot.position;
         let (hosts, items): (Vec<Versioned>, Vec<Versioned>) =
             snapshot.items.into_iter().partition(|item| item.key.starts_with(HOSTS_PREFIX));
         let hosts: Vec<Host> = hosts.iter().filter_map(read_host).collect();
         let entries: Vec<_> = items.iter().filter_map(|item| self.apply_item(item)).collect();
-        let (servers, keep) = (entries.len(), self.keep());
-        log::info!(event = "store_read", revision, servers, hosts = hosts.len(); "");
-        if self.view.replace_servers(entries, revision, UpdateSource::Snapshot, &keep) {
+        let own = self.view.position();
+        let keep = self.keep(position.era > own.era);
+        let (servers, revision, era) = (entries.len(), position.revision, position.era.0);
+        log::info!(event = "store_read", revision, era, servers, hosts = hosts.len(); "");
+        if self.view.replace_servers(entries, position, UpdateSource::Snapshot, &keep) {
             self.peers.replace_listed(hosts);
         } else {
-            let own = self.view.revision();
-            log::info!(event = "view_outdated", source = "snapshot", revision, own; "");
+            let (position, own) = (position.to_string(), own.to_string());
+            let (position, own) = (position.as_str(), own.as_str());
+            log::info!(event = "view_outdated", source = "snapshot", position, own; "");
         }
         Ok(())
     }
 
-    fn apply_changes(&self, changes: Vec<Change>, revision: Version) {
+    fn apply_changes(&self, changes: Vec<Change>, position: Position) {
         // The view of another host may have been applied while the watch was waiting.
-        let applied = self.view.revision();
+        let applied = self.view.position();
         let mut server_changes = Vec::new();
-        for change in changes.into_iter().filter(|change| change.version() > applied) {
+        for change in changes {
             let version = change.version();
+            if Position::new(position.era, version) <= applied {
+                continue;
+            }
             let server_change = match change {
                 Change::Written(item) => self.apply_item(&item),
                 Change::Removed { key, .. } => self.apply_removal(&key),
             };
             server_changes.extend(server_change.map(|change| (version, change)));
         }
-        self.view.apply_changes(server_changes, revision, &self.keep());
+        self.view.apply_changes(server_changes, position, &self.keep(false));
     }
 
     /// Applies the entry of a host or the configuration at once. Returns the change of a
@@ -277,8 +282,12 @@
     }
 
     /// Returns what happens to servers whose entries are found missing now: entries that
-    /// the service lost in an outage are written again within `outage_grace`.
-    fn keep(&self) -> Keep {
+    /// the service lost in an outage, or since the copy from which it came back if it has
+    /// been `restored`, are written again within `outage_grace`.
+    fn keep(&self, restored: bool) -> Keep {
+        if restored {
+            return Keep::Until(self.clock.now() + self.options.outage_grace);
+        }
         let Some(reconnected_at) = self.state.lock().reconnected_at else { return Keep::Nothing };
         let since = self.clock.now().saturating_duration_since(reconnected_at);
         match since < self.options.outage_window {
@@ -291,7 +300,8 @@
         self.peers.set_following(false);
         let mut state = self.state.lock();
         if state.connected {
-            log::warn!(event = "store_lost", error, revision = self.view.revision(); "");
+            let position = self.view.position().to_string();
+            log::warn!(event = "store_lost", error, position = position.as_str(); "");
         }
         state.connected = false;
         state.lost = true;
@@ -301,7 +311,8 @@
         self.peers.set_following(true);
         let mut state = self.state.lock();
         if !state.connected {
-            log::info!(event = "store_regained", revision = self.view.revision(); "");
+            let position = self.view.position().to_string();
+            log::info!(event = "store_regained", position = position.as_str(); "");
         }
         if std::mem::take(&mut state.lost) {
             state.reconnected_at = Some(self.clock.now());
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -4,7 +4,7 @@
 use std::collections::HashSet;
 use std::time::Instant;
 
-use aspenloft_core::prelude::{Arc, Name};
+use aspenloft_core::prelude::{Arc, Name, Position};
 use aspenloft_protocol::platform::Version;
 use derive_more::Display;
 use parking_lot::RwLock;
@@ -71,9 +71,10 @@
 
 /// `View` is the host's view of the deployment. Readers get snapshots.
 ///
-/// The servers are those that the key-value service listed at one revision, which only
+/// The servers are those that the key-value service listed at one position, which only
 /// rises: hosts learn of changes in several ways at once, and what was read earlier may
-/// arrive later. `docs/design/platform.md` describes them.
+/// arrive later. `docs/design/platform.md` describes them, and `docs/design/store-eras.md`
+/// what happens when the service comes back from an older copy.
 ///
 /// Lock order: `configuration` and `servers` are never held together.
 #[derive(Debug, Default)]
@@ -82,10 +83,10 @@
     servers: RwLock<ListedServers>,
 }
 
-/// The servers that the key-value service listed at `revision`.
+/// The servers that the key-value service listed at `position`.
 #[derive(Debug, Default)]
 struct ListedServers {
-    revision: Version,
+    position: Position,
     roster: Arc<Roster>,
     loaded: bool,
 }
@@ -114,32 +115,36 @@
         self.servers.read().roster.clone()
     }
 
-    /// Returns a snapshot of the backend servers with the revision of the key-value
-    /// service at which they were listed.
-    pub fn versioned_roster(&self) -> (Version, Arc<Roster>) {
+    /// Returns a snapshot of the backend servers with the position in the key-value service
+    /// at which they were listed.
+    pub fn positioned_roster(&self) -> (Position, Arc<Roster>) {
         let servers = self.servers.read();
-        (servers.revision, servers.roster.clone())
+        (servers.position, servers.roster.clone())
     }
 
-    /// Returns the revision of the key-value service up to which changes are applied.
-    pub fn revision(&self) -> Version {
-        self.servers.read().revision
+    /// Returns the position in the key-value service up to which changes are applied.
+    pub fn position(&self) -> Position {
+        self.servers.read().position
     }
 
-    /// Replaces the servers by those of `entries`, which were present at `revision`. Servers
+    /// Replaces the servers by those of `entries`, which were present at `position`. Servers
     /// whose entries are missing are kept as `keep` says. Returns false and changes nothing
     /// if newer changes have been applied already.
     pub fn replace_servers(
         &self,
         entries: Vec<ServerChange>,
-        revision: Version,
+        position: Position,
         source: UpdateSource,
         keep: &Keep,
     ) -> bool {
         let mut servers = self.servers.write();
-        if revision < servers.revision {
+        if position < servers.position {
             return false;
         }
+        if servers.loaded && position.era > servers.position.era {
+            servers.log_restored(position, source);
+        }
+        let revision = position.revision;
         let mut present = HashSet::new();
         for entry in entries {
             match entry {
@@ -160,22 +165,25 @@
         {
             servers.list_kept(kept);
         }
-        servers.revision = revision;
+        servers.position = position;
         servers.loaded = true;
         true
     }
 
-    /// Applies `changes`, each made at the revision beside it, and advances to `revision`.
-    /// Changes that have been applied already are left out. Removed servers are kept as
-    /// `keep` says.
+    /// Applies `changes`, each made at the revision beside it, and advances to `position`.
+    /// Changes that have been applied already are left out, as are those of another era than
+    /// that of the view. Removed servers are kept as `keep` says.
     pub fn apply_changes(
         &self,
         changes: Vec<(Version, ServerChange)>,
-        revision: Version,
+        position: Position,
         keep: &Keep,
     ) {
         let mut servers = self.servers.write();
-        let applied = servers.revision;
+        if position.era != servers.position.era {
+            return;
+        }
+        let applied = servers.position.revision;
         for (version, change) in changes {
             if version <= applied {
                 continue;
@@ -190,7 +198,7 @@
                 }
             }
         }
-        servers.revision = servers.revision.max(revision);
+        servers.position = servers.position.max(position);
     }
 
     /// Removes the servers whose time is over for which they were kept without an entry.
@@ -201,7 +209,7 @@
         let mut servers = self.servers.write();
         let expired = servers.roster.all().filter(|server| server.is_expired(now));
         let expired: Vec<Name> = expired.map(|server| server.entry.instance.clone()).collect();
-        let revision = servers.revision;
+        let revision = servers.position.revision;
         for name in expired {
             servers.remove(&name, UpdateSource::Grace, revision);
         }
@@ -215,6 +223,13 @@
 }
 
 impl ListedServers {
+    /// Logs that the service has come back from an older copy.
+    fn log_restored(&self, position: Position, source: UpdateSource) {
+        let (from, to) = (self.position.to_string(), position.to_string());
+        let (from, to, source) = (from.as_str(), to.as_str(), source.to_string());
+        log::warn!(event = "store_restored", from, to, source = source.as_str(); "");
+    }
+
     /// Adds or replaces one server. The roster is copied only if the entry has changed
     /// and a reader holds a snapshot of it.
     fn list(&mut self, entry: ServerEntry, source: UpdateSource, revision: Version) {
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -14,7 +14,7 @@
 
 use aspenloft_core::clock::SystemClock;
 use aspenloft_core::errors::{Result, invalid};
-use aspenloft_core::prelude::{Host, Name};
+use aspenloft_core::prelude::{Era, Host, Name, Position};
 use aspenloft_gateway::configuration::{
     CallerLimits, Configuration, EngineProfile, RepeatPolicy, Route, Service,
 };
@@ -170,7 +170,13 @@
     compacted: Version,
     leases: HashSet<LeaseId>,
     next_lease: LeaseId,
-    restores: u64,
+    era: Era,
+}
+
+impl StoreState {
+    fn position(&self) -> Position {
+        Position::new(self.era, self.revision)
+    }
 }
 
 /// A copy of the service's items, from which it can come back.
@@ -237,7 +243,7 @@
         state.changes.clear();
         state.compacted = copy.revision;
         state.leases.clear();
-        state.restores += 1;
+        state.era.0 += 1;
     }
 
     /// Returns the value of `key`.
@@ -266,13 +272,13 @@
         self.check()?;
         let state = self.state.lock();
         let items = state.items.values().filter(|item| item.key.starts_with(prefix));
-        Ok(Snapshot { items: items.cloned().collect(), revision: state.revision })
+        Ok(Snapshot { items: items.cloned().collect(), position: state.position() })
     }
 
-    async fn changes(&self, _prefix: &str, after: Version, wait: Duration) -> Result<Changes> {
+    async fn changes(&self, _prefix: &str, after: Position, wait: Duration) -> Result<Changes> {
         let end = Instant::now() + wait;
         let timeout = end + Duration::from_secs(2);
-        let restores = self.state.lock().restores;
+        let era = self.state.lock().era;
         loop {
             self.check()?;
             if Instant::now() >= timeout {
@@ -280,16 +286,20 @@
             }
             if !self.silent.load(Ordering::SeqCst) {
                 let state = self.state.lock();
-                if state.restores != restores {
+                if state.era != era {
                     return Err(aspenloft_core::errors::unavailable("cut"));
                 }
+                if era > after.era {
+                    return Ok(Changes::Restored(era));
+                }
+                let after = after.revision;
                 if after < state.compacted || after > state.revision {
                     return Ok(Changes::Compacted);
                 }
                 let newer = state.changes.iter().filter(|(at, _)| *at > after);
                 let changes: Vec<Change> = newer.map(|(_, change)| change.clone()).collect();
                 if !changes.is_empty() || Instant::now() >= end {
-                    return Ok(Changes::Since { changes, revision: state.revision });
+                    return Ok(Changes::Since { changes, position: state.position() });
                 }
             }
             task::sleep(Duration::from_millis(5)).await;
@@ -322,7 +332,7 @@
     }
 
     async fn watch(&self, key: &str, after: Version, wait: Duration) -> Result<Option<Versioned>> {
-        self.changes(key, after, wait).await?;
+        self.changes(key, Position::new(self.era(), after), wait).await?;
         self.get(key).await
     }
 
@@ -339,6 +349,10 @@
         self.check()?;
         Ok(self.state.lock().leases.contains(&lease))
     }
+
+    fn era(&self) -> Era {
+        self.state.lock().era
+    }
 }
 
 /// A gateway host, and the store that it follows.
--- a/crates/gateway/tests/view_exchange.rs
+++ b/crates/gateway/tests/view_exchange.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use aspenloft_core::prelude::{Host, Name};
+use aspenloft_core::prelude::{Era, Host, Name};
 use aspenloft_gateway::configuration::Configuration;
 use aspenloft_gateway::peers::{Digest, KeptServer, PeerCall, ViewReply};
 use aspenloft_gateway::roster::ServerEntry;
@@ -107,6 +107,7 @@
     wait_for("the server to be removed", || status(&host.send(&get("a"))) == "503");
     peer.reply(ViewReply {
         revision,
+        era: None,
         configuration: Some(configuration(1)),
         hosts: Vec::new(),
         servers: vec![entry("s1", server.addr, Plain)],
@@ -212,6 +213,7 @@
     let (configuration, hosts) = (Some(configuration(1)), Vec::new());
     let reply = ViewReply {
         revision: 7,
+        era: Some(Era(3)),
         configuration: configuration.clone(),
         hosts: hosts.clone(),
         servers: vec![server.clone()],
@@ -231,7 +233,8 @@
     // Entries of previous builds have no version.
     let unversioned = ServerEntry { version: "".into(), ..server };
     let unversioned_kept = KeptServer { entry: unversioned.clone(), ..kept };
-    let expected = ViewReply { servers: vec![unversioned], kept: vec![unversioned_kept], ..reply };
+    let expected =
+        ViewReply { era: None, servers: vec![unversioned], kept: vec![unversioned_kept], ..reply };
     assert_eq!(ViewReply::decode(&body(&read)).expect("a reply"), expected);
     let servers = vec![previous];
     let oldest = ReplyWithoutKept { revision: 7, configuration, hosts, servers };
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod crash_tracker;
 pub mod engine_choice;
 pub mod engine_memory;
+pub mod eras;
 pub mod estimate;
 pub mod explain;
 pub mod fair_queue;
--- a/crates/protocol/src/platform.rs
+++ b/crates/protocol/src/platform.rs
@@ -8,6 +8,7 @@
 use aspenloft_core::errors::{Error, ErrorCode, Result};
 use aspenloft_core::execution::Execution;
 use aspenloft_core::host::Host;
+use aspenloft_core::position::{Era, Position};
 use aspenloft_transport::http;
 use async_trait::async_trait;
 use serde::{Deserialize, Serialize};
@@ -20,7 +21,9 @@
 pub const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// `Version` is the revision at which a key was last written. Revisions increase with
-/// every write to the service and are never reused; zero stands for an absent key.
+/// every write to the service; zero stands for an absent key. A service that comes back
+/// from an older copy gives revisions out again, so versions of different eras must not
+/// be compared: see [`Position`].
 pub type Version = u64;
 
 /// `LeaseId` identifies a lease of the key-value service.
@@ -85,15 +88,21 @@
 
     /// Renews a lease for its full duration; `false` if it has expired.
     async fn renew(&self, lease: LeaseId) -> Result<bool>;
+
+    /// Returns the latest era in which the service has responded. Leases, versions and writes
+    /// of earlier eras may be lost.
+    fn era(&self) -> Era {
+        Era::default()
+    }
 }
 
-/// `Snapshot` holds all keys with a prefix, each read at `revision` or later.
+/// `Snapshot` holds all keys with a prefix, each read at `position` or later in its era.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Snapshot {
     /// The keys with their values.
     pub items: Vec<Versioned>,
-    /// The revision after which to follow changes without missing any.
-    pub revision: Version,
+    /// The position after which to follow changes without missing any.
+    pub position: Position,
 }
 
 /// `Change` is a change of one key.
@@ -123,16 +132,19 @@
 /// `Changes` is the result of waiting for changes.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Changes {
-    /// The changes up to `revision`.
+    /// The changes up to `position`, in its era.
     Since {
         /// The changes in order; empty if the wait timed out.
         changes: Vec<Change>,
-        /// The revision from which to continue.
-        revision: Version,
+        /// The position from which to continue.
+        position: Position,
     },
     /// The service has compacted this part of its history; the caller must read a new
     /// snapshot.
     Compacted,
+    /// The service has come back from an older copy and is in this era now; the caller must
+    /// read a new snapshot.
+    Restored(Era),
 }
 
 /// `ChangeFeed` follows the changes of all keys with a prefix in the platform's key-value
@@ -142,9 +154,8 @@
     /// Reads all keys that start with `prefix`.
     async fn snapshot(&self, prefix: &str) -> Result<Snapshot>;
 
-    /// Waits up to `wait` for changes after revision `after` to keys that start with
-    /// `prefix`.
-    async fn changes(&self, prefix: &str, after: Version, wait: Duration) -> Result<Changes>;
+    /// Waits up to `wait` for changes after `after` to keys that start with `prefix`.
+    async fn changes(&self, prefix: &str, after: Position, wait: Duration) -> Result<Changes>;
 }
 
 /// `HostList` is the platform's list of live and leaving hosts, which is updated with a
