Do not use servers that had left when an older copy lists them again

Cause: the mark of leaving was kept only while the server stayed listed, and nothing remembered a server whose entry had been removed.

One that had announced its leaving stays leaving if it is listed again. Any other one is withheld for 6 s after a return, as long as the lease of its entry may last, unless a change shows that it registered in the new era. a_server_that_had_left_gets_no_requests_when_the_copy_lists_it_again failed before.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod call;
 pub mod configuration;
 pub mod demand;
+pub mod departures;
 pub mod dialect;
 pub mod dispatch;
 pub mod events;
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -67,6 +67,9 @@
     /// Until when the server is kept although its entry is missing, because the
     /// key-value service may have lost the entry in an outage. `None` while it is listed.
     pub kept_until: Option<Instant>,
+    /// Until when the server gets no work although it is listed, because it was gone before the
+    /// service came back from an older copy.
+    pub withheld_until: Option<Instant>,
 }
 
 /// `ServerState` is the state that one host observes of one process of a server.
@@ -157,10 +160,14 @@
 }
 
 impl Server {
-    fn new(entry: ServerEntry, state: Arc<ServerState>) -> Arc<Server> {
+    fn new(
+        entry: ServerEntry,
+        state: Arc<ServerState>,
+        withheld_until: Option<Instant>,
+    ) -> Arc<Server> {
         let key = xxh3_64(entry.instance.as_bytes()) ^ entry.born_ms;
         let version = VersionTag::of(&entry.version);
-        Arc::new(Server { entry, key, version, state, kept_until: None })
+        Arc::new(Server { entry, key, version, state, kept_until: None, withheld_until })
     }
 
     /// Tells whether the server may get new work: it is staying and seems reachable.
@@ -170,7 +177,8 @@
 
     /// Tells whether the server is neither leaving nor gone.
     pub fn is_staying(&self, now: Instant) -> bool {
-        !self.entry.leaving && !self.is_expired(now)
+        let withheld = self.withheld_until.is_some_and(|until| now < until);
+        !self.entry.leaving && !withheld && !self.is_expired(now)
     }
 
     /// Tells whether the time is over for which the server is kept without an entry.
@@ -192,12 +200,16 @@
 }
 
 impl Roster {
-    /// Returns the server that `entry` describes, or `None` if nothing has changed. A
-    /// new entry of the same process keeps the observed state.
+    /// Returns the server that `entry` describes, or `None` if nothing has changed. It gets no
+    /// work before `withheld_until`. A new entry of the same process keeps the observed state.
     ///
     /// A server that has announced that it is leaving stays so until its process ends,
     /// because an entry that is read again after an outage may be out of date.
-    pub fn updated_server(&self, mut entry: ServerEntry) -> Option<Arc<Server>> {
+    pub fn updated_server(
+        &self,
+        mut entry: ServerEntry,
+        withheld_until: Option<Instant>,
+    ) -> Option<Arc<Server>> {
         let listed = self.by_instance.get(&entry.instance);
         if let Some(same) = listed.filter(|s| s.entry.born_ms == entry.born_ms) {
             entry.leaving |= same.entry.leaving;
@@ -206,12 +218,17 @@
                 entry.version = same.entry.version.clone();
             }
         }
-        if listed.is_some_and(|server| server.entry == entry && server.kept_until.is_none()) {
+        let is_same = |server: &Arc<Server>| {
+            server.entry == entry
+                && server.kept_until.is_none()
+                && server.withheld_until == withheld_until
+        };
+        if listed.is_some_and(is_same) {
             return None;
         }
         let same_process = listed.filter(|server| server.entry.born_ms == entry.born_ms);
         let state = same_process.map(|server| server.state.clone()).unwrap_or_default();
-        Some(Server::new(entry, state))
+        Some(Server::new(entry, state, withheld_until))
     }
 
     /// Adds `server`, replacing the server of the same name if there is one.
@@ -221,9 +238,15 @@
 
     /// Keeps the server until `until` although its entry is missing.
     pub fn keep(&mut self, server: &Server, until: Instant) {
-        let Server { entry, key, version, state, .. } = server;
-        let (entry, state, kept_until) = (entry.clone(), state.clone(), Some(until));
-        self.insert(Arc::new(Server { entry, key: *key, version: *version, state, kept_until }));
+        let Server { entry, key, version, state, withheld_until, .. } = server;
+        self.insert(Arc::new(Server {
+            entry: entry.clone(),
+            key: *key,
+            version: *version,
+            state: state.clone(),
+            kept_until: Some(until),
+            withheld_until: *withheld_until,
+        }));
     }
 
     /// Removes the server, if it is listed.
--- a/crates/gateway/src/sync/learn.rs
+++ b/crates/gateway/src/sync/learn.rs
@@ -62,7 +62,8 @@
         let servers = reply.servers.into_iter().map(ServerChange::Listed).collect();
         let kept = reply.kept.into_iter().map(|kept| (kept.entry, requested_at + kept.remaining));
         let keep = Keep::AsPeer(kept.collect());
-        if self.view.replace_servers(servers, position, UpdateSource::Peer, &keep) {
+        let now = self.clock.now();
+        if self.view.replace_servers(servers, position, UpdateSource::Peer, &keep, now) {
             self.peers.replace_listed(reply.hosts);
         } else {
             let (position, own) = (position.to_string(), own.to_string());
--- a/crates/gateway/src/sync/mod.rs
+++ b/crates/gateway/src/sync/mod.rs
@@ -215,7 +215,8 @@
         let keep = self.keep(position.era > own.era);
         let (servers, revision, era) = (entries.len(), position.revision, position.era.0);
         log::info!(event = "store_read", revision, era, servers, hosts = hosts.len(); "");
-        if self.view.replace_servers(entries, position, UpdateSource::Snapshot, &keep) {
+        let now = self.clock.now();
+        if self.view.replace_servers(entries, position, UpdateSource::Snapshot, &keep, now) {
             self.peers.replace_listed(hosts);
         } else {
             let (position, own) = (position.to_string(), own.to_string());
@@ -240,7 +241,8 @@
             };
             server_changes.extend(server_change.map(|change| (version, change)));
         }
-        self.view.apply_changes(server_changes, position, &self.keep(false));
+        let now = self.clock.now();
+        self.view.apply_changes(server_changes, position, &self.keep(false), now);
     }
 
     /// Applies the entry of a host or the configuration at once. Returns the change of a
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -2,7 +2,7 @@
 //! force and the backend servers.
 
 use std::collections::HashSet;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use aspenloft_core::prelude::{Arc, Name, Position};
 use aspenloft_protocol::platform::Version;
@@ -10,6 +10,7 @@
 use parking_lot::RwLock;
 
 use crate::configuration::Configuration;
+use crate::departures::{Departure, Departures};
 use crate::roster::{Roster, Server, ServerEntry};
 
 /// `UpdateSource` is where a host learned of a change to its view. It is logged with each
@@ -87,10 +88,17 @@
 #[derive(Debug, Default)]
 struct ListedServers {
     position: Position,
+    /// When the host learned of the era of `position`, if it knew of an earlier one.
+    restored_at: Option<Instant>,
     roster: Arc<Roster>,
+    departures: Departures,
     loaded: bool,
 }
 
+/// How long after the service has come back from an older copy servers that were gone before
+/// are not used: as long as the leases of their entries may last.
+pub const RESTORE_SETTLE_TIME: Duration = Duration::from_secs(6);
+
 impl View {
     /// Returns the configuration in force, or `None` if none has been received yet.
     pub fn configuration(&self) -> Option<Arc<Configuration>> {
@@ -136,6 +144,7 @@
         position: Position,
         source: UpdateSource,
         keep: &Keep,
+        now: Instant,
     ) -> bool {
         let mut servers = self.servers.write();
         if position < servers.position {
@@ -143,29 +152,30 @@
         }
         if servers.loaded && position.era > servers.position.era {
             servers.log_restored(position, source);
+            servers.restored_at = Some(now);
         }
+        servers.position = position;
         let revision = position.revision;
         let mut present = HashSet::new();
         for entry in entries {
             match entry {
                 ServerChange::Listed(entry) => {
                     present.insert(entry.instance.clone());
-                    servers.list(entry, source, revision);
+                    servers.list(entry, source, revision, now);
                 }
                 ServerChange::Removed(name) | ServerChange::Unreadable(name) => {
-                    servers.remove(&name, source, revision);
+                    servers.remove(&name, source, revision, now);
                 }
             }
         }
         for missing in servers.roster.missing_from(&present) {
-            servers.remove_or_keep(&missing, source, revision, keep);
+            servers.remove_or_keep(&missing, source, revision, keep, now);
         }
         if let Keep::AsPeer(kept) = keep
             && !servers.loaded
         {
             servers.list_kept(kept);
         }
-        servers.position = position;
         servers.loaded = true;
         true
     }
@@ -178,6 +188,7 @@
         changes: Vec<(Version, ServerChange)>,
         position: Position,
         keep: &Keep,
+        now: Instant,
     ) {
         let mut servers = self.servers.write();
         if position.era != servers.position.era {
@@ -189,12 +200,14 @@
                 continue;
             }
             match change {
-                ServerChange::Listed(entry) => servers.list(entry, UpdateSource::Watch, version),
+                ServerChange::Listed(entry) => {
+                    servers.list(entry, UpdateSource::Watch, version, now);
+                }
                 ServerChange::Removed(name) => {
-                    servers.remove_or_keep(&name, UpdateSource::Watch, version, keep);
+                    servers.remove_or_keep(&name, UpdateSource::Watch, version, keep, now);
                 }
                 ServerChange::Unreadable(name) => {
-                    servers.remove(&name, UpdateSource::Watch, version);
+                    servers.remove(&name, UpdateSource::Watch, version, now);
                 }
             }
         }
@@ -211,7 +224,7 @@
         let expired: Vec<Name> = expired.map(|server| server.entry.instance.clone()).collect();
         let revision = servers.position.revision;
         for name in expired {
-            servers.remove(&name, UpdateSource::Grace, revision);
+            servers.remove(&name, UpdateSource::Grace, revision, now);
         }
     }
 
@@ -232,16 +245,40 @@
 
     /// Adds or replaces one server. The roster is copied only if the entry has changed
     /// and a reader holds a snapshot of it.
-    fn list(&mut self, entry: ServerEntry, source: UpdateSource, revision: Version) {
-        let Some(server) = self.roster.updated_server(entry) else { return };
+    fn list(
+        &mut self,
+        mut entry: ServerEntry,
+        source: UpdateSource,
+        revision: Version,
+        now: Instant,
+    ) {
+        let departure = self.departures.of(&entry);
+        entry.leaving |= departure.is_some_and(|departure| departure.leaving);
+        let withheld_until = departure.and_then(|departure| self.withhold(departure, source, now));
+        let Some(server) = self.roster.updated_server(entry, withheld_until) else { return };
         let ServerEntry { instance, leaving, version, .. } = &server.entry;
         log::info!(
             event = "server_listed", server = &**instance, version = &**version, leaving = *leaving,
-            source = source.to_string().as_str(), revision; ""
+            withheld = withheld_until.is_some(), source = source.to_string().as_str(), revision; ""
         );
         Arc::make_mut(&mut self.roster).insert(server);
     }
 
+    /// Returns until when a server is not used that is listed again after `departure`. Only a
+    /// change shows that the entry was written in this era; a snapshot or a view may have it
+    /// from the copy.
+    fn withhold(
+        &self,
+        departure: Departure,
+        source: UpdateSource,
+        now: Instant,
+    ) -> Option<Instant> {
+        if source == UpdateSource::Watch || departure.era >= self.position.era {
+            return None;
+        }
+        self.restored_at.map(|at| at + RESTORE_SETTLE_TIME).filter(|until| now < *until)
+    }
+
     /// Removes one server or keeps it. A server that was leaving is removed at once, and one
     /// that is kept already is not kept longer.
     fn remove_or_keep(
@@ -250,6 +287,7 @@
         source: UpdateSource,
         revision: Version,
         keep: &Keep,
+        now: Instant,
     ) {
         let Some(server) = self.roster.get(instance).cloned() else { return };
         let until = keep.until(&server).filter(|_| !server.entry.leaving);
@@ -259,24 +297,23 @@
                 log::info!(event = "server_kept", server = instance, revision; "");
                 Arc::make_mut(&mut self.roster).keep(&server, until);
             }
-            (None, _) => self.remove(instance, source, revision),
+            (None, _) => self.remove(instance, source, revision, now),
         }
     }
 
     /// Adds the servers that another host keeps, for a host that has no list yet.
     fn list_kept(&mut self, kept: &[(ServerEntry, Instant)]) {
         for (entry, until) in kept {
-            if let Some(server) = self.roster.updated_server(entry.clone()) {
+            if let Some(server) = self.roster.updated_server(entry.clone(), None) {
                 Arc::make_mut(&mut self.roster).keep(&server, *until);
             }
         }
     }
 
     /// Removes one server, if it is listed.
-    fn remove(&mut self, instance: &str, source: UpdateSource, revision: Version) {
-        if self.roster.get(instance).is_none() {
-            return;
-        }
+    fn remove(&mut self, instance: &str, source: UpdateSource, revision: Version, now: Instant) {
+        let Some(server) = self.roster.get(instance) else { return };
+        self.departures.record(&server.entry, self.position.era, now);
         let source = source.to_string();
         log::info!(event = "server_gone", server = instance, source = source.as_str(), revision; "");
         Arc::make_mut(&mut self.roster).remove(instance);
--- a/crates/gateway/tests/store_restores.rs
+++ b/crates/gateway/tests/store_restores.rs
@@ -136,3 +136,39 @@
     wait_for("the host to list itself again", is_listed);
     assert!(restored.elapsed() < Duration::from_secs(3), "{:?}", restored.elapsed());
 }
+
+// The copy listed servers as ready that had left since.
+#[test]
+fn a_server_that_had_left_gets_no_requests_when_the_copy_lists_it_again() {
+    let Restored { host, first, first_entry, copy } = host_with_copy();
+    host.store.write("servers/s1", &leaving(first_entry));
+    settle();
+    host.store.remove("servers/s1");
+    settle();
+    host.store.restore(&copy);
+    settle();
+    assert_unused(&host, &first);
+}
+
+#[test]
+fn servers_that_the_copy_lacks_are_used_until_they_register_again() {
+    let (first, second) = (good(), good());
+    let host = TestHost::with_servers(&[entry("s1", first.addr, Plain)]);
+    let copy = host.store.copy();
+    let (second_entry, third_entry) =
+        (entry("s2", second.addr, Plain), entry("s3", second.addr, Plain));
+    host.store.write("servers/s2", &second_entry);
+    host.store.write("servers/s3", &third_entry);
+    settle();
+    host.store.restore(&copy);
+    host.store.remove("servers/s1");
+    let restored = Instant::now();
+    while restored.elapsed() < Duration::from_millis(1_200) {
+        assert_eq!(status(&host.send(&get("a"))), "200", "after {:?}", restored.elapsed());
+    }
+    host.store.write("servers/s2", &second_entry);
+    std::thread::sleep(Duration::from_millis(1_500));
+    assert_eq!(status(&host.send(&get("b"))), "200", "the second server registered again");
+    host.store.remove("servers/s2");
+    wait_for("both to be gone", || status(&host.send(&get("c"))) == "503");
+}
