--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -32,6 +32,8 @@
     connections: Counter<u64>,
     limited_sends: Counter<u64>,
     store_calls: Counter<u64>,
+    store_restores: Counter<u64>,
+    leases_lost: Counter<u64>,
 }
 
 impl Metrics {
@@ -57,6 +59,8 @@
             connections: m.u64_counter("aspenloft_gateway_connections_opened").build(),
             limited_sends: m.u64_counter("aspenloft_gateway_limited_sends").build(),
             store_calls: m.u64_counter("aspenloft_gateway_store_calls").build(),
+            store_restores: m.u64_counter("aspenloft_gateway_store_restores").build(),
+            leases_lost: m.u64_counter("aspenloft_gateway_leases_lost").build(),
             meters,
         }))
     }
@@ -125,6 +129,16 @@
         self.store_calls.add(1, &labels);
     }
 
+    /// Counts a return of the key-value service from an older copy.
+    pub fn store_restored(&self) {
+        self.store_restores.add(1, &[]);
+    }
+
+    /// Counts a lease that ended, or may have, while this host held it.
+    pub fn lease_lost(&self, purpose: &'static str) {
+        self.leases_lost.add(1, &[KeyValue::new("purpose", purpose)]);
+    }
+
     /// Renders the metrics page for the scraper.
     pub fn render(&self) -> Result<String> {
         let page = self.meters.render()?;
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -113,6 +113,7 @@
         dialect: platform.dialect.clone(),
         view: view.clone(),
         peers: peers.clone(),
+        metrics: metrics.clone(),
         clock: clock.clone(),
         options: SyncOptions::default(),
         state: Mutex::new(SyncState::default()),
--- a/crates/gateway/src/sync/learn.rs
+++ b/crates/gateway/src/sync/learn.rs
@@ -64,6 +64,7 @@
         let keep = Keep::AsPeer(kept.collect());
         let now = self.clock.now();
         if self.view.replace_servers(servers, position, UpdateSource::Peer, &keep, now) {
+            self.count_restore(own, position);
             self.peers.replace_listed(reply.hosts);
         } else {
             let (position, own) = (position.to_string(), own.to_string());
--- a/crates/gateway/src/sync/mod.rs
+++ b/crates/gateway/src/sync/mod.rs
@@ -19,6 +19,7 @@
 use rand_pcg::Pcg64Mcg;
 
 use crate::dialect::{Dialect, RemovedItem, StoreItem};
+use crate::metrics::Metrics;
 use crate::peers::Peers;
 use crate::view::{Keep, ServerChange, UpdateSource, View};
 
@@ -84,6 +85,8 @@
     pub view: Arc<View>,
     /// The other hosts.
     pub peers: Arc<Peers>,
+    /// The host's metrics.
+    pub metrics: Arc<Metrics>,
     /// The clock of all timeouts.
     pub clock: SharedClock,
     /// The timing of the watch.
@@ -217,6 +220,7 @@
         log::info!(event = "store_read", revision, era, servers, hosts = hosts.len(); "");
         let now = self.clock.now();
         if self.view.replace_servers(entries, position, UpdateSource::Snapshot, &keep, now) {
+            self.count_restore(own, position);
             self.peers.replace_listed(hosts);
         } else {
             let (position, own) = (position.to_string(), own.to_string());
@@ -298,6 +302,14 @@
         }
     }
 
+    /// Counts a return of the service from an older copy, if the view went from `own` to
+    /// `position` by one. A view that was empty before has seen none.
+    fn count_restore(&self, own: Position, position: Position) {
+        if own != Position::default() && position.era > own.era {
+            self.metrics.store_restored();
+        }
+    }
+
     fn mark_disconnected(&self, error: &str) {
         self.peers.set_following(false);
         let mut state = self.state.lock();
