Give no orders under a lease, a token or roles that the key-value service has forgotten

After a return from an older copy engines could be ordered to change roles by entries that the copy had from before, under tokens that another holder had used or would use, since a token was the bare revision of the holder's write and revisions are given out again; the record of the last holder could name an earlier one, whose orders a new holder then did not wait for.

A lease on orders ends with its era. A token is made of era and revision, so one of a later era is higher than all before. A holder waits for the orders of the last one unless the record of this very era names itself. No order is given for 6 s after a return, until entries are up to date again.

orders_after_a_restore_wait_for_the_engines_and_have_higher_tokens_than_all_before failed before: an order within 4 s.

--- a/crates/gateway/src/orders/mod.rs
+++ b/crates/gateway/src/orders/mod.rs
@@ -1,10 +1,10 @@
 //! The `orders` module changes the roles of engines; one host at a time may do so.
 //!
 //! A host that needs a change acquires a key of the platform's key-value service under
-//! a lease; the revision of that write is the fencing token of its orders. It sends no
-//! order once its lease may have expired by its own clock, and a new holder waits until
-//! the orders of the previous one can no longer take effect. See
-//! `docs/design/platform.md`.
+//! a lease; the position of that write is the fencing token of its orders. It sends no
+//! order once its lease may have expired by its own clock, or the service has come back from
+//! an older copy, and a new holder waits until the orders of the previous one can no longer
+//! take effect. See `docs/design/platform.md` and `docs/design/store-eras.md`.
 
 mod tenure;
 
@@ -24,6 +24,7 @@
 use crate::generation::engine_request;
 use crate::http::BackendClient;
 use crate::loads::EngineLoads;
+use crate::metrics::Metrics;
 use crate::peers::Peers;
 use crate::permits::Permits;
 use crate::roster::{Server, ServerRole};
@@ -82,6 +83,8 @@
     pub dialect: Arc<dyn Dialect>,
     /// The host's shutdown; no orders are sent once it has begun.
     pub shutdown: Arc<Shutdown>,
+    /// The host's metrics.
+    pub metrics: Arc<Metrics>,
     /// The clock of all timeouts.
     pub clock: SharedClock,
 }
@@ -124,6 +127,12 @@
                 return;
             }
             let now = self.clock.now();
+            if !self.view.is_settled(now) {
+                // The service may list engines in roles that they have left.
+                lease = None;
+                planned_since = None;
+                continue;
+            }
             self.remove_finished(&mut pending, now);
             let changes = self.plan_changes(&pending);
             if changes.is_empty() && pending.is_empty() {
--- a/crates/gateway/src/orders/tenure.rs
+++ b/crates/gateway/src/orders/tenure.rs
@@ -5,7 +5,8 @@
 
 use aspenloft_core::errors::{Result, unavailable};
 use aspenloft_core::execution::Execution;
-use aspenloft_protocol::platform::{LeaseId, Put, Swap, Version};
+use aspenloft_core::prelude::{Era, Position};
+use aspenloft_protocol::platform::{LeaseId, Put, Swap};
 
 use super::Orders;
 
@@ -30,8 +31,10 @@
 #[derive(Debug, Clone, Copy)]
 pub(super) struct OrderLease {
     lease_id: LeaseId,
+    /// The era in which the lease was granted; it ends with it.
+    era: Era,
     /// The fencing token of the orders sent under the lease.
-    pub(super) token: Version,
+    pub(super) token: u64,
     orders_from: Instant,
     valid_until: Instant,
 }
@@ -40,20 +43,29 @@
     /// Tells whether an order may be sent now.
     pub(super) fn may_order(&self, lease: OrderLease) -> bool {
         let now = self.clock.now();
-        lease.orders_from <= now && now < lease.valid_until
+        lease.orders_from <= now && now < lease.valid_until && lease.era == self.latest_era()
+    }
+
+    /// Returns the latest era that this host knows of, by the service or by other hosts.
+    fn latest_era(&self) -> Era {
+        self.kv.era().max(self.view.position().era)
     }
 
     /// Renews `lease`, or tries to acquire one if this host holds none.
     pub(super) async fn renew_or_acquire(&self, lease: Option<OrderLease>) -> Option<OrderLease> {
         let now = self.clock.now();
         if let Some(current) = lease {
+            if current.era != self.latest_era() {
+                self.log_lost(current);
+                return None;
+            }
             match self.kv.renew(current.lease_id).await {
                 Ok(true) => {
                     let valid_until = now + LEASE_TTL - LEASE_MARGIN;
                     return Some(OrderLease { valid_until, ..current });
                 }
                 Ok(false) => {
-                    log::info!(event = "orders_lost", token = current.token; "");
+                    self.log_lost(current);
                     return None;
                 }
                 Err(e) => {
@@ -71,8 +83,14 @@
         }
     }
 
+    fn log_lost(&self, lease: OrderLease) {
+        self.metrics.lease_lost("orders");
+        log::info!(event = "orders_lost", token = lease.token, era = lease.era.0; "");
+    }
+
     /// Tries to acquire the lease; `None` if another host holds it.
     async fn acquire(&self) -> Result<Option<OrderLease>> {
+        let era = self.latest_era();
         if self.kv.get(HOLDER_KEY).await?.is_some() {
             return Ok(None);
         }
@@ -86,8 +104,8 @@
             value: Some(value.clone()),
             lease: Some(lease_id),
         };
-        let token = match self.kv.put(put).await {
-            Ok(Swap::Done(token)) => token,
+        let revision = match self.kv.put(put).await {
+            Ok(Swap::Done(revision)) => revision,
             Ok(Swap::Conflict(_)) => return Ok(None),
             Err(e) if e.execution == Execution::NotRun => return Err(e),
             // The write may have been executed although its response was lost.
@@ -96,26 +114,32 @@
                 written.ok_or(e)?.version
             }
         };
-        let wait = self.record_holder().await?;
+        let wait = self.record_holder(era).await?;
+        if self.latest_era() != era {
+            return Err(unavailable(format!("the lease of era {era} may be lost")));
+        }
+        let token = Position::new(era, revision).fencing_token();
         let valid_until = began + LEASE_TTL - LEASE_MARGIN;
         let orders_from = self.clock.now() + wait;
         log::info!(event = "orders_taken", token, wait_ms = wait.as_millis() as u64; "");
-        Ok(Some(OrderLease { lease_id, token, orders_from, valid_until }))
+        Ok(Some(OrderLease { lease_id, era, token, orders_from, valid_until }))
     }
 
-    /// Records this host as the last holder; returns how long orders of the previous
-    /// holder may still be in flight.
-    async fn record_holder(&self) -> Result<Duration> {
+    /// Records this host as the last holder in `era`; returns how long orders of the previous
+    /// holder may still be in flight. A record of an earlier era may not name the last one.
+    async fn record_holder(&self, era: Era) -> Result<Duration> {
         let last = self.kv.get(LAST_KEY).await?;
-        let wait = match &last {
-            Some(last) if last.value != *self.host => HANDOVER_WAIT,
-            _ => Duration::ZERO,
+        let record = match era {
+            Era(0) => self.host.to_string(),
+            _ => format!("{} {era}", self.host),
         };
-        if last.as_ref().is_some_and(|last| last.value == *self.host) {
-            return Ok(wait);
+        if last.as_ref().is_some_and(|last| last.value == record) {
+            return Ok(Duration::ZERO);
         }
+        let is_first = last.is_none() && era == Era(0);
+        let wait = if is_first { Duration::ZERO } else { HANDOVER_WAIT };
         let expect = last.map_or(0, |last| last.version);
-        let value = Some(self.host.to_string());
+        let value = Some(record);
         match self.kv.put(Put { key: LAST_KEY.into(), expect, value, lease: None }).await? {
             Swap::Done(_) => Ok(wait),
             Swap::Conflict(_) => Err(unavailable("another host holds the order lease")),
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -164,6 +164,7 @@
         permits: permits.clone(),
         dialect: platform.dialect.clone(),
         shutdown: shutdown.clone(),
+        metrics: metrics.clone(),
         clock: clock.clone(),
     };
     task::spawn(orders.run());
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -95,8 +95,8 @@
     loaded: bool,
 }
 
-/// How long after the service has come back from an older copy servers that were gone before
-/// are not used: as long as the leases of their entries may last.
+/// How long after the service has come back from an older copy entries may be out of date:
+/// as long as the leases of servers that are gone may last.
 pub const RESTORE_SETTLE_TIME: Duration = Duration::from_secs(6);
 
 impl View {
@@ -228,6 +228,13 @@
         }
     }
 
+    /// Tells whether the entries of servers are up to date again if the service has come back
+    /// from an older copy.
+    pub fn is_settled(&self, now: Instant) -> bool {
+        let restored_at = self.servers.read().restored_at;
+        restored_at.is_none_or(|at| now.saturating_duration_since(at) >= RESTORE_SETTLE_TIME)
+    }
+
     /// Tells whether the host has the configuration and the list of servers, without
     /// which it cannot serve callers.
     pub fn is_complete(&self) -> bool {
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -127,8 +127,10 @@
         Ok(EngineReport { orders: 0, busy: false })
     }
 
-    fn role_order_call(&self, _order: &RoleOrder) -> EngineCall {
-        call(Method::POST, "/order")
+    fn role_order_call(&self, order: &RoleOrder) -> EngineCall {
+        let mut call = call(Method::POST, "/order");
+        call.headers.insert("token", HeaderValue::from(order.fencing_token));
+        call
     }
 
     fn readiness_path(&self) -> &str {
--- a/crates/gateway/tests/orders.rs
+++ b/crates/gateway/tests/orders.rs
@@ -5,6 +5,7 @@
 use std::io::Write;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
 use aspenloft_gateway::roster::ServerEntry;
@@ -56,10 +57,29 @@
         .collect()
 }
 
-/// Sends requests with long outputs to a host with `servers` until an engine has received
-/// an order. Returns how many were refused.
-fn load_until_order(servers: &[ServerEntry], counts: &OrderCounts) -> usize {
-    let host = TestHost::with_servers(servers);
+/// Callers that send requests with long outputs.
+struct Load {
+    done: Arc<AtomicBool>,
+    callers: Vec<JoinHandle<usize>>,
+}
+
+impl Load {
+    /// Stops the callers; returns how many of their requests were refused.
+    fn stop(self) -> usize {
+        self.done.store(true, Ordering::SeqCst);
+        self.callers.into_iter().map(|c| c.join().expect("caller")).sum()
+    }
+}
+
+/// Sends requests with long outputs to `host` until an engine has received an order, and on.
+fn load_until_order(host: &TestHost, counts: &OrderCounts) -> Load {
+    let load = start_load(host);
+    wait_for("an order", || counts.orders.load(Ordering::SeqCst) > 0);
+    load
+}
+
+/// Sends requests with long outputs to `host`.
+fn start_load(host: &TestHost) -> Load {
     let done = Arc::new(AtomicBool::new(false));
     let callers: Vec<_> = (0..8)
         .map(|caller| {
@@ -81,9 +101,7 @@
             })
         })
         .collect();
-    wait_for("an order", || counts.orders.load(Ordering::SeqCst) > 0);
-    done.store(true, Ordering::SeqCst);
-    callers.into_iter().map(|c| c.join().expect("caller")).sum()
+    Load { done, callers }
 }
 
 /// Four prefill engines serve two decode engines with long outputs, under a load that
@@ -98,7 +116,7 @@
     let mut servers = named(&names, &prefills, Prefill);
     servers.extend(named(&[("d0", "v1"), ("d1", "v1")], &decodes, Decode));
     let began = Instant::now();
-    assert_eq!(load_until_order(&servers, &counts), 0);
+    assert_eq!(load_until_order(&TestHost::with_servers(&servers), &counts).stop(), 0);
     let during_prompts = counts.orders_during_prompts.load(Ordering::SeqCst);
     assert_eq!(during_prompts, 0, "after {:?}", began.elapsed());
 }
@@ -112,10 +130,39 @@
     let names = [("p0", "v2"), ("p1", "v2"), ("p2", "v2"), ("p3", "v1")];
     let mut servers = named(&names, &prefills, Prefill);
     servers.extend(named(&[("d0", "v1"), ("d1", "v2")], &decodes, Decode));
-    load_until_order(&servers, &counts);
+    load_until_order(&TestHost::with_servers(&servers), &counts).stop();
     let ordered =
         |server: &Scripted| server.seen.lock().iter().any(|r| r.starts_with("POST /order"));
     let ordered: Vec<bool> = prefills.iter().map(ordered).collect();
     assert_eq!(ordered.iter().filter(|ordered| **ordered).count(), 1);
     assert!(!ordered[3], "the only prefill engine at v1");
 }
+
+// Orders went by the roles that an older copy listed, under tokens that could come again.
+#[test]
+fn orders_after_a_restore_wait_for_the_engines_and_have_higher_tokens_than_all_before() {
+    let counts = Arc::<OrderCounts>::default();
+    let prefills: Vec<Scripted> = (0..4).map(|_| prefill_engine(&counts)).collect();
+    let decodes: Vec<Scripted> = (0..2).map(|_| Scripted::start(|_, req| stream(req))).collect();
+    let names = [("p0", "v1"), ("p1", "v1"), ("p2", "v1"), ("p3", "v1")];
+    let mut servers = named(&names, &prefills, Prefill);
+    servers.extend(named(&[("d0", "v1"), ("d1", "v1")], &decodes, Decode));
+    let host = TestHost::with_servers(&servers);
+    let copy = host.store.copy();
+    host.store.write("somebody/else", &0);
+    let highest_before = host.store.revision();
+    std::thread::sleep(Duration::from_millis(300));
+    host.store.restore(&copy);
+    let restored = Instant::now();
+    let load = start_load(&host);
+    std::thread::sleep(Duration::from_secs(4));
+    assert_eq!(counts.orders.load(Ordering::SeqCst), 0, "{:?}", restored.elapsed());
+    // A new holder also waits for the orders of the last one.
+    std::thread::sleep(Duration::from_secs(4));
+    wait_for("an order", || counts.orders.load(Ordering::SeqCst) > 0);
+    load.stop();
+    let orders = prefills.iter().flat_map(|p| p.seen.lock().clone());
+    let tokens = orders.filter_map(|order| header(&order, "token")?.parse::<u64>().ok());
+    let tokens: Vec<u64> = tokens.collect();
+    assert!(!tokens.is_empty() && tokens.iter().all(|t| *t > highest_before + 1_000), "{tokens:?}");
+}
