Tell other hosts the version of the configuration in force

A host that starts after the key-value service has come back from an older copy reads an older configuration from it, and refuses requests that a newer, acknowledged version allows, until the operator writes that again: other hosts have the newer one but are not ahead in position, so the new host did not ask them.

Digests carry the version of the sender's configuration, at the end of the supplement. A host reads the view of another one that has a newer version whatever their positions. a_host_that_starts_after_a_restore_gets_the_newest_configuration_from_others failed before.

--- a/crates/gateway/src/peers/digest.rs
+++ b/crates/gateway/src/peers/digest.rs
@@ -83,6 +83,9 @@
     pub unreachable: usize,
     /// The era of the sender's revision; `None` if the sender's build does not know eras.
     pub era: Option<Era>,
+    /// The version of the sender's configuration, 0 if it has none. It may be newer than the
+    /// one that the key-value service lists at the sender's position.
+    pub configuration: u64,
 }
 
 /// The supplement of the previous build.
@@ -101,7 +104,8 @@
         frames::decode(body).or_else(|_: Error| {
             let supplement: SupplementWithoutEra = frames::decode(body)?;
             let SupplementWithoutEra { leaving, limits, streams, unreachable } = supplement;
-            Ok(DigestSupplement { leaving, limits, streams, unreachable, era: None })
+            let (era, configuration) = Default::default();
+            Ok(DigestSupplement { leaving, limits, streams, unreachable, era, configuration })
         })
     }
 }
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -226,6 +226,7 @@
             streams: streams.take_unsent(scope, MAX_STREAM_RECORDS),
             unreachable,
             era: Some(era),
+            configuration: view.configuration().map_or(0, |c| c.version),
         };
         loop {
             let mut buf = BytesMut::new();
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -61,6 +61,8 @@
     revision: u64,
     /// The era of `revision`; `None` if the host's build does not know eras.
     era: Option<Era>,
+    /// The version of the host's configuration.
+    configuration: u64,
     follows: bool,
     unreachable: Vec<u64>,
     /// The servers that earlier digests named, with the time, while one digest does not hold
@@ -263,6 +265,7 @@
             seq: 0,
             revision: 0,
             era: None,
+            configuration: 0,
             follows: false,
             unreachable: Vec::new(),
             unreachable_before: HashMap::new(),
@@ -332,7 +335,8 @@
     }
 
     /// Returns the live host with the highest position in the key-value service, if that
-    /// is higher than this host's; of several, one in this host's data centre if possible.
+    /// is higher than this host's; of several, one in this host's data centre if possible. If
+    /// there is none, a host with a newer configuration.
     ///
     /// Hosts that did not respond to a recent call come last, whatever their position: the
     /// digests of a host may arrive although it cannot be called. A host that has sent no
@@ -347,7 +351,8 @@
             |p: &Peer| p.failed_at.is_none_or(|at| p.last_digest.is_some_and(|d| d > at));
         let live = peers.values().filter(|p| is_recent(p, now, LIVENESS_TIMEOUT) && heard_since(p));
         let positions = live.filter_map(|p| Some((p, p.position(own.era)?)));
-        let ahead = positions.filter(|(_, position)| *position > own);
+        let version = self.state.view.configuration().map_or(0, |c| c.version);
+        let ahead = positions.filter(|(p, position)| *position > own || p.configuration > version);
         let is_local = |p: &Peer| p.host.data_centre == self.local.data_centre;
         ahead
             .max_by_key(|(p, position)| (!failed(p), *position, is_local(p)))
@@ -394,6 +399,7 @@
                 seq: digest.seq,
                 revision: digest.revision,
                 era,
+                configuration: same_process.map_or(0, |p| p.configuration),
                 follows: digest.follows,
                 unreachable: digest.unreachable,
                 unreachable_before: same_process
@@ -420,6 +426,7 @@
         let now = self.clock.now();
         if let Some(peer) = self.peers.lock().get_mut(name) {
             (peer.answers_calls, peer.leaving) = (true, supplement.leaving);
+            peer.configuration = supplement.configuration;
             peer.record_unreachable(supplement.unreachable, now);
         }
         if !supplement.streams.is_empty() {
--- a/crates/gateway/tests/store_restores.rs
+++ b/crates/gateway/tests/store_restores.rs
@@ -172,3 +172,27 @@
     host.store.remove("servers/s2");
     wait_for("both to be gone", || status(&host.send(&get("c"))) == "503");
 }
+
+// A host that started after the return had the configuration of the copy until it was rewritten.
+#[test]
+fn a_host_that_starts_after_a_restore_gets_the_newest_configuration_from_others() {
+    let host = TestHost::with_servers(&[entry("s1", good().addr, Plain)]);
+    let copy = host.store.copy();
+    host.store.write("configuration", &configuration_without_once(2));
+    let once = "GET /once/ HTTP/1.1\r\nhost: app.test\r\nid: o\r\n\r\n";
+    wait_for("the new version", || status(&host.send(once)) == "404");
+    host.store.restore(&copy);
+    settle();
+    host.store.write("aspenloft/hosts/h1", &host_entry(&host));
+    let second = TestHost::start("h2", host.store.for_another_host());
+    second.wait_ready();
+    let started = Instant::now();
+    wait_for("the newest version", || status(&second.send(once)) == "404");
+    assert!(started.elapsed() < CONFIGURATION_LIMIT, "{:?}", started.elapsed());
+    assert_eq!(status(&host.send(once)), "404", "the version never falls");
+}
+
+fn host_entry(host: &TestHost) -> serde_json::Value {
+    let addr = host.settings.listen.peers;
+    serde_json::json!({ "name": "h1", "addr": addr, "data_centre": "dc-a" })
+}
