Replace a watch whose connection has gone silent at once

Callers' requests could reach servers that had announced their leaving for some 4 s, and an older configuration stayed in force as long, when the connections of the watching hosts had gone silent for good while new ones worked.

Cause: a call without a response counted as late after 2.0 s, but the host went on waiting for it until 3.5 s had passed, and its next call could use another silent connection.

A late call is now joined by a second one on a new connection, and the first response counts. The first call goes on, since a slow service would otherwise never answer in time. a_watch_on_a_silent_connection_is_replaced_before_hosts_count_as_reachable failed before: all 20 requests after 3 s reached the server.

--- a/crates/gateway/src/http/json.rs
+++ b/crates/gateway/src/http/json.rs
@@ -81,6 +81,11 @@
         })
     }
 
+    /// Closes the idle connections.
+    pub fn close_idle(&self) {
+        self.idle.lock().clear();
+    }
+
     async fn send(&self, req: Request<Full<Bytes>>) -> Result<JsonResponse> {
         let idle = self.take_idle();
         let mut sender = match idle {
--- a/crates/gateway/src/sync/mod.rs
+++ b/crates/gateway/src/sync/mod.rs
@@ -14,6 +14,7 @@
 use aspenloft_protocol::platform::{Change, ChangeFeed, Changes, KeyValue, Versioned};
 use async_std::future::timeout;
 use async_std::task;
+use futures::future::select_ok;
 use parking_lot::Mutex;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -194,14 +195,18 @@
     }
 
     /// Calls for the changes after `after`. While the response is late, this host counts
-    /// as disconnected, so that another one watches the service in its place.
+    /// as disconnected, so that another one watches the service in its place. A second call
+    /// on a new connection shows whether the service is slow or the first connection has gone
+    /// silent.
     async fn call_watch(&self, after: Position, wait: Duration) -> Result<Changes> {
         let mut call = self.feed.changes("", after, wait);
         match timeout(wait + self.options.watch_grace, &mut call).await {
             Ok(result) => result,
             Err(_) => {
                 self.mark_disconnected("the response to a watch is late");
-                call.await
+                self.feed.reconnect();
+                let second = self.feed.changes("", after, Duration::ZERO);
+                select_ok([call, second]).await.map(|(changes, _)| changes)
             }
         }
     }
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -161,6 +161,8 @@
 pub struct MemoryStore {
     state: Arc<Mutex<StoreState>>,
     silent: AtomicBool,
+    /// Raised when the watches that are waiting are left without a response.
+    dead_watches: AtomicU32,
 }
 
 #[derive(Default)]
@@ -217,7 +219,7 @@
 
     /// Returns the same service as another host reaches it.
     pub fn for_another_host(&self) -> Arc<MemoryStore> {
-        Arc::new(MemoryStore { state: self.state.clone(), silent: AtomicBool::new(false) })
+        Arc::new(MemoryStore { state: self.state.clone(), ..MemoryStore::default() })
     }
 
     /// Leaves the watches of this host without a response until the client gives up, or
@@ -226,6 +228,12 @@
         self.silent.store(silent, Ordering::SeqCst);
     }
 
+    /// Leaves the watches that are waiting without a response, as on connections that have
+    /// gone silent. Later calls are answered.
+    pub fn silence_open_watches(&self) {
+        self.dead_watches.fetch_add(1, Ordering::SeqCst);
+    }
+
     pub fn set_down(&self, down: bool) {
         self.state.lock().down = down;
     }
@@ -281,12 +289,14 @@
         let end = Instant::now() + wait;
         let timeout = end + Duration::from_secs(2);
         let era = self.state.lock().era;
+        let dead = self.dead_watches.load(Ordering::SeqCst);
         loop {
             self.check()?;
             if Instant::now() >= timeout {
                 return Err(aspenloft_core::errors::unavailable("no response"));
             }
-            if !self.silent.load(Ordering::SeqCst) {
+            let is_dead = self.dead_watches.load(Ordering::SeqCst) != dead;
+            if !is_dead && !self.silent.load(Ordering::SeqCst) {
                 let state = self.state.lock();
                 if state.era != era {
                     return Err(aspenloft_core::errors::unavailable("cut"));
--- a/crates/gateway/tests/host_view.rs
+++ b/crates/gateway/tests/host_view.rs
@@ -254,3 +254,25 @@
     assert!(bodies.reserve(None).is_some());
     assert!(bodies.reserve(Some(u64::MAX)).is_none());
 }
+
+// A host waited for a late response for seconds before it called the store again.
+#[test]
+fn a_watch_on_a_silent_connection_is_replaced_before_hosts_count_as_reachable() {
+    let (first, second) = (good(), good());
+    let first_entry = entry("s1", first.addr, Plain);
+    let host = TestHost::with_servers(&[first_entry.clone(), entry("s2", second.addr, Plain)]);
+    // The watch returns and begins anew.
+    std::thread::sleep(Duration::from_millis(300));
+    host.store.write("somebody/else", &0);
+    std::thread::sleep(Duration::from_millis(100));
+    host.store.silence_open_watches();
+    let silent = Instant::now();
+    host.store.write("servers/s1", &ServerEntry { leaving: true, ..first_entry });
+    // A host counts as reachable 3 s after its connections have gone silent.
+    std::thread::sleep(Duration::from_secs(3).saturating_sub(silent.elapsed()));
+    let before = first.count();
+    for n in 0..20 {
+        assert_eq!(status(&host.send(&get(&format!("late-{n}")))), "200");
+    }
+    assert_eq!(first.count(), before, "requests reach a server that is leaving");
+}
--- a/crates/protocol/src/platform.rs
+++ b/crates/protocol/src/platform.rs
@@ -156,6 +156,9 @@
 
     /// Waits up to `wait` for changes after `after` to keys that start with `prefix`.
     async fn changes(&self, prefix: &str, after: Position, wait: Duration) -> Result<Changes>;
+
+    /// Makes later calls use new connections, because those that are open may have gone silent.
+    fn reconnect(&self) {}
 }
 
 /// `HostList` is the platform's list of live and leaving hosts, which is updated with a
