Let hosts learn from others which servers an older copy lists in vain

A view now names the servers that its sender withholds, with the time that is left, at the end of the reply, where the previous build does not read. That a process is leaving or withheld is taken over whatever the positions, since neither is ever undone by an older view.

--- a/crates/gateway/src/peers/digest.rs
+++ b/crates/gateway/src/peers/digest.rs
@@ -156,6 +156,20 @@
     /// The servers that the sender keeps although their entries are missing. They are
     /// apart from `servers` because they are not part of the state at `revision`.
     pub kept: Vec<KeptServer>,
+    /// The servers of `servers` that get no work for a while, because they were gone before
+    /// the service came back from an older copy.
+    pub withheld: Vec<WithheldServer>,
+}
+
+/// `WithheldServer` is a listed server that gets no work for a while.
+#[serde_as]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WithheldServer {
+    /// The name of the server's process.
+    pub instance: Name,
+    /// How much longer it gets no work.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub remaining: Duration,
 }
 
 /// `KeptServer` is a server that a host keeps for a while although its entry is missing.
@@ -179,9 +193,10 @@
     /// The versions of the servers, those in `kept` after the others.
     versions: Vec<Name>,
     era: Option<Era>,
+    withheld: Vec<WithheldServer>,
 }
 
-/// The reply of the previous build, without an era.
+/// The reply of the previous build, without an era and withheld servers.
 #[derive(Debug, Deserialize)]
 struct WireReplyWithVersions {
     revision: u64,
@@ -211,6 +226,31 @@
     servers: Vec<WireEntry>,
 }
 
+impl From<WireReplyWithVersions> for WireReply {
+    fn from(reply: WireReplyWithVersions) -> WireReply {
+        let WireReplyWithVersions { revision, configuration, hosts, servers, kept, versions } =
+            reply;
+        let (era, withheld) = Default::default();
+        WireReply { revision, configuration, hosts, servers, kept, versions, era, withheld }
+    }
+}
+
+impl From<WireReplyWithKept> for WireReply {
+    fn from(reply: WireReplyWithKept) -> WireReply {
+        let WireReplyWithKept { revision, configuration, hosts, servers, kept } = reply;
+        let versions = Vec::new();
+        WireReplyWithVersions { revision, configuration, hosts, servers, kept, versions }.into()
+    }
+}
+
+impl From<WireReplyWithoutKept> for WireReply {
+    fn from(reply: WireReplyWithoutKept) -> WireReply {
+        let WireReplyWithoutKept { revision, configuration, hosts, servers } = reply;
+        let kept = Vec::new();
+        WireReplyWithKept { revision, configuration, hosts, servers, kept }.into()
+    }
+}
+
 /// The encoding of an entry without its version.
 #[derive(Debug, Serialize, Deserialize)]
 struct WireEntry {
@@ -258,7 +298,7 @@
 
     /// Appends the reply to `buf` as one frame.
     pub fn encode(self, buf: &mut BytesMut) -> Result<()> {
-        let ViewReply { revision, era, configuration, hosts, servers, kept } = self;
+        let ViewReply { revision, era, configuration, hosts, servers, kept, withheld } = self;
         let (servers, mut versions): (Vec<_>, Vec<_>) =
             servers.into_iter().map(WireEntry::split).unzip();
         let kept = kept.into_iter().map(|KeptServer { entry, remaining }| {
@@ -267,34 +307,20 @@
             WireKept { entry, remaining }
         });
         let kept = kept.collect();
-        let reply = WireReply { revision, configuration, hosts, servers, kept, versions, era };
+        let reply =
+            WireReply { revision, configuration, hosts, servers, kept, versions, era, withheld };
         frames::encode(&reply, buf)
     }
 
     /// Decodes a reply. In one of a previous build there is no era, and the versions may be
     /// empty.
     pub fn decode(body: &[u8]) -> Result<ViewReply> {
-        let era = None;
         let wire: WireReply = frames::decode(body)
-            .or_else(|_| {
-                let reply: WireReplyWithVersions = frames::decode(body)?;
-                let WireReplyWithVersions { revision, configuration, hosts, .. } = reply;
-                let WireReplyWithVersions { servers, kept, versions, .. } = reply;
-                Ok(WireReply { revision, configuration, hosts, servers, kept, versions, era })
-            })
-            .or_else(|_: Error| {
-                let reply: WireReplyWithKept = frames::decode(body)?;
-                let WireReplyWithKept { revision, configuration, hosts, servers, kept } = reply;
-                let versions = Vec::new();
-                Ok(WireReply { revision, configuration, hosts, servers, kept, versions, era })
-            })
-            .or_else(|_: Error| {
-                let reply: WireReplyWithoutKept = frames::decode(body)?;
-                let WireReplyWithoutKept { revision, configuration, hosts, servers } = reply;
-                let (kept, versions) = Default::default();
-                Ok(WireReply { revision, configuration, hosts, servers, kept, versions, era })
-            })?;
-        let WireReply { revision, configuration, hosts, servers, kept, versions, era } = wire;
+            .or_else(|_| frames::decode::<WireReplyWithVersions>(body).map(WireReply::from))
+            .or_else(|_| frames::decode::<WireReplyWithKept>(body).map(WireReply::from))
+            .or_else(|_| frames::decode::<WireReplyWithoutKept>(body).map(WireReply::from))?;
+        let WireReply { revision, configuration, hosts, servers, kept, .. } = wire;
+        let WireReply { versions, era, withheld, .. } = wire;
         let mut versions = versions.into_iter().chain(std::iter::repeat(Name::from("")));
         let mut join = |entry: WireEntry| entry.join(versions.next().unwrap_or_default());
         let servers = servers.into_iter().map(&mut join).collect();
@@ -302,6 +328,6 @@
             .into_iter()
             .map(|WireKept { entry, remaining }| KeptServer { entry: join(entry), remaining })
             .collect();
-        Ok(ViewReply { revision, era, configuration, hosts, servers, kept })
+        Ok(ViewReply { revision, era, configuration, hosts, servers, kept, withheld })
     }
 }
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -19,7 +19,7 @@
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 
-use super::digest::{Digest, DigestSupplement, KeptServer, PeerCall, ViewReply};
+use super::digest::{Digest, DigestSupplement, KeptServer, PeerCall, ViewReply, WithheldServer};
 use super::{LIVENESS_TIMEOUT, LocalState, Peer, Peers, is_recent};
 use crate::configuration::Configuration;
 use crate::permits::{PermitReply, PermitRequest, Permits};
@@ -292,6 +292,11 @@
             let remaining = server.kept_until?.saturating_duration_since(now);
             Some(KeptServer { entry: server.entry.clone(), remaining })
         });
+        let withheld = roster.all().filter_map(|server| {
+            let remaining = server.withheld_until?.saturating_duration_since(now);
+            Some(WithheldServer { instance: server.entry.instance.clone(), remaining })
+        });
+        let withheld = withheld.filter(|withheld| !withheld.remaining.is_zero());
         let listed = roster.all().filter(|server| server.kept_until.is_none());
         ViewReply {
             revision: position.revision,
@@ -300,6 +305,7 @@
             hosts: self.listed_hosts(),
             servers: listed.map(|server| server.entry.clone()).collect(),
             kept: kept.collect(),
+            withheld: withheld.collect(),
         }
     }
 }
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -29,7 +29,7 @@
 use crate::stream_versions::StreamVersions;
 use crate::view::View;
 
-pub use digest::{Digest, DigestSupplement, KeptServer, PeerCall, ViewReply};
+pub use digest::{Digest, DigestSupplement, KeptServer, PeerCall, ViewReply, WithheldServer};
 pub use exchange::PeerServer;
 
 use digest::peer_position;
@@ -359,6 +359,19 @@
             .map(|(p, _)| p.host.clone())
     }
 
+    /// Returns a live host whose position is known, one in this host's data centre if
+    /// possible.
+    pub fn any_live(&self) -> Option<Host> {
+        let (now, own) = (self.clock.now(), self.state.view.position());
+        let peers = self.peers.lock();
+        let live = peers.values().filter(|p| {
+            p.position(own.era).is_some()
+                && p.failed_at.is_none()
+                && is_recent(p, now, LIVENESS_TIMEOUT)
+        });
+        live.max_by_key(|p| p.host.data_centre == self.local.data_centre).map(|p| p.host.clone())
+    }
+
     /// Logs the hosts that no longer count as live, once each, and removes those of them
     /// that the platform does not list.
     fn check_silent_hosts(&self) {
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -36,6 +36,8 @@
 pub enum ServerChange {
     /// The entry was written.
     Listed(ServerEntry),
+    /// Another host lists the entry, but gives the server no work before this time.
+    Withheld(ServerEntry, Instant),
     /// The entry was removed.
     Removed(Name),
     /// The entry was overwritten by one that cannot be decoded and names no server to use.
@@ -161,7 +163,11 @@
             match entry {
                 ServerChange::Listed(entry) => {
                     present.insert(entry.instance.clone());
-                    servers.list(entry, source, revision, now);
+                    servers.list(entry, None, source, revision, now);
+                }
+                ServerChange::Withheld(entry, until) => {
+                    present.insert(entry.instance.clone());
+                    servers.list(entry, Some(until), source, revision, now);
                 }
                 ServerChange::Removed(name) | ServerChange::Unreadable(name) => {
                     servers.remove(&name, source, revision, now);
@@ -200,8 +206,8 @@
                 continue;
             }
             match change {
-                ServerChange::Listed(entry) => {
-                    servers.list(entry, UpdateSource::Watch, version, now);
+                ServerChange::Listed(entry) | ServerChange::Withheld(entry, _) => {
+                    servers.list(entry, None, UpdateSource::Watch, version, now);
                 }
                 ServerChange::Removed(name) => {
                     servers.remove_or_keep(&name, UpdateSource::Watch, version, keep, now);
@@ -214,6 +220,28 @@
         servers.position = servers.position.max(position);
     }
 
+    /// Takes over that servers are leaving or withheld from the list of another host, whatever
+    /// its position: a process that is leaving stays so.
+    pub fn merge_marks(&self, entries: &[ServerChange]) {
+        let roster = self.roster();
+        let marked = entries.iter().filter_map(|entry| {
+            let (entry, until) = match entry {
+                ServerChange::Listed(entry) if entry.leaving => (entry, None),
+                ServerChange::Withheld(entry, until) => (entry, Some(*until)),
+                _ => return None,
+            };
+            let server = roster.get(&entry.instance)?;
+            // One that is kept without an entry is gone soon in any case.
+            let is_same = server.entry.born_ms == entry.born_ms && server.kept_until.is_none();
+            let is_new = (entry.leaving && !server.entry.leaving)
+                || (until.is_some() && server.withheld_until.is_none());
+            (is_same && is_new).then_some((&entry.instance, entry.leaving, until))
+        });
+        for (instance, leaving, until) in marked {
+            self.servers.write().mark(instance, leaving, until);
+        }
+    }
+
     /// Removes the servers whose time is over for which they were kept without an entry.
     pub fn remove_expired(&self, now: Instant) {
         if !self.roster().all().any(|server| server.is_expired(now)) {
@@ -255,13 +283,20 @@
     fn list(
         &mut self,
         mut entry: ServerEntry,
+        withheld_elsewhere: Option<Instant>,
         source: UpdateSource,
         revision: Version,
         now: Instant,
     ) {
         let departure = self.departures.of(&entry);
         entry.leaving |= departure.is_some_and(|departure| departure.leaving);
-        let withheld_until = departure.and_then(|departure| self.withhold(departure, source, now));
+        let known = self.roster.get(&entry.instance).filter(|s| s.entry.born_ms == entry.born_ms);
+        let known = known.and_then(|server| server.withheld_until);
+        let withheld_until = departure
+            .and_then(|departure| self.withhold(departure, source, now))
+            .or(withheld_elsewhere)
+            // Times from other hosts differ slightly from one view to the next.
+            .map(|until| known.unwrap_or(until));
         let Some(server) = self.roster.updated_server(entry, withheld_until) else { return };
         let ServerEntry { instance, leaving, version, .. } = &server.entry;
         log::info!(
@@ -271,6 +306,20 @@
         Arc::make_mut(&mut self.roster).insert(server);
     }
 
+    /// Marks a listed server as leaving or withheld.
+    fn mark(&mut self, instance: &str, leaving: bool, withheld_until: Option<Instant>) {
+        let Some(server) = self.roster.get(instance) else { return };
+        let mut entry = server.entry.clone();
+        entry.leaving |= leaving;
+        let withheld_until = withheld_until.or(server.withheld_until);
+        let Some(marked) = self.roster.updated_server(entry, withheld_until) else { return };
+        log::info!(
+            event = "server_marked", server = instance, leaving,
+            withheld = withheld_until.is_some(); ""
+        );
+        Arc::make_mut(&mut self.roster).insert(marked);
+    }
+
     /// Returns until when a server is not used that is listed again after `departure`. Only a
     /// change shows that the entry was written in this era; a snapshot or a view may have it
     /// from the copy.
--- a/crates/gateway/tests/store_restores.rs
+++ b/crates/gateway/tests/store_restores.rs
@@ -196,3 +196,21 @@
     let addr = host.settings.listen.peers;
     serde_json::json!({ "name": "h1", "addr": addr, "data_centre": "dc-a" })
 }
+
+// A host that started after the return took the copy at its word.
+#[test]
+fn a_host_that_starts_after_a_restore_learns_from_others_which_servers_had_left() {
+    let Restored { host, first, first_entry, copy } = host_with_copy();
+    host.store.write("servers/s1", &leaving(first_entry));
+    settle();
+    host.store.remove("servers/s1");
+    settle();
+    host.store.restore(&copy);
+    settle();
+    host.store.write("aspenloft/hosts/h1", &host_entry(&host));
+    let second = TestHost::start("h2", host.store.for_another_host());
+    second.wait_ready();
+    // Digests come within 250 ms, and views are fetched every 150 ms.
+    std::thread::sleep(Duration::from_millis(600));
+    assert_unused(&second, &first);
+}
--- a/crates/gateway/tests/view.rs
+++ b/crates/gateway/tests/view.rs
@@ -226,3 +226,24 @@
     departures.record(&server("last"), Era(0), now + Duration::from_secs(200));
     assert_eq!(departures.len(), 1);
 }
+
+#[test]
+fn a_host_that_missed_a_removal_withholds_the_server_as_others_do() {
+    let now = Instant::now();
+    let until = now + Duration::from_secs(4);
+    let missed = View::default();
+    let snapshot = || vec![listed("a"), listed("b"), listed("c")];
+    missed.replace_servers(snapshot(), at(5), UpdateSource::Snapshot, &Keep::Nothing, now);
+    let leaving = ServerChange::Listed(ServerEntry { leaving: true, ..server("c") });
+    let reply = || vec![listed("a"), ServerChange::Withheld(server("b"), until), leaving.clone()];
+    let keep = Keep::AsPeer(Vec::new());
+    missed.replace_servers(reply(), Position::new(Era(1), 4), UpdateSource::Peer, &keep, now);
+    assert_eq!(staying(&missed, now), ["a"]);
+    assert_eq!(staying(&missed, until), ["a", "b"]);
+    // The marks count whatever the position of the other host.
+    let ahead = View::default();
+    let position = Position::new(Era(1), 9);
+    ahead.replace_servers(snapshot(), position, UpdateSource::Snapshot, &Keep::Nothing, now);
+    ahead.merge_marks(&reply());
+    assert_eq!((staying(&ahead, now), ahead.position()), (vec!["a".into()], position));
+}
--- a/crates/gateway/tests/view_exchange.rs
+++ b/crates/gateway/tests/view_exchange.rs
@@ -8,7 +8,7 @@
 
 use aspenloft_core::prelude::{Era, Host, Name};
 use aspenloft_gateway::configuration::Configuration;
-use aspenloft_gateway::peers::{Digest, KeptServer, PeerCall, ViewReply};
+use aspenloft_gateway::peers::{Digest, KeptServer, PeerCall, ViewReply, WithheldServer};
 use aspenloft_gateway::roster::ServerEntry;
 use aspenloft_gateway::roster::ServerRole::{self, Plain};
 use aspenloft_transport::frames;
@@ -112,6 +112,7 @@
         hosts: Vec::new(),
         servers: vec![entry("s1", server.addr, Plain)],
         kept: Vec::new(),
+        withheld: Vec::new(),
     });
     std::thread::sleep(Duration::from_millis(300));
     assert_eq!(status(&host.send(&get("b"))), "503");
@@ -218,6 +219,10 @@
         hosts: hosts.clone(),
         servers: vec![server.clone()],
         kept: vec![kept.clone()],
+        withheld: vec![WithheldServer {
+            instance: "s1".into(),
+            remaining: Duration::from_millis(700),
+        }],
     };
     let mut buf = BytesMut::new();
     reply.clone().encode(&mut buf).expect("a frame");
@@ -233,8 +238,13 @@
     // Entries of previous builds have no version.
     let unversioned = ServerEntry { version: "".into(), ..server };
     let unversioned_kept = KeptServer { entry: unversioned.clone(), ..kept };
-    let expected =
-        ViewReply { era: None, servers: vec![unversioned], kept: vec![unversioned_kept], ..reply };
+    let expected = ViewReply {
+        era: None,
+        servers: vec![unversioned],
+        kept: vec![unversioned_kept],
+        withheld: Vec::new(),
+        ..reply
+    };
     assert_eq!(ViewReply::decode(&body(&read)).expect("a reply"), expected);
     let servers = vec![previous];
     let oldest = ReplyWithoutKept { revision: 7, configuration, hosts, servers };
