--- a/crates/gateway/src/sync/mod.rs
+++ b/crates/gateway/src/sync/mod.rs
@@ -27,6 +27,9 @@
 /// The key prefix of the entries of the router's hosts.
 pub const HOSTS_PREFIX: &str = "aspenloft/hosts/";
 
+/// The time after a snapshot within which the loss of its position counts as a failure.
+const MIN_FOLLOW_TIME: Duration = Duration::from_millis(100);
+
 /// `SyncOptions` holds the timing of the watch on the key-value service.
 #[derive(Debug, Clone, PartialEq)]
 pub struct SyncOptions {
@@ -124,15 +127,26 @@
         let mut pause = self.options.backoff.0;
         loop {
             self.wait_until_needed().await;
-            match self.follow(&mut pause).await {
-                Ok(StopReason::Compacted) => log::info!(event = "store_compacted"; ""),
-                Ok(StopReason::Restored) => {}
-                Ok(StopReason::OthersSuffice) => log::info!(event = "store_left_to_others"; ""),
+            let began = self.clock.now();
+            let failed = match self.follow(&mut pause).await {
+                Ok(StopReason::Compacted) => {
+                    log::info!(event = "store_compacted"; "");
+                    // A service may not have the position that it has just named.
+                    self.clock.now().saturating_duration_since(began) < MIN_FOLLOW_TIME
+                }
+                Ok(StopReason::Restored) => false,
+                Ok(StopReason::OthersSuffice) => {
+                    log::info!(event = "store_left_to_others"; "");
+                    false
+                }
                 Err(e) => {
                     self.mark_disconnected(&e.to_string());
-                    task::sleep(pause.mul_f64(random.random_range(0.5..1.0))).await;
-                    pause = (pause * 2).min(self.options.backoff.1);
+                    true
                 }
+            };
+            if failed {
+                task::sleep(pause.mul_f64(random.random_range(0.5..1.0))).await;
+                pause = (pause * 2).min(self.options.backoff.1);
             }
         }
     }
@@ -178,7 +192,9 @@
         loop {
             match self.call_watch(self.view.position(), wait).await {
                 Ok(changes) => {
-                    *pause = self.options.backoff.0;
+                    if matches!(changes, Changes::Since { .. }) {
+                        *pause = self.options.backoff.0;
+                    }
                     self.mark_connected();
                     return Ok(changes);
                 }
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -163,6 +163,7 @@
     silent: AtomicBool,
     /// Raised when the watches that are waiting are left without a response.
     dead_watches: AtomicU32,
+    snapshots: AtomicU32,
 }
 
 #[derive(Default)]
@@ -261,6 +262,16 @@
         self.state.lock().items.get(key).map(|item| item.value.clone())
     }
 
+    /// Returns how often this host has read a snapshot.
+    pub fn snapshots(&self) -> u32 {
+        self.snapshots.load(Ordering::SeqCst)
+    }
+
+    /// Refuses all watches because their history is compacted.
+    pub fn compact_for_good(&self) {
+        self.state.lock().compacted = Version::MAX;
+    }
+
     /// Compacts all changes up to now, so that they can no longer be watched.
     pub fn compact(&self) {
         let mut state = self.state.lock();
@@ -280,6 +291,7 @@
 impl ChangeFeed for MemoryStore {
     async fn snapshot(&self, prefix: &str) -> Result<Snapshot> {
         self.check()?;
+        self.snapshots.fetch_add(1, Ordering::SeqCst);
         let state = self.state.lock();
         let items = state.items.values().filter(|item| item.key.starts_with(prefix));
         Ok(Snapshot { items: items.cloned().collect(), position: state.position() })
--- a/crates/gateway/tests/host_view.rs
+++ b/crates/gateway/tests/host_view.rs
@@ -276,3 +276,16 @@
     }
     assert_eq!(first.count(), before, "requests reach a server that is leaving");
 }
+
+// A host read the whole store over and over without a pause.
+#[test]
+fn a_store_that_keeps_no_history_is_not_read_without_a_pause() {
+    let host = TestHost::with_servers(&[entry("s1", good().addr, Plain)]);
+    host.store.compact_for_good();
+    host.store.write("somebody/else", &0);
+    std::thread::sleep(Duration::from_millis(300));
+    let before = host.store.snapshots();
+    std::thread::sleep(Duration::from_secs(2));
+    let reads = host.store.snapshots() - before;
+    assert!((1..=10).contains(&reads), "{reads} snapshots in 2 s");
+}
