--- a/crates/policy/tests/eras.rs
+++ b/crates/policy/tests/eras.rs
@@ -57,17 +57,19 @@
 
 #[test]
 fn the_era_never_falls_and_past_responses_never_count() {
-    bolero::check!().with_type::<Vec<Option<u8>>>().cloned().for_each(|named| {
-        let mut tracker = EraTracker::default();
-        for era in named {
-            let before = tracker.latest();
-            let reading = tracker.read(era.map(|era| Era(u64::from(era))));
-            assert!(tracker.latest() >= before);
-            match reading {
-                Latest(era) => assert_eq!(era, tracker.latest()),
-                Past(era) => assert!(era < tracker.latest()),
-                Unconfirmed(era) => assert!(era > tracker.latest()),
+    bolero::check!().with_iterations(5_000).with_type::<Vec<Option<u8>>>().cloned().for_each(
+        |named| {
+            let mut tracker = EraTracker::default();
+            for era in named {
+                let before = tracker.latest();
+                let reading = tracker.read(era.map(|era| Era(u64::from(era))));
+                assert!(tracker.latest() >= before);
+                match reading {
+                    Latest(era) => assert_eq!(era, tracker.latest()),
+                    Past(era) => assert!(era < tracker.latest()),
+                    Unconfirmed(era) => assert!(era > tracker.latest()),
+                }
             }
-        }
-    });
+        },
+    );
 }
