--- a/crates/core/src/suspects.rs
+++ b/crates/core/src/suspects.rs
@@ -1,6 +1,7 @@
 //! The `suspects` module defines the data that hosts share about requests that may
 //! crash backend servers. `aspenloft-policy` decides which requests those are.
 
+use derive_more::Display;
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -18,6 +19,22 @@
     }
 }
 
+/// `PromptPart` identifies a part of a prompt that several requests may share.
+#[derive(
+    Debug, Display, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[display("{_0:x}")]
+#[serde(transparent)]
+pub struct PromptPart(pub u64);
+
+impl PromptPart {
+    /// Returns the part named `id`, a hexadecimal number. Other names are hashed.
+    pub fn named(id: &str) -> PromptPart {
+        let hash = || xxh3_64_with_seed(id.to_ascii_lowercase().as_bytes(), 0);
+        PromptPart(u64::from_str_radix(id, 16).unwrap_or_else(|_| hash()))
+    }
+}
+
 /// `SuspectStatus` says whether requests with a fingerprint are suspected of crashing
 /// backend servers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use aspenloft_core::prelude::{Name, Result};
+use aspenloft_core::suspects::PromptPart;
 use bytes::Bytes;
 use http::{HeaderMap, Method, request, response};
 
@@ -24,6 +25,8 @@
     /// The attempt that brought the first event of the stream that this request takes up;
     /// `None` if it takes up no stream.
     pub resumes: Option<Name>,
+    /// The parts of the prompt that other requests may share, in their order.
+    pub prompt_parts: Vec<PromptPart>,
 }
 
 /// `GenerationSize` is the size of a model request, as the caller states it.
--- a/crates/gateway/src/generation/decode.rs
+++ b/crates/gateway/src/generation/decode.rs
@@ -277,9 +277,10 @@
         with_kv_cache: bool,
     ) {
         let outcome = failure.map_or("refused".to_string(), |f| f.cause.to_string());
+        let parts = inbound.log_parts();
         log::info!(
             event = "decode_failed", request = inbound.log_id(), server = &*server.entry.instance,
-            outcome = outcome.as_str(), with_memory = with_kv_cache; ""
+            outcome = outcome.as_str(), with_memory = with_kv_cache, parts = parts.as_str(); ""
         );
     }
 }
--- a/crates/gateway/src/generation/relay.rs
+++ b/crates/gateway/src/generation/relay.rs
@@ -279,9 +279,11 @@
     }
 
     fn log_broken(&self, server: &Server, resumable: bool) {
+        let parts = self.inbound.log_parts();
         log::info!(
             event = "stream_broken", request = self.inbound.log_id(),
-            server = &*server.entry.instance, events = self.splitter.events(), resumable; ""
+            server = &*server.entry.instance, events = self.splitter.events(), resumable,
+            parts = parts.as_str(); ""
         );
     }
 }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -16,6 +16,9 @@
 /// The maximum jitter that is added to `Retry-After`, as a share of it.
 const RETRY_AFTER_JITTER: f64 = 0.5;
 
+/// The maximum number of parts of a prompt in a log line.
+const MAX_LOGGED_PARTS: usize = 8;
+
 /// `InboundRequest` is a caller's request that has been read in full.
 #[derive(Debug)]
 pub struct InboundRequest {
@@ -57,6 +60,18 @@
         self.metadata.id.as_deref().unwrap_or("-")
     }
 
+    /// Returns the parts of the prompt that others may share, for log lines.
+    pub fn log_parts(&self) -> String {
+        let parts: Vec<String> = self
+            .metadata
+            .prompt_parts
+            .iter()
+            .take(MAX_LOGGED_PARTS)
+            .map(|p| p.to_string())
+            .collect();
+        if parts.is_empty() { "-".to_string() } else { parts.join(",") }
+    }
+
     /// Returns a hash of path and body, which is the same when the caller sends the
     /// request again.
     pub fn fingerprint(&self) -> Fingerprint {
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -15,6 +15,7 @@
 use aspenloft_core::clock::SystemClock;
 use aspenloft_core::errors::{Result, invalid};
 use aspenloft_core::prelude::{Era, Host, Name, Position};
+use aspenloft_core::suspects::PromptPart;
 use aspenloft_gateway::configuration::{
     CallerLimits, Configuration, EngineProfile, RepeatPolicy, Route, Service,
 };
@@ -70,6 +71,9 @@
             timeout: timeout_ms.map(Duration::from_millis),
             generation,
             resumes: text(&head.headers, "resumes").map(Name::from),
+            prompt_parts: text(&head.headers, "parts")
+                .map(|parts| parts.split(',').map(PromptPart::named).collect())
+                .unwrap_or_default(),
         })
     }
 
