Show that requests with a part that crashes engines reach them without end

Engines of the test crash when they begin to answer a prompt with one part, and are back after 0.4 s; no two requests are alike.

--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -3,6 +3,7 @@
 
 #![allow(dead_code)]
 
+pub mod crashing;
 pub mod peer;
 
 use std::collections::{BTreeMap, HashSet};
