--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -359,15 +359,12 @@
             .map(|(p, _)| p.host.clone())
     }
 
-    /// Returns a live host whose position is known, one in this host's data centre if
-    /// possible.
+    /// Returns a live host of this build, one in this host's data centre if possible.
     pub fn any_live(&self) -> Option<Host> {
-        let (now, own) = (self.clock.now(), self.state.view.position());
+        let now = self.clock.now();
         let peers = self.peers.lock();
         let live = peers.values().filter(|p| {
-            p.position(own.era).is_some()
-                && p.failed_at.is_none()
-                && is_recent(p, now, LIVENESS_TIMEOUT)
+            p.era.is_some() && p.failed_at.is_none() && is_recent(p, now, LIVENESS_TIMEOUT)
         });
         live.max_by_key(|p| p.host.data_centre == self.local.data_centre).map(|p| p.host.clone())
     }
