--- /dev/null
+++ b/crates/gateway/src/crashes.rs
@@ -0,0 +1,219 @@
+//! The `crashes` module holds back requests that crash backend servers. It records which
+//! requests a server had not begun to answer when its process ended, here and at other
+//! hosts; `aspenloft_policy::crash_tracker` decides what they speak for.
+
+use std::collections::HashSet;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use aspenloft_core::errors::{Error, ErrorCode, Result};
+use aspenloft_core::execution::Execution;
+use aspenloft_core::prelude::{Arc, SharedClock};
+use aspenloft_core::suspects::{Fingerprint, PromptPart};
+use aspenloft_policy::crash_tracker::{
+    Cause, Change, Conviction, Crash, CrashTracker, RequestCauses, Standing,
+};
+use aspenloft_transport::socket::{self, KeepaliveOptions};
+use async_std::task;
+use parking_lot::Mutex;
+use serde::{Deserialize, Serialize};
+use serde_with::{DurationMilliSeconds, serde_as};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::loads::EngineLoads;
+use crate::peers::Peers;
+use crate::request::InboundRequest;
+use crate::roster::Server;
+
+/// The timeout of the connection that shows whether a server's process has ended.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(350);
+
+/// The `Retry-After` of a request that is held back until a trial has shown whether it may be
+/// sent.
+const TRIAL_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// The maximum number of entries of each kind in one digest.
+const MAX_NOTICES: usize = 8;
+
+/// `CrashNotices` is what a host tells others of crashes in a digest.
+#[serde_as]
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct CrashNotices {
+    /// Crashes that the sender has seen, with their ages.
+    #[serde_as(as = "Vec<(_, DurationMilliSeconds<u64>)>")]
+    pub crashes: Vec<(Crash, Duration)>,
+    /// Causes that are cleared, with the time since then.
+    #[serde_as(as = "Vec<(_, DurationMilliSeconds<u64>)>")]
+    pub cleared: Vec<(Cause, Duration)>,
+    /// Causes that are held back, with the time since the last crash by them.
+    #[serde_as(as = "Vec<(_, DurationMilliSeconds<u64>)>")]
+    pub convictions: Vec<(Conviction, Duration)>,
+}
+
+impl CrashNotices {
+    /// Leaves out the longest list's last entry; false if there is none.
+    pub fn shorten(&mut self) -> bool {
+        self.crashes.pop().is_some()
+            || self.convictions.pop().is_some()
+            || self.cleared.pop().is_some()
+    }
+}
+
+/// `Crashes` keeps the crashes that this host knows of.
+pub struct Crashes {
+    tracker: Mutex<CrashTracker>,
+    clock: SharedClock,
+    /// Is told of changes that others should hear of soon.
+    loads: Arc<EngineLoads>,
+    /// How many convictions have been told in digests that did not hold all.
+    told: AtomicUsize,
+}
+
+impl Crashes {
+    /// Creates a record without crashes.
+    pub fn new(clock: SharedClock, loads: Arc<EngineLoads>) -> Arc<Crashes> {
+        Arc::new(Crashes { tracker: Mutex::default(), clock, loads, told: AtomicUsize::new(0) })
+    }
+
+    /// Records that the connection to `server` broke before it began to answer the request,
+    /// if the server's process has ended. A connection may also break alone.
+    pub fn report(self: &Arc<Self>, inbound: &InboundRequest, server: &Server) {
+        let at = self.clock.now();
+        let crash = Crash { server: server.key, causes: inbound.causes().clone() };
+        let (addr, instance) = (server.entry.addr, server.entry.instance.clone());
+        let (id, parts) = (inbound.log_id().to_string(), inbound.log_parts());
+        let crashes = self.clone();
+        task::spawn(async move {
+            let probe = socket::connect(addr, PROBE_TIMEOUT, &KeepaliveOptions::default()).await;
+            if probe.is_ok() || !crashes.tracker.lock().record_crash(crash, at, true) {
+                return;
+            }
+            log::warn!(
+                event = "server_crashed", request = id.as_str(), server = &*instance,
+                parts = parts.as_str(); ""
+            );
+            crashes.log_changes();
+            crashes.loads.notify();
+        });
+    }
+
+    /// Records that a server has begun to answer the request.
+    pub fn record_answer(&self, inbound: &InboundRequest) {
+        let now = self.clock.now();
+        if !self.tracker.lock().record_answer(inbound.causes(), now).is_empty() {
+            self.log_changes();
+            self.loads.notify();
+        }
+    }
+
+    /// Returns whether servers have crashed under other requests that share a part with this
+    /// one, so that it should not be sent to another server after one has crashed.
+    pub fn is_suspect(&self, inbound: &InboundRequest) -> bool {
+        let now = self.clock.now();
+        self.tracker.lock().standing(inbound.causes(), now) != Standing::Clear
+    }
+
+    /// Returns an error if the request must not be sent to a server now, because it would
+    /// probably crash it. The error says that the request has not run unless the caller's
+    /// request has no prospect of being served.
+    pub fn check(&self, inbound: &InboundRequest, peers: &Peers) -> Result<()> {
+        let now = self.clock.now();
+        let mut tracker = self.tracker.lock();
+        let Standing::Held { cause, firm } = tracker.standing(inbound.causes(), now) else {
+            return Ok(());
+        };
+        if inbound.is_trial() {
+            return Ok(());
+        }
+        // One host for all makes the trials, so that they are as rare as intended.
+        if peers.is_home_of(cause_key(cause)) && tracker.try_trial(cause, now) {
+            drop(tracker);
+            inbound.begin_trial();
+            let cause = cause.to_string();
+            log::info!(event = "trial", request = inbound.log_id(), cause = cause.as_str(); "");
+            return Ok(());
+        }
+        if firm {
+            let message = format!("backend servers crash when they begin to answer {cause}");
+            return Err(Error::new(ErrorCode::Poisonous, message).execution(Execution::Unknown));
+        }
+        let message = format!("backend servers may crash when they begin to answer {cause}");
+        let after = inbound.with_jitter(TRIAL_RETRY_AFTER);
+        Err(Error::new(ErrorCode::Poisonous, message).retry_after(after))
+    }
+
+    /// Returns what other hosts are to be told.
+    pub fn notices(&self) -> CrashNotices {
+        let now = self.clock.now();
+        let mut tracker = self.tracker.lock();
+        let from = self.told.fetch_add(MAX_NOTICES, Ordering::SeqCst);
+        CrashNotices {
+            crashes: tracker.take_crashes(now, MAX_NOTICES),
+            cleared: tracker.recently_cleared(now, MAX_NOTICES),
+            convictions: tracker.convictions(now, from, MAX_NOTICES),
+        }
+    }
+
+    /// Returns recent crashes for hosts of the previous build, which count whole requests.
+    pub fn recent_requests(&self, max: usize) -> Vec<(Fingerprint, u64)> {
+        self.tracker.lock().recent_requests(self.clock.now(), max)
+    }
+
+    /// Records what another host tells.
+    pub fn apply(&self, notices: CrashNotices) {
+        let now = self.clock.now();
+        let at = |age: Duration| now.checked_sub(age).unwrap_or(now);
+        {
+            let mut tracker = self.tracker.lock();
+            for (crash, age) in notices.crashes {
+                tracker.record_crash(crash, at(age), false);
+            }
+            for (cause, age) in notices.cleared {
+                tracker.clear(cause, at(age));
+            }
+            for (conviction, age) in notices.convictions {
+                tracker.record_conviction(conviction, age, now);
+            }
+        }
+        self.log_changes();
+    }
+
+    /// Records a disconnect that a host of the previous build tells. It does not know whether
+    /// the server had begun to answer, and counts whole requests only.
+    pub fn apply_disconnect(&self, request: Fingerprint, server: u64) {
+        let causes = RequestCauses { service: 0, request, parts: Vec::new() };
+        let now = self.clock.now();
+        self.tracker.lock().record_crash(Crash { server, causes }, now, false);
+        self.log_changes();
+    }
+
+    fn log_changes(&self) {
+        for change in self.tracker.lock().take_changes() {
+            match change {
+                Change::Held { cause, crashes } => {
+                    let cause = cause.to_string();
+                    log::warn!(event = "cause_held", cause = cause.as_str(), crashes; "");
+                }
+                Change::Cleared(cause) => {
+                    let cause = cause.to_string();
+                    log::warn!(event = "cause_cleared", cause = cause.as_str(); "");
+                }
+            }
+        }
+    }
+}
+
+/// Returns the number by which the host is chosen that tries `cause`.
+fn cause_key(cause: Cause) -> u64 {
+    match cause {
+        Cause::Request(request) => request.0,
+        Cause::Part { service, part } => service ^ part.0,
+    }
+}
+
+/// Returns what of a request for `service` may crash servers.
+pub fn request_causes(service: &str, request: Fingerprint, parts: &[PromptPart]) -> RequestCauses {
+    let mut seen = HashSet::new();
+    let parts = parts.iter().copied().filter(|part| seen.insert(*part)).collect();
+    RequestCauses { service: xxh3_64(service.as_bytes()), request, parts }
+}
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -29,7 +29,7 @@
 use crate::dialect::{Dialect, RequestMetadata};
 use crate::generation::GenerationHandler;
 use crate::metrics::Metrics;
-use crate::request::InboundRequest;
+use crate::request::{CrashState, InboundRequest};
 use crate::responses::{self, ResponseBody};
 use crate::retries::RetryBudgets;
 use crate::settings::ShutdownSettings;
@@ -238,6 +238,7 @@
             service,
             arrived,
             deadline,
+            crash_state: CrashState::default(),
         })
     }
 
--- a/crates/gateway/src/generation/decode.rs
+++ b/crates/gateway/src/generation/decode.rs
@@ -96,6 +96,10 @@
                 }
                 break;
             };
+            if let Err(e) = self.crashes.check(inbound, &self.peers) {
+                let has_run = search.runs > 0;
+                return Err(if has_run { e.execution(Execution::Unknown) } else { e });
+            }
             if search.arrived && !self.take_extra_send(inbound, now) {
                 break;
             }
@@ -213,10 +217,11 @@
         search.arrived = true;
         search.runs += 1;
         if failure.cause == FailureCause::Broken {
-            self.peers.record_disconnect(inbound.log_id(), inbound.fingerprint(), &search.server);
+            self.crashes.report(inbound, &search.server);
         }
         let route = &inbound.route;
-        if route.repeat.allows_rerun() && search.runs < route.max_attempts {
+        let may_rerun = route.repeat.allows_rerun() && search.runs < route.max_attempts;
+        if may_rerun && !self.crashes.is_suspect(inbound) {
             return Ok(());
         }
         Err(send_error(failure))
--- a/crates/gateway/src/generation/mod.rs
+++ b/crates/gateway/src/generation/mod.rs
@@ -20,6 +20,7 @@
 
 use crate::call::{MAX_RESPONSE_BYTES, limit_error, send_error};
 use crate::configuration::EngineProfile;
+use crate::crashes::Crashes;
 use crate::demand::DemandTracker;
 use crate::dialect::{Dialect, GenerationSize, Phase, SendMetadata};
 use crate::dispatch::{Dispatcher, Placement, RunNeeds};
@@ -52,12 +53,14 @@
     pub dialect: Arc<dyn Dialect>,
     /// The budgets of extra sends.
     pub retries: Arc<RetryBudgets>,
-    /// The other hosts, which share the budgets and the records of crashes.
+    /// The other hosts, which share the budgets.
     pub peers: Arc<Peers>,
     /// The requests and prompts on each engine.
     pub loads: Arc<EngineLoads>,
     /// The versions at which streams began.
     pub streams: Arc<StreamVersions>,
+    /// The crashes of engines and what they speak for.
+    pub crashes: Arc<Crashes>,
     /// The host's metrics.
     pub metrics: Arc<Metrics>,
     /// The average demand of requests.
@@ -82,18 +85,14 @@
         requested: GenerationSize,
         engine: &EngineProfile,
     ) -> Result<Response<ResponseBody>, Error> {
+        self.crashes.check(&inbound, &self.peers)?;
         let size = estimate_size(requested);
         let version = self.stream_version(&inbound).await?;
         let needs = RunNeeds { size, version };
         self.demand.record_request(&inbound.service, size);
-        if self.peers.is_poisonous_request(inbound.fingerprint()) {
-            let error = Error::new(
-                ErrorCode::Poisonous,
-                "backend servers crashed while they processed this request",
-            );
-            return Err(error.execution(Execution::Unknown));
-        }
         let (placement, permit) = self.place(&inbound, engine, needs).await?;
+        // Engines may have crashed while the request waited.
+        self.crashes.check(&inbound, &self.peers)?;
         self.log_placed(&inbound, &placement, size);
         let placed = self.clock.now();
         let kv_cache = self.prefill(&inbound, &placement, requested.prompt_tokens, engine).await?;
--- a/crates/gateway/src/generation/relay.rs
+++ b/crates/gateway/src/generation/relay.rs
@@ -77,6 +77,8 @@
     needs: RunNeeds,
     tokens_per_event: u64,
     splitter: EventSplitter,
+    /// The number of events before the first one of the current engine.
+    events_before: u64,
     started_at: Instant,
     last_frame_at: Instant,
     longest_pause: Duration,
@@ -114,6 +116,7 @@
             needs,
             tokens_per_event,
             splitter,
+            events_before: 0,
             started_at,
             last_frame_at: started_at,
             longest_pause: Duration::ZERO,
@@ -188,7 +191,11 @@
                 let pause = now.saturating_duration_since(self.last_frame_at);
                 self.longest_pause = self.longest_pause.max(pause);
                 self.last_frame_at = now;
+                let known = self.splitter.events();
                 let events = frame.data_ref().map(|data| self.splitter.push(data));
+                if known == self.events_before && self.splitter.events() > known {
+                    self.generations.crashes.record_answer(&self.inbound);
+                }
                 self.run.record_progress(self.splitter.events() * self.tokens_per_event);
                 // Each event has at least one token.
                 let too_many =
@@ -216,13 +223,14 @@
         let generations = self.generations.clone();
         let now = generations.clock.now();
         server.state.health(|h| h.record_failure(now));
-        generations.peers.record_disconnect(
-            self.inbound.log_id(),
-            self.inbound.fingerprint(),
-            &server,
-        );
+        let has_begun = self.splitter.events() > self.events_before;
+        if !has_begun {
+            generations.crashes.report(&self.inbound, &server);
+        }
         let route = &self.inbound.route;
-        let allowed = route.repeat == RepeatPolicy::ResumableStream && runs < route.max_attempts;
+        let allowed = route.repeat == RepeatPolicy::ResumableStream
+            && runs < route.max_attempts
+            && (has_begun || !generations.crashes.is_suspect(&self.inbound));
         self.log_broken(&server, allowed);
         if !allowed || !generations.take_extra_send(&self.inbound, now) {
             return false;
@@ -233,6 +241,9 @@
 
     async fn resume_on_another(&mut self, tried: Vec<Name>, runs: u32) -> bool {
         let generations = self.generations.clone();
+        if generations.crashes.check(&self.inbound, &generations.peers).is_err() {
+            return false;
+        }
         let engine = permitted_engine(&generations, &self.inbound, self.needs, tried);
         let Some((server, permit)) = engine.await else { return false };
         let now = generations.clock.now();
@@ -247,6 +258,7 @@
                 log::info!(event = "resumed", request = self.inbound.log_id(), server = instance, version = &*server.entry.version, after = self.splitter.events(); "");
                 let _stream_count = StreamGuard::begin(&server, generations.clock.now());
                 self.upstream = Some(Upstream { response, server, runs: runs + 1, _stream_count });
+                self.events_before = self.splitter.events();
                 true
             }
             _ => false,
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -22,6 +22,7 @@
 use super::digest::{Digest, DigestSupplement, KeptServer, PeerCall, ViewReply, WithheldServer};
 use super::{LIVENESS_TIMEOUT, LocalState, Peer, Peers, is_recent};
 use crate::configuration::Configuration;
+use crate::crashes::CrashNotices;
 use crate::permits::{PermitReply, PermitRequest, Permits};
 
 /// The minimum time between two digests, so that requests that start together share
@@ -37,6 +38,9 @@
 /// The part of a datagram that is reserved for the supplement of a digest, in bytes.
 const MAX_SUPPLEMENT_BYTES: usize = 600;
 
+/// The part of a datagram that is reserved for crashes of servers, in bytes.
+const MAX_CRASH_BYTES: usize = 400;
+
 /// The maximum number of unreachable servers in one digest.
 const MAX_UNREACHABLE: usize = 64;
 
@@ -59,10 +63,6 @@
 /// The maximum number of stream records in one digest.
 const MAX_STREAM_RECORDS: usize = 20;
 
-/// How long digests report a disconnect: long enough for several digests, so that a
-/// lost one does not matter.
-const DISCONNECT_REPORT_PERIOD: Duration = Duration::from_secs(2);
-
 /// The maximum number of disconnects in one digest.
 const MAX_DISCONNECTS: usize = 16;
 
@@ -173,7 +173,8 @@
     fn encode_digest(&self, scope: Scope) -> Result<Bytes> {
         let (unreachable_count, unreachable) = self.unreachable(MAX_UNREACHABLE);
         let position = self.state.view.position();
-        let supplement = self.encode_supplement(scope, unreachable_count, position.era)?;
+        let mut supplement = self.encode_supplement(scope, unreachable_count, position.era)?;
+        supplement.extend_from_slice(&self.encode_crash_notices()?);
         let mut digest = Digest {
             host: self.local.clone(),
             seq: self.seq.fetch_add(1, Ordering::SeqCst) + 1,
@@ -183,11 +184,7 @@
             loads: self.state.loads.digest(),
             demand: self.state.demand.digest(),
             unreachable,
-            breaks: self.crashes.lock().recent(
-                self.clock.now(),
-                DISCONNECT_REPORT_PERIOD,
-                MAX_DISCONNECTS,
-            ),
+            breaks: self.state.crashes.recent_requests(MAX_DISCONNECTS),
         };
         let mut truncated = unreachable_count > digest.unreachable.len();
         loop {
@@ -216,7 +213,7 @@
     }
 
     /// Encodes the supplement of a digest, without the oldest limits if it is too large.
-    fn encode_supplement(&self, scope: Scope, unreachable: usize, era: Era) -> Result<Bytes> {
+    fn encode_supplement(&self, scope: Scope, unreachable: usize, era: Era) -> Result<BytesMut> {
         let LocalState { view, limits, streams, shutdown, .. } = &self.state;
         streams.observe();
         let roster = view.roster();
@@ -232,13 +229,26 @@
             let mut buf = BytesMut::new();
             frames::encode(&supplement, &mut buf)?;
             if buf.len() <= MAX_SUPPLEMENT_BYTES {
-                return Ok(buf.freeze());
+                return Ok(buf);
             }
             let half = supplement.limits.len() / 2;
             supplement.limits.truncate(half);
         }
     }
 
+    /// Encodes what others are to be told of crashes, without the last entries if it is too
+    /// large. It is a frame of its own, which hosts of the previous build do not read.
+    fn encode_crash_notices(&self) -> Result<BytesMut> {
+        let mut notices = self.state.crashes.notices();
+        loop {
+            let mut buf = BytesMut::new();
+            frames::encode(&notices, &mut buf)?;
+            if buf.len() <= MAX_CRASH_BYTES || !notices.shorten() {
+                return Ok(buf);
+            }
+        }
+    }
+
     /// Receives digests; does not return.
     pub async fn receive_digests(self: Arc<Self>, socket: Arc<UdpSocket>) {
         let mut buf = vec![0; 64 * 1024];
@@ -264,13 +274,24 @@
         let digest: Digest = frames::decode(&body)?;
         let supplement = frames::split_frame(&mut buf)?;
         let supplement = supplement.map(|body| DigestSupplement::decode(&body)).transpose()?;
-        let name = digest.host.name.clone();
+        let notices = frames::split_frame(&mut buf)?;
+        let notices = notices.map(|body| frames::decode::<CrashNotices>(&body)).transpose()?;
+        let (name, breaks) = (digest.host.name.clone(), digest.breaks.clone());
         let era = supplement.as_ref().and_then(|supplement| supplement.era);
-        if self.apply_digest(digest, era)
-            && let Some(supplement) = supplement
-        {
+        if !self.apply_digest(digest, era) {
+            return Ok(());
+        }
+        if let Some(supplement) = supplement {
             self.apply_supplement(&name, &supplement);
         }
+        match notices {
+            Some(notices) => self.state.crashes.apply(notices),
+            None => {
+                for (request, server) in breaks {
+                    self.state.crashes.apply_disconnect(request, server);
+                }
+            }
+        }
         Ok(())
     }
 
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -14,13 +14,12 @@
 use std::time::{Duration, Instant};
 
 use aspenloft_core::prelude::{Arc, Era, Host, Name, Position, SharedClock};
-use aspenloft_core::suspects::Fingerprint;
-use aspenloft_policy::crash_tracker::CrashTracker;
 use aspenloft_policy::host_groups::HostGroup;
 use aspenloft_transport::mesh::{MeshOptions, PeerLink};
 use parking_lot::Mutex;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use crate::crashes::Crashes;
 use crate::demand::DemandTracker;
 use crate::loads::EngineLoads;
 use crate::roster::Server;
@@ -116,6 +115,8 @@
     pub limits: Arc<ServerLimits>,
     /// The versions at which streams began.
     pub streams: Arc<StreamVersions>,
+    /// The crashes of servers and what they speak for.
+    pub crashes: Arc<Crashes>,
     /// The shutdown of this host.
     pub shutdown: Arc<Shutdown>,
 }
@@ -126,7 +127,6 @@
     born_ms: u64,
     clock: SharedClock,
     state: LocalState,
-    crashes: Mutex<CrashTracker>,
     follows: AtomicBool,
     seq: AtomicU64,
     seeds: Vec<SocketAddr>,
@@ -156,7 +156,6 @@
             born_ms,
             clock,
             state,
-            crashes: Mutex::default(),
             follows: AtomicBool::new(false),
             seq: AtomicU64::new(0),
             seeds,
@@ -231,22 +230,6 @@
         confirmed.map(|(server, _)| server).collect()
     }
 
-    /// Records that the connection to `server` failed while it ran the request `id`.
-    pub fn record_disconnect(&self, id: &str, request: Fingerprint, server: &Server) {
-        let now = self.clock.now();
-        let mut crashes = self.crashes.lock();
-        if crashes.record_disconnect(request, server.key, now) && crashes.is_convicted(request, now)
-        {
-            log::warn!(event = "request_convicted", request = id, server = &*server.entry.instance; "");
-        }
-    }
-
-    /// Tells whether too many servers have failed while running the request for it to be
-    /// run again.
-    pub fn is_poisonous_request(&self, request: Fingerprint) -> bool {
-        self.crashes.lock().is_convicted(request, self.clock.now())
-    }
-
     /// Adds or updates a host that the platform lists.
     pub fn add_listed(&self, host: Host) {
         if host.name == self.local.name {
@@ -423,9 +406,6 @@
             };
             peers.insert(digest.host.name.clone(), peer);
         }
-        for (request, server) in digest.breaks {
-            self.crashes.lock().record_disconnect(request, server, now);
-        }
         self.state.demand.update_peer(&digest.host.name, digest.demand);
         self.state.loads.update_peer(&digest.host.name, digest.loads, now);
         true
@@ -469,6 +449,18 @@
         best.filter(|host| leaving || rank(host) > rank(&self.local)).cloned()
     }
 
+    /// Returns whether this host does what one host for all does about the matter with the
+    /// number `key`.
+    pub fn is_home_of(&self, key: u64) -> bool {
+        let now = self.clock.now();
+        let peers = self.peers.lock();
+        let rank = |host: &Host| xxh3_64_with_seed(host.name.as_bytes(), key);
+        let mut able = peers
+            .values()
+            .filter(|p| p.answers_calls && !p.leaving && is_recent(p, now, LIVENESS_TIMEOUT));
+        !self.state.shutdown.is_leaving() && able.all(|p| rank(&p.host) < rank(&self.local))
+    }
+
     /// Returns up to `max` live hosts that answer calls, those that have run longest first:
     /// they know most of what happened before this host started.
     fn longest_running(&self, max: usize) -> Vec<Host> {
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -1,9 +1,12 @@
 //! The `request` module defines a caller's request while it is being served.
 
+use std::sync::OnceLock;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use aspenloft_core::prelude::{Arc, Name};
 use aspenloft_core::suspects::Fingerprint;
+use aspenloft_policy::crash_tracker::RequestCauses;
 use bytes::Bytes;
 use http::{Request, request};
 use http_body_util::Full;
@@ -11,6 +14,7 @@
 
 use crate::body_budget::BodyReservation;
 use crate::configuration::Route;
+use crate::crashes::request_causes;
 use crate::dialect::{Dialect, RequestMetadata, SendMetadata};
 
 /// The maximum jitter that is added to `Retry-After`, as a share of it.
@@ -39,6 +43,15 @@
     /// When the response must be complete: the caller's deadline or the route's
     /// timeout, whichever is earlier.
     pub deadline: Instant,
+    /// What is known of the request's part in crashes of servers.
+    pub crash_state: CrashState,
+}
+
+/// `CrashState` is what is known of the part that one request has in crashes of servers.
+#[derive(Debug, Default)]
+pub struct CrashState {
+    causes: OnceLock<RequestCauses>,
+    on_trial: AtomicBool,
 }
 
 impl InboundRequest {
@@ -72,6 +85,23 @@
         if parts.is_empty() { "-".to_string() } else { parts.join(",") }
     }
 
+    /// Returns what of the request may crash servers.
+    pub fn causes(&self) -> &RequestCauses {
+        self.crash_state.causes.get_or_init(|| {
+            request_causes(&self.service, self.fingerprint(), &self.metadata.prompt_parts)
+        })
+    }
+
+    /// Returns whether the request is sent although others like it are held back.
+    pub fn is_trial(&self) -> bool {
+        self.crash_state.on_trial.load(Ordering::SeqCst)
+    }
+
+    /// Marks the request as a trial.
+    pub fn begin_trial(&self) {
+        self.crash_state.on_trial.store(true, Ordering::SeqCst);
+    }
+
     /// Returns a hash of path and body, which is the same when the caller sends the
     /// request again.
     pub fn fingerprint(&self) -> Fingerprint {
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -18,6 +18,7 @@
 
 use crate::body_budget::BodyBudget;
 use crate::call::CallHandler;
+use crate::crashes::Crashes;
 use crate::demand::DemandTracker;
 use crate::dialect::Dialect;
 use crate::dispatch::Dispatcher;
@@ -89,12 +90,14 @@
     let shutdown = Arc::<Shutdown>::default();
     let limits = ServerLimits::new(clock.clone(), metrics.clone());
     let streams = StreamVersions::new(clock.clone(), view.clone());
+    let crashes = Crashes::new(clock.clone(), loads.clone());
     let local_state = LocalState {
         loads: loads.clone(),
         demand: demand.clone(),
         view: view.clone(),
         limits: limits.clone(),
         streams: streams.clone(),
+        crashes: crashes.clone(),
         shutdown: shutdown.clone(),
     };
     let peers = Peers::new(host, clock.clone(), local_state, seeds);
@@ -179,6 +182,7 @@
         peers: peers.clone(),
         loads,
         streams,
+        crashes: crashes.clone(),
         metrics: metrics.clone(),
         clock: clock.clone(),
     });
--- a/crates/policy/src/crash_tracker.rs
+++ b/crates/policy/src/crash_tracker.rs
@@ -1,76 +1,527 @@
-//! The `crash_tracker` module identifies requests that crash one server after the other.
+//! The `crash_tracker` module finds out which requests, or parts of their prompts, crash the
+//! servers that begin to answer them.
 //!
-//! It handles a request that crashes every server that runs it and that its caller keeps
-//! sending, to any host. [`crate::suspects`] relies on server deaths that a home host
-//! detects. Here a host only sees connections break, which has other causes too, so a
-//! request is refused only after connections to several servers have broken during it.
+//! It handles callers that keep sending such requests to any host, also new ones that share
+//! only a part. A host sees which of its requests a server had not begun to answer when it
+//! crashed; any of them may be the cause, and the crashes that several hosts have seen add
+//! up. [`crate::suspects`] relies on server deaths that a home host detects.
+//! `docs/design/crash-causes.md` describes what is counted, and the bounds.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::time::{Duration, Instant};
 
-use aspenloft_core::suspects::Fingerprint;
+use aspenloft_core::suspects::{Fingerprint, PromptPart};
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
 
-/// The number of servers whose connections must break during a request before the
-/// request is refused.
-const MIN_SERVERS: usize = 3;
+/// The number of servers that must crash before a cause is convicted.
+const MIN_CRASHES: usize = 3;
 
-/// How long a disconnect is stored: a few times the interval at which callers retry.
-const DISCONNECT_TTL: Duration = Duration::from_secs(60);
+/// The number of crashes from which a conviction is firm, and requests get a final answer.
+const FIRM_CRASHES: usize = 5;
 
-/// The most requests that are stored; the oldest are evicted first.
-const MAX_REQUESTS: usize = 1_024;
+/// The minimum number of different requests with a part that is convicted. Otherwise one
+/// request that is sent again would convict all parts of its prompt.
+const MIN_REQUESTS: usize = 2;
 
-/// `CrashTracker` records during which requests connections to servers broke.
+/// The minimum time from the first to the last crash by which a part is convicted. Servers
+/// that crash at the same moment crash for another reason.
+const MIN_SPAN: Duration = Duration::from_millis(300);
+
+/// How long a crash counts: a few times the interval at which callers retry.
+const CRASH_TTL: Duration = Duration::from_secs(60);
+
+/// How long a conviction lasts after the last request that it held back.
+const CONVICTION_TTL: Duration = Duration::from_secs(1_800);
+
+/// The minimum time between two trials of one cause, and from its last crash to a trial.
+const TRIAL_INTERVAL: Duration = Duration::from_secs(2);
+
+/// The same once the conviction is firm, for the first trial; it grows by
+/// [`FIRM_TRIAL_GROWTH`] with each further crash. Without trials, a cause would be held back
+/// long after the servers have been repaired.
+const FIRM_TRIAL_INTERVAL: Duration = Duration::from_secs(60);
+const FIRM_TRIAL_GROWTH: u32 = 4;
+
+/// The number of crashes from which a cause gets no trial.
+const MAX_TRIED_CRASHES: usize = 7;
+
+/// The maximum number of crashes that are stored; the oldest are evicted first.
+const MAX_CRASHES: usize = 256;
+
+/// The maximum number of convictions; those with the fewest crashes are evicted first.
+const MAX_CONVICTIONS: usize = 256;
+
+/// The maximum number of causes of each of two generations under which servers have begun
+/// an answer.
+const MAX_ANSWERED: usize = 8_192;
+
+/// How long other hosts are told of a crash or of a cause that is cleared: long enough for
+/// several digests, so that a lost one does not matter.
+const NOTICE_PERIOD: Duration = Duration::from_secs(3);
+
+/// `Cause` is what may crash the servers of a service.
+#[derive(
+    Debug, Display, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub enum Cause {
+    /// One request, whoever sends it.
+    #[display("request-{:x}", _0.0)]
+    Request(Fingerprint),
+    /// All requests for a service, given by the hash of its name, with this part.
+    #[display("{part}")]
+    Part {
+        /// The hash of the service's name.
+        service: u64,
+        /// The part of the prompts.
+        part: PromptPart,
+    },
+}
+
+/// `RequestCauses` is what of a request may crash servers.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RequestCauses {
+    /// The hash of the name of the service.
+    pub service: u64,
+    /// The fingerprint of the request.
+    pub request: Fingerprint,
+    /// The parts of its prompt that other requests may share, in their order.
+    pub parts: Vec<PromptPart>,
+}
+
+impl RequestCauses {
+    /// Returns the parts, then the request itself.
+    fn causes(&self) -> impl Iterator<Item = Cause> {
+        let service = self.service;
+        let parts = self.parts.iter().map(move |part| Cause::Part { service, part: *part });
+        parts.chain([Cause::Request(self.request)])
+    }
+
+    fn has(&self, cause: Cause) -> bool {
+        self.causes().any(|other| other == cause)
+    }
+}
+
+/// `Crash` is the end of a server's process before it began to answer a request.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Crash {
+    /// The key of the process.
+    pub server: u64,
+    /// What the request consists of.
+    pub causes: RequestCauses,
+}
+
+/// `Standing` says whether a request may be sent to servers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Standing {
+    /// Nothing speaks against it.
+    Clear,
+    /// Servers have crashed under other requests with one of its parts.
+    Suspect,
+    /// Servers have crashed by this cause, and only a trial may be sent.
+    Held {
+        /// The cause.
+        cause: Cause,
+        /// Whether so many servers have crashed that the request has no prospect of being
+        /// served.
+        firm: bool,
+    },
+}
+
+/// `Conviction` is a cause that is held back, with the number of crashes by it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Conviction {
+    /// The cause.
+    pub cause: Cause,
+    /// The number of servers that have crashed by it.
+    pub crashes: u32,
+}
+
+#[derive(Debug)]
+struct RecordedCrash {
+    crash: Crash,
+    at: Instant,
+    /// How often other hosts have been told; `None` for a crash that another host has seen.
+    told: Option<u32>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct HeldCause {
+    crashes: usize,
+    last_crash: Instant,
+    last_used: Instant,
+    last_trial: Option<Instant>,
+}
+
+impl HeldCause {
+    fn is_firm(&self, cause: Cause) -> bool {
+        self.crashes >= FIRM_CRASHES || matches!(cause, Cause::Request(_))
+    }
+
+    /// Returns the time between trials; `None` if there are none. One request is not missed
+    /// by anybody else, so it gets none.
+    fn trial_interval(&self, cause: Cause) -> Option<Duration> {
+        if matches!(cause, Cause::Request(_)) || self.crashes >= MAX_TRIED_CRASHES {
+            return None;
+        }
+        let firm_crashes = self.crashes.checked_sub(FIRM_CRASHES);
+        let growth = |crashes: usize| FIRM_TRIAL_GROWTH.pow(u32::try_from(crashes).unwrap_or(0));
+        Some(firm_crashes.map_or(TRIAL_INTERVAL, |n| FIRM_TRIAL_INTERVAL * growth(n)))
+    }
+}
+
+/// The crashes that speak for one cause.
+#[derive(Debug, Default)]
+struct Evidence {
+    servers: HashSet<u64>,
+    requests: HashSet<Fingerprint>,
+    span: Option<(Instant, Instant)>,
+    depth: usize,
+}
+
+/// `CrashTracker` records crashes of servers and the causes that they speak for.
 #[derive(Debug, Default)]
 pub struct CrashTracker {
-    disconnects: HashMap<Fingerprint, Vec<(u64, Instant)>>,
+    crashes: Vec<RecordedCrash>,
+    /// The causes that `crashes` hold, so that most requests need no look at each of them.
+    suspected: HashSet<Cause>,
+    held: HashMap<Cause, HeldCause>,
+    answered: HashMap<Cause, Instant>,
+    answered_before: HashMap<Cause, Instant>,
+    cleared: HashMap<Cause, Instant>,
+    changes: Vec<Change>,
 }
 
+/// `Change` is a change of what is held back, for the log.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Change {
+    /// The cause is held back, or more crashes are known by it.
+    Held {
+        /// The cause.
+        cause: Cause,
+        /// The number of servers that have crashed by it.
+        crashes: usize,
+    },
+    /// The cause is no longer held back.
+    Cleared(Cause),
+}
+
+/// The maximum number of changes that are kept for the log.
+const MAX_CHANGES: usize = 64;
+
 impl CrashTracker {
-    /// Records that the connection to `server` broke while it ran the request. Returns
-    /// whether this is the first record of that server and request.
-    pub fn record_disconnect(&mut self, request: Fingerprint, server: u64, now: Instant) -> bool {
-        self.evict(now);
-        let servers = self.disconnects.entry(request).or_default();
-        let new = servers.iter().all(|(known, _)| *known != server);
-        if new {
-            servers.push((server, now));
-        }
-        new
-    }
-
-    /// Returns whether the request must be refused.
-    pub fn is_convicted(&self, request: Fingerprint, now: Instant) -> bool {
-        let recent = |at: &Instant| now.saturating_duration_since(*at) < DISCONNECT_TTL;
-        let disconnects = self.disconnects.get(&request);
-        disconnects.is_some_and(|b| b.iter().filter(|(_, at)| recent(at)).count() >= MIN_SERVERS)
-    }
-
-    /// Returns the newest disconnects that are younger than `age`, at most `max` of them,
-    /// to be sent to other hosts.
-    pub fn recent(&self, now: Instant, age: Duration, max: usize) -> Vec<(Fingerprint, u64)> {
-        let all = self.disconnects.iter().flat_map(|(request, servers)| {
-            servers.iter().map(move |(server, at)| (*at, *request, *server))
-        });
-        let mut newest: Vec<_> =
-            all.filter(|(at, ..)| now.saturating_duration_since(*at) < age).collect();
-        newest.sort_by_key(|(at, ..)| std::cmp::Reverse(*at));
-        newest.into_iter().take(max).map(|(_, request, server)| (request, server)).collect()
+    /// Records a crash that this host has seen at `at`, or another one. Returns whether it is
+    /// new.
+    pub fn record_crash(&mut self, crash: Crash, at: Instant, seen_here: bool) -> bool {
+        let same = |known: &RecordedCrash| {
+            known.crash.server == crash.server && known.crash.causes.request == crash.causes.request
+        };
+        if self.crashes.iter().any(same) {
+            return false;
+        }
+        if self.crashes.len() >= MAX_CRASHES {
+            let oldest = (0..self.crashes.len()).min_by_key(|index| self.crashes[*index].at);
+            oldest.map(|index| self.crashes.swap_remove(index));
+        }
+        self.count_held(&crash, at);
+        self.crashes.push(RecordedCrash { crash, at, told: seen_here.then_some(0) });
+        self.reassess(at);
+        true
     }
 
-    fn evict(&mut self, now: Instant) {
-        if self.disconnects.len() < MAX_REQUESTS {
+    /// Counts a crash for the cause that is held back already and explains it best. Earlier
+    /// crashes may no longer be stored.
+    fn count_held(&mut self, crash: &Crash, at: Instant) {
+        let held = crash.causes.causes().filter_map(|cause| Some((cause, *self.held.get(&cause)?)));
+        let Some((cause, _)) = held.max_by_key(|(cause, held)| (held.crashes, *cause)) else {
             return;
+        };
+        let is_counted = self
+            .crashes
+            .iter()
+            .any(|c| c.crash.server == crash.server && c.crash.causes.has(cause));
+        if let Some(held) = self.held.get(&cause).filter(|_| !is_counted) {
+            self.hold(cause, held.crashes.saturating_add(1), at, at);
+        }
+    }
+
+    /// Records that a server began to answer a request at `at`: none of its causes crashes
+    /// servers. Returns the causes that are cleared by it.
+    pub fn record_answer(&mut self, causes: &RequestCauses, at: Instant) -> Vec<Cause> {
+        causes.causes().filter(|cause| self.clear(*cause, at)).collect()
+    }
+
+    /// Records that a server began an answer under `cause`. Returns whether crashes spoke for
+    /// the cause.
+    pub fn clear(&mut self, cause: Cause, at: Instant) -> bool {
+        if self.answered_at(cause).is_some_and(|known| known >= at) {
+            return false;
         }
-        self.disconnects.retain(|_, servers| {
-            servers.retain(|(_, at)| now.saturating_duration_since(*at) < DISCONNECT_TTL);
-            !servers.is_empty()
+        if self.answered.len() >= MAX_ANSWERED {
+            self.answered_before = std::mem::take(&mut self.answered);
+        }
+        self.answered.insert(cause, at);
+        let was_held = self.held.get(&cause).is_some_and(|held| held.last_crash < at);
+        let was_suspect = self.suspected.contains(&cause)
+            && self.crashes.iter().any(|c| c.at < at && c.crash.causes.has(cause));
+        if was_held {
+            self.release(cause);
+        }
+        if was_held || was_suspect {
+            self.cleared.insert(cause, at);
+            self.reassess(at);
+        }
+        was_held || was_suspect
+    }
+
+    /// Takes over a conviction by another host that is `age` old.
+    pub fn record_conviction(&mut self, conviction: Conviction, age: Duration, now: Instant) {
+        let at = now.checked_sub(age).unwrap_or(now);
+        let cause = conviction.cause;
+        let is_cleared = |at: Instant| self.answered_at(cause).is_some_and(|begun| begun >= at);
+        if is_cleared(at) || self.cleared.get(&cause).is_some_and(|cleared| *cleared >= at) {
+            return;
+        }
+        let crashes = usize::try_from(conviction.crashes).unwrap_or(usize::MAX);
+        self.hold(cause, crashes, at, now);
+        self.evict_convictions();
+    }
+
+    /// Holds `cause` back, by which `crashes` servers are known to have crashed.
+    fn hold(&mut self, cause: Cause, crashes: usize, last_crash: Instant, now: Instant) {
+        let held = self.held.entry(cause).or_insert(HeldCause {
+            crashes: 0,
+            last_crash,
+            last_used: now,
+            last_trial: None,
+        });
+        held.last_crash = held.last_crash.max(last_crash);
+        if crashes > held.crashes {
+            held.crashes = crashes;
+            self.note(Change::Held { cause, crashes });
+        }
+    }
+
+    fn release(&mut self, cause: Cause) {
+        if self.held.remove(&cause).is_some() {
+            self.note(Change::Cleared(cause));
+        }
+    }
+
+    fn note(&mut self, change: Change) {
+        if self.changes.len() < MAX_CHANGES {
+            self.changes.push(change);
+        }
+    }
+
+    /// Returns the changes since the last call.
+    pub fn take_changes(&mut self) -> Vec<Change> {
+        std::mem::take(&mut self.changes)
+    }
+
+    /// Returns up to `max` requests under which servers have crashed lately, as this host has
+    /// seen, with the servers.
+    pub fn recent_requests(&self, now: Instant, max: usize) -> Vec<(Fingerprint, u64)> {
+        let is_recent = |c: &&RecordedCrash| {
+            c.told.is_some() && now.saturating_duration_since(c.at) < NOTICE_PERIOD
+        };
+        let recent = self.crashes.iter().filter(is_recent).take(max);
+        recent.map(|c| (c.crash.causes.request, c.crash.server)).collect()
+    }
+
+    /// Returns whether the request may be sent, and notes that it is asked for.
+    pub fn standing(&mut self, causes: &RequestCauses, now: Instant) -> Standing {
+        let mut standing = Standing::Clear;
+        for cause in causes.causes() {
+            let Some(held) = self.held.get_mut(&cause) else { continue };
+            if now.saturating_duration_since(held.last_used) >= CONVICTION_TTL {
+                self.held.remove(&cause);
+                continue;
+            }
+            held.last_used = now;
+            if held.is_firm(cause) {
+                return Standing::Held { cause, firm: true };
+            }
+            standing = Standing::Held { cause, firm: false };
+        }
+        if standing == Standing::Clear && self.is_suspect(causes, now) {
+            return Standing::Suspect;
+        }
+        standing
+    }
+
+    /// Returns whether a request may be sent now to find out whether `cause` crashes servers,
+    /// and notes that it is.
+    pub fn try_trial(&mut self, cause: Cause, now: Instant) -> bool {
+        let Some(held) = self.held.get_mut(&cause) else { return true };
+        let Some(interval) = held.trial_interval(cause) else { return false };
+        let last = held.last_trial.map_or(held.last_crash, |trial| trial.max(held.last_crash));
+        let is_due = now.saturating_duration_since(last) >= interval;
+        if is_due {
+            held.last_trial = Some(now);
+        }
+        is_due
+    }
+
+    /// Returns up to `max` crashes that this host has seen lately, those first that other
+    /// hosts have been told of least, with their ages.
+    pub fn take_crashes(&mut self, now: Instant, max: usize) -> Vec<(Crash, Duration)> {
+        let age = |at: Instant| now.saturating_duration_since(at);
+        let mut recent: Vec<&mut RecordedCrash> = self
+            .crashes
+            .iter_mut()
+            .filter(|c| c.told.is_some() && age(c.at) < NOTICE_PERIOD)
+            .collect();
+        recent.sort_by_key(|c| (c.told, c.at));
+        recent.truncate(max);
+        let told = recent.into_iter().map(|c| {
+            c.told = c.told.map(|told| told + 1);
+            (c.crash.clone(), age(c.at))
+        });
+        told.collect()
+    }
+
+    /// Returns up to `max` causes that were cleared lately, with the time since then.
+    pub fn recently_cleared(&self, now: Instant, max: usize) -> Vec<(Cause, Duration)> {
+        let age = |at: Instant| now.saturating_duration_since(at);
+        let mut recent: Vec<(Cause, Duration)> =
+            self.cleared.iter().map(|(cause, at)| (*cause, age(*at))).collect();
+        recent.retain(|(_, age)| *age < NOTICE_PERIOD);
+        recent.sort_by_key(|(_, age)| *age);
+        recent.truncate(max);
+        recent
+    }
+
+    /// Returns up to `max` convictions with the time since the last crash, from number `from`
+    /// on in a fixed order, so that all are told in turn.
+    pub fn convictions(
+        &self,
+        now: Instant,
+        from: usize,
+        max: usize,
+    ) -> Vec<(Conviction, Duration)> {
+        let mut all: Vec<(&Cause, &HeldCause)> = self.held.iter().collect();
+        all.sort_by_key(|(cause, _)| **cause);
+        if all.len() > max {
+            let from = from % all.len();
+            all.rotate_left(from);
+            all.truncate(max);
+        }
+        let told = all.into_iter().map(|(cause, held)| {
+            let crashes = u32::try_from(held.crashes).unwrap_or(u32::MAX);
+            let age = now.saturating_duration_since(held.last_crash);
+            (Conviction { cause: *cause, crashes }, age)
         });
-        if self.disconnects.len() >= MAX_REQUESTS {
-            let oldest =
-                self.disconnects.iter().min_by_key(|(_, servers)| servers.last().map(|s| s.1));
-            let oldest = oldest.map(|(request, _)| *request);
-            oldest.map(|request| self.disconnects.remove(&request));
+        told.collect()
+    }
+
+    /// Returns the numbers of stored crashes, convictions and answered causes.
+    pub fn sizes(&self) -> (usize, usize, usize) {
+        let answered = self.answered.len() + self.answered_before.len();
+        (self.crashes.len(), self.held.len(), answered)
+    }
+
+    fn answered_at(&self, cause: Cause) -> Option<Instant> {
+        self.answered.get(&cause).or_else(|| self.answered_before.get(&cause)).copied()
+    }
+
+    /// Returns whether a crash under another request speaks for a part of this one.
+    fn is_suspect(&self, causes: &RequestCauses, now: Instant) -> bool {
+        let is_part = |cause: &Cause| matches!(cause, Cause::Part { .. });
+        let parts = causes.causes().filter(|c| is_part(c) && self.suspected.contains(c));
+        let parts: Vec<Cause> = parts.collect();
+        !parts.is_empty()
+            && self.crashes.iter().any(|recorded| {
+                let speaks =
+                    |c: &Cause| recorded.crash.causes.has(*c) && self.speaks_for(recorded, *c);
+                recorded.crash.causes.request != causes.request
+                    && now.saturating_duration_since(recorded.at) < CRASH_TTL
+                    && parts.iter().any(speaks)
+            })
+    }
+
+    /// Returns whether a crash speaks for `cause`: no server has begun an answer since.
+    fn speaks_for(&self, recorded: &RecordedCrash, cause: Cause) -> bool {
+        self.answered_at(cause).is_none_or(|at| at < recorded.at)
+    }
+
+    /// Finds the fewest causes that explain the crashes: first the one for which most
+    /// crashes speak, then the one for most of the others, and so on.
+    fn reassess(&mut self, now: Instant) {
+        self.crashes.retain(|c| now.saturating_duration_since(c.at) < CRASH_TTL);
+        self.cleared.retain(|_, at| now.saturating_duration_since(*at) < CRASH_TTL);
+        self.suspected = self.crashes.iter().flat_map(|c| c.crash.causes.causes()).collect();
+        let mut unexplained: Vec<usize> = (0..self.crashes.len()).collect();
+        let mut found: HashMap<Cause, (usize, Instant)> = HashMap::new();
+        while let Some((cause, evidence)) = self.best_cause(&unexplained) {
+            let last = evidence.span.map_or(now, |(_, last)| last);
+            found.insert(cause, (evidence.servers.len(), last));
+            unexplained.retain(|index| !self.crashes[*index].crash.causes.has(cause));
         }
+        let found_causes: Vec<Cause> = found.keys().copied().collect();
+        let explained = self.held.iter().filter(|(cause, held)| {
+            !found.contains_key(cause) && self.is_explained(**cause, held, &found_causes)
+        });
+        let explained: Vec<Cause> = explained.map(|(cause, _)| *cause).collect();
+        for cause in explained {
+            self.release(cause);
+            self.cleared.insert(cause, now);
+        }
+        for (cause, (crashes, last_crash)) in found {
+            self.hold(cause, crashes, last_crash, now);
+            self.cleared.remove(&cause);
+        }
+        self.evict_convictions();
+    }
+
+    /// Returns whether other causes explain all crashes by which `cause` is held back.
+    fn is_explained(&self, cause: Cause, held: &HeldCause, others: &[Cause]) -> bool {
+        let speaking = || {
+            self.crashes.iter().filter(|c| c.crash.causes.has(cause) && self.speaks_for(c, cause))
+        };
+        let servers: HashSet<u64> = speaking().map(|c| c.crash.server).collect();
+        servers.len() >= held.crashes
+            && speaking().all(|c| others.iter().any(|other| c.crash.causes.has(*other)))
+    }
+
+    /// Returns the cause for which most of the crashes `unexplained` speak, if they suffice.
+    /// Among equals, one under which no server has ever begun an answer comes first, then
+    /// the later part, which fewer requests share.
+    fn best_cause(&self, unexplained: &[usize]) -> Option<(Cause, Evidence)> {
+        let mut tally: HashMap<Cause, Evidence> = HashMap::new();
+        for recorded in unexplained.iter().map(|index| &self.crashes[*index]) {
+            for (depth, cause) in recorded.crash.causes.causes().enumerate() {
+                if !self.speaks_for(recorded, cause) {
+                    continue;
+                }
+                let evidence = tally.entry(cause).or_default();
+                evidence.servers.insert(recorded.crash.server);
+                evidence.requests.insert(recorded.crash.causes.request);
+                let (first, last) = evidence.span.unwrap_or((recorded.at, recorded.at));
+                evidence.span = Some((first.min(recorded.at), last.max(recorded.at)));
+                evidence.depth = evidence.depth.max(depth);
+            }
+        }
+        let sufficient = tally.into_iter().filter(|(cause, e)| e.suffices(*cause));
+        sufficient.max_by_key(|(cause, evidence)| {
+            let never_answered = self.answered_at(*cause).is_none();
+            (evidence.servers.len(), never_answered, evidence.depth, *cause)
+        })
+    }
+
+    fn evict_convictions(&mut self) {
+        while self.held.len() > MAX_CONVICTIONS {
+            let weakest = self.held.iter().min_by_key(|(_, held)| (held.crashes, held.last_used));
+            let Some(cause) = weakest.map(|(cause, _)| *cause) else { return };
+            self.held.remove(&cause);
+        }
+    }
+}
+
+impl Evidence {
+    fn suffices(&self, cause: Cause) -> bool {
+        let span = self.span.map_or(Duration::ZERO, |(first, last)| last.duration_since(first));
+        let several = self.requests.len() >= MIN_REQUESTS && span >= MIN_SPAN;
+        self.servers.len() >= MIN_CRASHES && (several || matches!(cause, Cause::Request(_)))
     }
 }
--- a/crates/policy/tests/crash_tracker.rs
+++ b/crates/policy/tests/crash_tracker.rs
@@ -1,49 +1,266 @@
-//! Requests that crash every server are convicted, and innocent ones are not.
+//! Requests and parts of prompts that crash every server are found, and sound ones are not.
 
 use std::time::{Duration, Instant};
 
-use aspenloft_core::suspects::Fingerprint;
-use aspenloft_policy::crash_tracker::CrashTracker;
+use aspenloft_core::suspects::{Fingerprint, PromptPart};
+use aspenloft_policy::crash_tracker::{Cause, Crash, CrashTracker, RequestCauses, Standing};
 
-const POISON: Fingerprint = Fingerprint(1);
-const INNOCENT: Fingerprint = Fingerprint(2);
+const SERVICE: u64 = 7;
+const POISON: u64 = 1;
+const INNOCENT: u64 = 2;
+
+fn causes(request: u64, parts: &[u64]) -> RequestCauses {
+    let parts = parts.iter().map(|part| PromptPart(*part)).collect();
+    RequestCauses { service: SERVICE, request: Fingerprint(request), parts }
+}
+
+fn crash(server: u64, request: u64, parts: &[u64]) -> Crash {
+    Crash { server, causes: causes(request, parts) }
+}
+
+fn part(part: u64) -> Cause {
+    Cause::Part { service: SERVICE, part: PromptPart(part) }
+}
+
+fn request(request: u64) -> Cause {
+    Cause::Request(Fingerprint(request))
+}
+
+/// Returns the cause by which a request is held back.
+fn held_by(
+    tracker: &mut CrashTracker,
+    request: u64,
+    parts: &[u64],
+    now: Instant,
+) -> Option<(Cause, bool)> {
+    match tracker.standing(&causes(request, parts), now) {
+        Standing::Held { cause, firm } => Some((cause, firm)),
+        Standing::Clear | Standing::Suspect => None,
+    }
+}
+
+fn seconds(seconds: f64) -> Duration {
+    Duration::from_secs_f64(seconds)
+}
 
 #[test]
-fn a_request_is_convicted_when_the_third_server_disconnects() {
+fn a_request_is_convicted_when_the_third_server_crashes() {
     let now = Instant::now();
     let mut tracker = CrashTracker::default();
     for server in 1..=3 {
-        assert!(!tracker.is_convicted(POISON, now));
-        assert!(tracker.record_disconnect(POISON, server, now));
-        tracker.record_disconnect(INNOCENT, 1, now);
+        assert_eq!(held_by(&mut tracker, POISON, &[], now), None);
+        assert!(tracker.record_crash(crash(server, POISON, &[]), now, true));
+        tracker.record_crash(crash(1, INNOCENT, &[]), now, true);
     }
-    assert!(tracker.is_convicted(POISON, now));
-    assert!(!tracker.is_convicted(INNOCENT, now), "one server disconnected three times");
-    assert!(!tracker.is_convicted(POISON, now + Duration::from_secs(61)));
+    assert_eq!(held_by(&mut tracker, POISON, &[], now), Some((request(POISON), true)));
+    assert_eq!(held_by(&mut tracker, INNOCENT, &[], now), None, "one server crashed three times");
+    assert!(!tracker.try_trial(request(POISON), now + seconds(61.0)));
+    let much_later = now + seconds(2_000.0);
+    assert_eq!(held_by(&mut tracker, POISON, &[], much_later), None);
 }
 
 #[test]
-fn disconnects_at_several_hosts_add_up() {
+fn crashes_at_several_hosts_add_up() {
     let now = Instant::now();
     let mut here = CrashTracker::default();
     let mut there = CrashTracker::default();
-    here.record_disconnect(POISON, 1, now);
-    there.record_disconnect(POISON, 2, now);
-    there.record_disconnect(POISON, 3, now);
-    for (request, server) in there.recent(now, Duration::from_secs(2), 16) {
-        here.record_disconnect(request, server, now);
+    here.record_crash(crash(1, POISON, &[]), now, true);
+    there.record_crash(crash(2, POISON, &[]), now, true);
+    there.record_crash(crash(3, POISON, &[]), now, true);
+    for (crash, age) in there.take_crashes(now, 16) {
+        here.record_crash(crash, now - age, false);
     }
-    assert!(here.is_convicted(POISON, now));
-    assert!(there.recent(now + Duration::from_secs(3), Duration::from_secs(2), 16).is_empty());
+    assert!(held_by(&mut here, POISON, &[], now).is_some());
+    assert_eq!(here.take_crashes(now, 16).len(), 1, "only what a host has seen itself");
+    assert!(there.take_crashes(now + seconds(4.0), 16).is_empty());
 }
 
 #[test]
 fn memory_is_bounded() {
     let start = Instant::now();
     let mut tracker = CrashTracker::default();
-    for n in 0..10_000 {
-        tracker.record_disconnect(Fingerprint(n), 1, start + Duration::from_millis(n));
+    for n in 0..600 {
+        let at = start + Duration::from_millis(n);
+        tracker.record_crash(crash(1, n, &[n, n + 1]), at, true);
+        let parts: Vec<u64> = (0..64).map(|part| n * 64 + part).collect();
+        tracker.record_answer(&causes(n, &parts), at);
+        let conviction = aspenloft_policy::crash_tracker::Conviction { cause: part(n), crashes: 3 };
+        tracker.record_conviction(conviction, Duration::ZERO, at + seconds(1.0));
+    }
+    let (crashes, convictions, answered) = tracker.sizes();
+    assert!(crashes <= 256 && convictions <= 256 && answered <= 2 * 8_192 + 65);
+}
+
+/// Records a crash each half second by requests of their own with these parts.
+fn crash_by(
+    tracker: &mut CrashTracker,
+    from: Instant,
+    numbers: std::ops::Range<u64>,
+    parts: &[u64],
+) -> Instant {
+    let mut at = from;
+    for number in numbers {
+        at = from + seconds(0.5 * number as f64);
+        tracker.record_crash(crash(number, 100 + number, parts), at, true);
+    }
+    at
+}
+
+#[test]
+fn a_part_is_convicted_by_requests_that_share_nothing_else() {
+    let start = Instant::now();
+    let mut tracker = CrashTracker::default();
+    let mut now = start;
+    for number in 0..3_u64 {
+        now = start + seconds(number as f64);
+        assert_eq!(held_by(&mut tracker, 9, &[50, 4], now), None);
+        tracker.record_crash(crash(number, 100 + number, &[10 + number, 4]), now, true);
+    }
+    assert_eq!(held_by(&mut tracker, 9, &[50, 4, 60], now), Some((part(4), false)));
+    assert_eq!(held_by(&mut tracker, 9, &[10, 50], now), None);
+    let other_service = RequestCauses { service: 8, ..causes(9, &[4]) };
+    assert_eq!(tracker.standing(&other_service, now), Standing::Clear);
+}
+
+#[test]
+fn of_parts_that_come_together_the_one_without_answers_is_convicted() {
+    for parts in [[1, 2], [2, 1]] {
+        let start = Instant::now();
+        let mut tracker = CrashTracker::default();
+        tracker.record_answer(&causes(9, &[1]), start);
+        let now = crash_by(&mut tracker, start + seconds(1.0), 0..5, &parts);
+        assert_eq!(held_by(&mut tracker, 9, &parts, now), Some((part(2), true)), "{parts:?}");
+        assert_eq!(held_by(&mut tracker, 9, &[1, 3], now), None);
     }
-    let all = tracker.recent(start + Duration::from_secs(10), Duration::from_secs(100), 100_000);
-    assert!(all.len() <= 1_024, "{} disconnects", all.len());
+}
+
+#[test]
+fn a_part_that_was_held_back_in_vain_is_released_when_another_explains_more() {
+    let start = Instant::now();
+    let mut tracker = CrashTracker::default();
+    let now = crash_by(&mut tracker, start, 0..3, &[1, 2]);
+    assert_eq!(held_by(&mut tracker, 9, &[5, 2], now), Some((part(2), false)), "the later part");
+    let now = crash_by(&mut tracker, start, 3..6, &[1, 3]);
+    assert_eq!(held_by(&mut tracker, 9, &[1, 9], now), Some((part(1), true)));
+    assert_eq!(held_by(&mut tracker, 9, &[5, 2], now), None);
+    assert!(tracker.recently_cleared(now, 16).iter().any(|(cause, _)| *cause == part(2)));
+}
+
+#[test]
+fn two_parts_are_convicted_at_the_same_time() {
+    let start = Instant::now();
+    let mut tracker = CrashTracker::default();
+    for number in 0..4_u64 {
+        let at = start + seconds(number as f64);
+        tracker.record_crash(crash(number, 100 + number, &[1, 2]), at, true);
+        tracker.record_crash(crash(50 + number, 200 + number, &[1, 3]), at, true);
+        tracker.record_answer(&causes(300 + number, &[1, 4]), at + seconds(0.5));
+    }
+    let now = start + seconds(4.0);
+    assert_eq!(held_by(&mut tracker, 9, &[1, 2], now).map(|h| h.0), Some(part(2)));
+    assert_eq!(held_by(&mut tracker, 9, &[1, 3], now).map(|h| h.0), Some(part(3)));
+    assert_eq!(held_by(&mut tracker, 9, &[1, 4], now), None);
+}
+
+#[test]
+fn crashes_before_an_answer_do_not_count() {
+    let start = Instant::now();
+    let mut tracker = CrashTracker::default();
+    let now = crash_by(&mut tracker, start, 0..4, &[1, 2]);
+    assert!(held_by(&mut tracker, 9, &[1, 2], now).is_some());
+    let cleared = tracker.record_answer(&causes(9, &[1, 2]), now + seconds(0.1));
+    assert_eq!(cleared, [part(1), part(2)]);
+    assert_eq!(held_by(&mut tracker, 9, &[1, 2], now + seconds(0.2)), None);
+    let stale = aspenloft_policy::crash_tracker::Conviction { cause: part(2), crashes: 4 };
+    tracker.record_conviction(stale, seconds(0.5), now + seconds(0.3));
+    assert_eq!(held_by(&mut tracker, 9, &[1, 2], now + seconds(0.3)), None);
+}
+
+#[test]
+fn servers_that_crash_at_the_same_moment_convict_no_part() {
+    let now = Instant::now();
+    let mut tracker = CrashTracker::default();
+    for server in 0..8 {
+        let at = now + Duration::from_millis(server * 10);
+        tracker.record_crash(crash(server, server, &[1, 2]), at, true);
+    }
+    let now = now + seconds(0.1);
+    assert_eq!(held_by(&mut tracker, 9, &[1, 2], now), None);
+    assert_eq!(tracker.standing(&causes(9, &[1, 2]), now), Standing::Suspect);
+    assert_eq!(tracker.standing(&causes(9, &[3]), now), Standing::Clear);
+}
+
+#[test]
+fn one_request_that_is_sent_again_convicts_no_part() {
+    let start = Instant::now();
+    let mut tracker = CrashTracker::default();
+    for server in 0..5_u64 {
+        let at = start + seconds(server as f64);
+        tracker.record_crash(crash(server, POISON, &[1, 2]), at, true);
+    }
+    let now = start + seconds(5.0);
+    assert_eq!(held_by(&mut tracker, POISON, &[1, 2], now), Some((request(POISON), true)));
+    assert_eq!(held_by(&mut tracker, 9, &[1, 2], now), None);
+}
+
+#[test]
+fn a_part_is_tried_rarely_and_less_and_less() {
+    let start = Instant::now();
+    let mut tracker = CrashTracker::default();
+    let now = crash_by(&mut tracker, start, 0..3, &[2]);
+    assert!(!tracker.try_trial(part(2), now + seconds(1.9)));
+    assert!(tracker.try_trial(part(2), now + seconds(2.0)));
+    assert!(!tracker.try_trial(part(2), now + seconds(3.9)), "one trial at a time");
+    let trial = now + seconds(2.0);
+    crash_by(&mut tracker, start, 3..5, &[2]);
+    assert!(!tracker.try_trial(part(2), trial + seconds(59.0)));
+    assert!(tracker.try_trial(part(2), trial + seconds(60.0)));
+    let sixth = trial + seconds(60.1);
+    tracker.record_crash(crash(6, 106, &[2]), sixth, true);
+    assert!(!tracker.try_trial(part(2), sixth + seconds(239.0)));
+    assert_eq!(held_by(&mut tracker, 9, &[2], sixth + seconds(1_500.0)), Some((part(2), true)));
+}
+
+#[test]
+fn a_host_that_starts_learns_the_convictions_of_others() {
+    let start = Instant::now();
+    let mut known = CrashTracker::default();
+    let now = crash_by(&mut known, start, 0..5, &[2]);
+    let mut new = CrashTracker::default();
+    for (conviction, age) in known.convictions(now, 0, 16) {
+        new.record_conviction(conviction, age, now);
+    }
+    assert_eq!(held_by(&mut new, 9, &[2], now), Some((part(2), true)));
+    // A crash that the new host sees itself does not weaken what it was told.
+    new.record_crash(crash(77, 177, &[2]), now, true);
+    assert_eq!(held_by(&mut new, 9, &[2], now), Some((part(2), true)));
+}
+
+/// Sixty per cent of 20 engines are killed five times under requests that share their first
+/// part and, ten each, the second.
+#[test]
+fn kills_of_most_servers_convict_nothing() {
+    bolero::check!().with_iterations(300).with_type::<[[u8; 8]; 5]>().cloned().for_each(|kills| {
+        let start = Instant::now();
+        let mut tracker = CrashTracker::default();
+        let mut number = 0;
+        for (round, killed) in kills.into_iter().enumerate() {
+            let at = start + seconds(2.0 * round as f64);
+            for (server, begun) in killed.into_iter().enumerate() {
+                number += 1;
+                let server = (round * 100 + server) as u64;
+                let at = at + Duration::from_millis(u64::from(begun) / 8);
+                tracker.record_crash(crash(server, number, &[1, u64::from(begun % 10)]), at, true);
+            }
+            // The others go on: some of the requests that come next begin.
+            for sound in 0..10 {
+                number += 1;
+                tracker.record_answer(&causes(number, &[1, sound]), at + seconds(1.0));
+            }
+        }
+        let now = start + seconds(10.0);
+        for second in 0..10 {
+            assert_eq!(held_by(&mut tracker, 0, &[1, second], now), None);
+        }
+    });
 }
