Hold back calls of plain services that crash servers

A call that crashes each server that runs it, and that its caller sends again, was counted by nobody: only model requests were.

Calls are checked and counted as model requests are; a complete response clears them. a_call_that_crashes_plain_servers_is_held_back_when_it_is_sent_again failed before.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -10,6 +10,7 @@
 use bytes::Bytes;
 use http::{Response, response};
 
+use crate::crashes::Crashes;
 use crate::dialect::{Dialect, Phase, SendMetadata};
 use crate::http::{BackendClient, FailureCause, SendFailure, WholeBody};
 use crate::peers::Peers;
@@ -51,6 +52,8 @@
     pub retries: Arc<RetryBudgets>,
     /// The other hosts, which share the budgets.
     pub peers: Arc<Peers>,
+    /// The crashes of servers and what they speak for.
+    pub crashes: Arc<Crashes>,
     /// The source of time.
     pub clock: SharedClock,
     /// The data centre of this host; its servers are preferred.
@@ -88,6 +91,10 @@
             if inbound.remaining(self.clock.now()).is_zero() {
                 break;
             }
+            if let Err(e) = self.crashes.check(inbound, &self.peers) {
+                error = e;
+                break;
+            }
             let (server, permit) = match self.choose_permitted(inbound, &tried).await {
                 Ok(Some(chosen)) => chosen,
                 Ok(None) => break,
@@ -255,10 +262,12 @@
         let now = self.clock.now();
         let outcome = match sent {
             SendOutcome::Complete(head, _) if head.status.is_server_error() => {
+                self.crashes.record_answer(inbound);
                 server.state.health(|h| h.record_failure(now));
                 "server_error".to_string()
             }
             SendOutcome::Complete(..) => {
+                self.crashes.record_answer(inbound);
                 server.state.health(|h| h.record_success(now));
                 return;
             }
@@ -268,6 +277,10 @@
             }
             SendOutcome::Failed(failure) => {
                 failure.record_on(server, now);
+                let broke_off = matches!(failure.cause, FailureCause::Broken | FailureCause::Cut);
+                if broke_off && failure.may_have_run() {
+                    self.crashes.report(inbound, server);
+                }
                 failure.cause.to_string()
             }
         };
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -193,6 +193,7 @@
         dialect: platform.dialect.clone(),
         retries: retries.clone(),
         peers,
+        crashes,
         clock: clock.clone(),
         data_centre: settings.data_centre.clone(),
     };
--- a/crates/gateway/tests/common/crashing.rs
+++ b/crates/gateway/tests/common/crashing.rs
@@ -1,5 +1,5 @@
-//! Decode engines that crash when they begin to answer a request with a certain part in its
-//! prompt, and are back after a while as another process.
+//! Servers that crash when they begin to answer a request with a certain part in its prompt,
+//! and are back after a while as another process.
 
 use std::io::Write;
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -7,8 +7,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
 
-use aspenloft_gateway::roster::ServerEntry;
-use aspenloft_gateway::roster::ServerRole::Decode;
+use aspenloft_gateway::roster::{ServerEntry, ServerRole};
 use parking_lot::Mutex;
 
 use super::{MemoryStore, entry, free_addr, header, read_message};
@@ -31,10 +30,11 @@
     pub crashing_arrivals: AtomicUsize,
 }
 
-/// An engine whose process comes and goes at one address.
+/// A server whose process comes and goes at one address.
 pub struct CrashingEngine {
     pub addr: SocketAddr,
     name: String,
+    role: ServerRole,
     store: Arc<MemoryStore>,
     crashing_parts: Vec<String>,
     born: AtomicU64,
@@ -44,9 +44,10 @@
 }
 
 impl CrashingEngine {
-    /// Starts an engine that crashes by `crashing_parts`, and registers it in `store`.
+    /// Starts a server of `role` that crashes by `crashing_parts`, and registers it in `store`.
     pub fn start(
         name: &str,
+        role: ServerRole,
         store: &Arc<MemoryStore>,
         crashing_parts: &[&str],
         log: &Arc<EngineLog>,
@@ -54,6 +55,7 @@
         let engine = Arc::new(CrashingEngine {
             addr: free_addr(),
             name: name.to_string(),
+            role,
             store: store.clone(),
             crashing_parts: crashing_parts.iter().map(|part| part.to_string()).collect(),
             born: AtomicU64::new(0),
@@ -72,7 +74,7 @@
         listener.set_nonblocking(true).expect("nonblocking");
         let born_ms = self.born.fetch_add(1, Ordering::SeqCst) + 1;
         self.down.store(false, Ordering::SeqCst);
-        let entry = ServerEntry { born_ms, ..entry(&self.name, self.addr, Decode) };
+        let entry = ServerEntry { born_ms, ..entry(&self.name, self.addr, self.role) };
         self.store.write(&format!("servers/{}", self.name), &entry);
         listener
     }
--- a/crates/gateway/tests/crashing_parts.rs
+++ b/crates/gateway/tests/crashing_parts.rs
@@ -7,7 +7,7 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
-use aspenloft_gateway::roster::ServerRole::Prefill;
+use aspenloft_gateway::roster::ServerRole::{Decode, Plain, Prefill};
 use common::crashing::{CrashingEngine, EngineLog};
 use common::{MemoryStore, Scripted, TestHost, configuration, entry, sealed, status};
 
@@ -38,7 +38,7 @@
             store.write(&format!("servers/{name}"), &entry(&name, engine.addr, Prefill));
         }
         let engines = (0..engines)
-            .map(|n| CrashingEngine::start(&format!("d{n}"), &store, crashing_parts, &log))
+            .map(|n| CrashingEngine::start(&format!("d{n}"), Decode, &store, crashing_parts, &log))
             .collect();
         let hosts: Vec<TestHost> = (0..hosts)
             .map(|number| TestHost::start(&format!("h{number}"), store.for_another_host()))
@@ -159,3 +159,34 @@
     let share = deployment.send_until(&mut next, "aa,5e", elapsed(Duration::from_secs(2)));
     assert!(share > 0.99, "{share} of the requests served");
 }
+
+// Only model requests were counted.
+#[test]
+fn a_call_that_crashes_plain_servers_is_held_back_when_it_is_sent_again() {
+    let store = Arc::new(MemoryStore::default());
+    store.write("configuration", &configuration(1));
+    let log = Arc::<EngineLog>::default();
+    let start = |n: usize| CrashingEngine::start(&format!("s{n}"), Plain, &store, &["bad"], &log);
+    let _servers: Vec<_> = (0..6).map(start).collect();
+    let host = TestHost::start("h1", store.clone());
+    host.wait_ready();
+    let send = |path: &str, id: usize, body: &str| {
+        status(&host.send(&format!(
+            "POST {path} HTTP/1.1\r\nhost: app.test\r\nid: c{id}\r\nparts: {body}\r\n\
+             content-length: {}\r\n\r\n{body}",
+            body.len()
+        )))
+    };
+    for path in ["/once/", "/many/"] {
+        let (crashes, arrivals) = (&log.crashes, &log.crashing_arrivals);
+        let (crashed, arrived) = (crashes.load(Ordering::SeqCst), arrivals.load(Ordering::SeqCst));
+        for id in 0..20 {
+            assert_ne!(send(path, id, "bad"), "200");
+            assert_eq!(send(path, 100 + id, "good"), "200");
+            std::thread::sleep(Duration::from_millis(60));
+        }
+        let crashed = crashes.load(Ordering::SeqCst) - crashed;
+        let arrived = arrivals.load(Ordering::SeqCst) - arrived;
+        assert!(crashed <= 4 && arrived <= 5, "{path}: {crashed} crashes, {arrived} arrivals");
+    }
+}
