Take a stream that ends with its connection before any event for broken off

An engine that crashes as it begins to answer ends its connection.

Such a stream is broken off unless an event has come. Inside an event, and by a reset, it was already; plain answers, prompts and streams that end after an event are whole as before.

--- a/crates/gateway/src/generation/relay.rs
+++ b/crates/gateway/src/generation/relay.rs
@@ -207,6 +207,11 @@
             }
             Some(Err(_)) => Err(StreamEnd::Broken),
             None if self.splitter.is_inside_event() => Err(StreamEnd::Broken),
+            None if self.splitter.events() == self.events_before
+                && !upstream.response.is_framed() =>
+            {
+                Err(StreamEnd::Broken)
+            }
             None => Err(StreamEnd::Complete),
         }
     }
--- a/crates/gateway/src/http/client.rs
+++ b/crates/gateway/src/http/client.rs
@@ -89,6 +89,16 @@
     pub in_flight: InFlightGuard,
 }
 
+impl BackendResponse {
+    /// Returns whether the body has a length or chunks. Otherwise it ends with the connection,
+    /// and a server that crashes ends it as well.
+    pub fn is_framed(&self) -> bool {
+        let headers = &self.head.headers;
+        headers.contains_key(header::CONTENT_LENGTH)
+            || headers.contains_key(header::TRANSFER_ENCODING)
+    }
+}
+
 /// `WholeBody` is the body of a response, with the reservation of its memory.
 #[derive(Debug, Default)]
 pub struct WholeBody {
