Ask other hosts for the version of a stream when the own view is behind

A host relies on a single version only if it has heard of the store or of another host lately and none is ahead of it. Otherwise it asks others, as it does when several versions serve. a_host_that_is_behind_others_does_not_rely_on_a_single_version failed before.

--- a/crates/gateway/src/generation/mod.rs
+++ b/crates/gateway/src/generation/mod.rs
@@ -129,7 +129,8 @@
         log::info!(event = "taken_up", request = inbound.log_id(), first = &**first; "");
         let service = &inbound.service;
         let key = stream_key(service, first);
-        let version = match self.streams.version(service, key) {
+        let up_to_date = self.peers.is_up_to_date();
+        let version = match self.streams.version(service, key, up_to_date) {
             Some(version) => Some(version),
             None => self.peers.ask_stream_version(service, key).await.map_err(|e| {
                 let message =
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -347,7 +347,8 @@
             PeerCall::View => self.peers.view_reply(None).encode(&mut buf)?,
             PeerCall::ViewSince(v) => self.peers.view_reply(Some(v)).encode(&mut buf)?,
             PeerCall::StreamVersion(service, key) => {
-                let version = self.peers.state.streams.version(&service, key);
+                let up_to_date = self.peers.is_up_to_date();
+                let version = self.peers.state.streams.version(&service, key, up_to_date);
                 frames::encode(&version, &mut buf)?;
             }
             PeerCall::Permit(req) => frames::encode(&self.permits.serve(&req), &mut buf)?,
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -47,6 +47,10 @@
 /// others rely: three digests of an idle host.
 const FOLLOWER_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// The maximum age of the last response to this host's own watch for its view to count as up to
+/// date: a little longer than a watch waits.
+const FOLLOWED_MAX_AGE: Duration = Duration::from_millis(1_750);
+
 /// How long after a call to a host failed other hosts are preferred for a call.
 const FAILED_CALL_PERIOD: Duration = Duration::from_secs(2);
 
@@ -128,6 +132,8 @@
     clock: SharedClock,
     state: LocalState,
     follows: AtomicBool,
+    /// When the key-value service last responded to this host's watch.
+    followed_at: Mutex<Option<Instant>>,
     seq: AtomicU64,
     seeds: Vec<SocketAddr>,
     peers: Mutex<HashMap<Name, Peer>>,
@@ -157,6 +163,7 @@
             clock,
             state,
             follows: AtomicBool::new(false),
+            followed_at: Mutex::default(),
             seq: AtomicU64::new(0),
             seeds,
             peers: Mutex::default(),
@@ -293,6 +300,23 @@
     /// it.
     pub fn set_following(&self, follows: bool) {
         self.follows.store(follows, Ordering::SeqCst);
+        if follows {
+            *self.followed_at.lock() = Some(self.clock.now());
+        }
+    }
+
+    /// Returns whether this host has lately heard of the newest state and has it. A process
+    /// that was paused has not: it goes on with what it knew before.
+    pub fn is_up_to_date(&self) -> bool {
+        let now = self.clock.now();
+        let followed = *self.followed_at.lock();
+        let follows =
+            followed.is_some_and(|at| now.saturating_duration_since(at) < FOLLOWED_MAX_AGE);
+        let hears = {
+            let peers = self.peers.lock();
+            peers.is_empty() || peers.values().any(|p| is_recent(p, now, FOLLOWER_TIMEOUT))
+        };
+        (follows || hears) && self.peer_ahead().is_none()
     }
 
     /// Returns the number of hosts in this host's group that precede it by name, watch
--- a/crates/gateway/src/stream_versions.rs
+++ b/crates/gateway/src/stream_versions.rs
@@ -59,13 +59,16 @@
     }
 
     /// Returns the version at which the stream of `service` with `key` began, if this host
-    /// knows it: from a record, or because the service has had a single version for longer
-    /// than its streams last.
-    pub fn version(&self, service: &str, key: u64) -> Option<VersionTag> {
+    /// knows it: from a record, or, if its view is `up_to_date`, because the service has had a
+    /// single version for longer than its streams last.
+    pub fn version(&self, service: &str, key: u64, up_to_date: bool) -> Option<VersionTag> {
         self.observe();
         if let Some(version) = self.table.lock().version(key) {
             return Some(version);
         }
+        if !up_to_date {
+            return None;
+        }
         let lifetime = self.lifetime(service);
         let only = self.history.lock().history.only_version(service, lifetime, self.clock.now());
         only.or_else(|| self.settled_version(service, lifetime))
--- a/crates/gateway/tests/stream_versions.rs
+++ b/crates/gateway/tests/stream_versions.rs
@@ -10,6 +10,7 @@
 
 use aspenloft_gateway::roster::ServerEntry;
 use aspenloft_gateway::roster::ServerRole::{Decode, Prefill};
+use common::peer::ScriptedPeer;
 use common::{
     MemoryStore, Scripted, TestHost, body, configuration, entry, header, not_run, sealed, status,
     wait_for,
@@ -285,3 +286,18 @@
     std::thread::sleep(Duration::from_millis(200));
     assert_eq!(status(&hosts[0].send(&take_up("c", "other", 2))), "503");
 }
+
+// A host that had been paused took up streams by what it knew before the pause.
+#[test]
+fn a_host_that_is_behind_others_does_not_rely_on_a_single_version() {
+    let only = engine("v1");
+    let (_store, hosts) = start_hosts(&["h1"], &[at_version("d1", &only, "v1")]);
+    let response = hosts[0].send(&take_up("a", "unknown", 2));
+    assert_eq!(versions(&response), ["v1"]);
+    // This host is ahead, and its view cannot be had.
+    let ahead = ScriptedPeer::start();
+    ahead.send_digests(&hosts[0], "h0", 1_000_000);
+    std::thread::sleep(Duration::from_millis(300));
+    let response = hosts[0].send(&take_up("b", "other", 2));
+    assert_eq!(status(&response), "503", "{response}");
+}
