Tell others of an answer only if a crash spoke for its causes until then

For a minute after a crash each answer under a part that the crashed request had was assessed anew, logged and told to all hosts, though the first one had cleared the part. Found when the diff was read; the assertion that crash_tracker gained failed before.

--- a/crates/policy/src/crash_tracker.rs
+++ b/crates/policy/src/crash_tracker.rs
@@ -254,7 +254,8 @@
     /// Records that a server began an answer under `cause`. Returns whether crashes spoke for
     /// the cause.
     pub fn clear(&mut self, cause: Cause, at: Instant) -> bool {
-        if self.answered_at(cause).is_some_and(|known| known >= at) {
+        let answered_before = self.answered_at(cause);
+        if answered_before.is_some_and(|known| known >= at) {
             return false;
         }
         if self.answered.len() >= MAX_ANSWERED {
@@ -262,8 +263,12 @@
         }
         self.answered.insert(cause, at);
         let was_held = self.held.get(&cause).is_some_and(|held| held.last_crash < at);
-        let was_suspect = self.suspected.contains(&cause)
-            && self.crashes.iter().any(|c| c.at < at && c.crash.causes.has(cause));
+        let spoke = |c: &RecordedCrash| {
+            c.at < at
+                && answered_before.is_none_or(|answered| answered < c.at)
+                && c.crash.causes.has(cause)
+        };
+        let was_suspect = self.suspected.contains(&cause) && self.crashes.iter().any(spoke);
         if was_held {
             self.release(cause);
         }
--- a/crates/policy/tests/crash_tracker.rs
+++ b/crates/policy/tests/crash_tracker.rs
@@ -170,6 +170,8 @@
     assert!(held_by(&mut tracker, 9, &[1, 2], now).is_some());
     let cleared = tracker.record_answer(&causes(9, &[1, 2]), now + seconds(0.1));
     assert_eq!(cleared, [part(1), part(2)]);
+    let again = tracker.record_answer(&causes(10, &[1, 2]), now + seconds(0.15));
+    assert!(again.is_empty(), "what is cleared already need not be told again");
     assert_eq!(held_by(&mut tracker, 9, &[1, 2], now + seconds(0.2)), None);
     let stale = aspenloft_policy::crash_tracker::Conviction { cause: part(2), crashes: 4 };
     tracker.record_conviction(stale, seconds(0.5), now + seconds(0.3));
