Apply a digest although what follows it cannot be decoded

Since what follows a digest in its datagram was decoded first, and the digest was lost with it if that failed. Found when the diff was read. a_digest_counts_although_what_follows_it_cannot_be_decoded failed before.

--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -51,7 +51,8 @@
 }
 
 impl CrashNotices {
-    /// Leaves out the longest list's last entry; false if there is none.
+    /// Leaves out the last crash, or else the last conviction or cleared cause; false if there
+    /// is none.
     pub fn shorten(&mut self) -> bool {
         self.crashes.pop().is_some()
             || self.convictions.pop().is_some()
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use aspenloft_core::errors::{Result, internal, invalid, unavailable};
+use aspenloft_core::errors::{Error, Result, internal, invalid, unavailable};
 use aspenloft_core::prelude::{Arc, Era, Host, Name};
 use aspenloft_policy::host_groups::{group_interval, remote_interval};
 use aspenloft_policy::stream_versions::{Scope, VersionTag};
@@ -22,7 +22,6 @@
 use super::digest::{Digest, DigestSupplement, KeptServer, PeerCall, ViewReply, WithheldServer};
 use super::{LIVENESS_TIMEOUT, LocalState, Peer, Peers, is_recent};
 use crate::configuration::Configuration;
-use crate::crashes::CrashNotices;
 use crate::permits::{PermitReply, PermitRequest, Permits};
 
 /// The minimum time between two digests, so that requests that start together share
@@ -256,7 +255,7 @@
             match socket.recv_from(&mut buf).await {
                 Ok((length, _)) => {
                     if let Err(e) = self.apply_datagram(&buf[..length]) {
-                        log::warn!(event = "digest_unreadable", error = e.to_string().as_str(); "");
+                        log_unread(&e);
                     }
                 }
                 Err(e) => {
@@ -272,10 +271,12 @@
         let body =
             frames::split_frame(&mut buf)?.ok_or_else(|| invalid("the datagram is truncated"))?;
         let digest: Digest = frames::decode(&body)?;
+        // What follows the digest is left out alone if it cannot be decoded.
         let supplement = frames::split_frame(&mut buf)?;
-        let supplement = supplement.map(|body| DigestSupplement::decode(&body)).transpose()?;
+        let supplement = supplement
+            .and_then(|body| DigestSupplement::decode(&body).inspect_err(log_unread).ok());
         let notices = frames::split_frame(&mut buf)?;
-        let notices = notices.map(|body| frames::decode::<CrashNotices>(&body)).transpose()?;
+        let notices = notices.and_then(|body| frames::decode(&body).inspect_err(log_unread).ok());
         let (name, breaks) = (digest.host.name.clone(), digest.breaks.clone());
         let era = supplement.as_ref().and_then(|supplement| supplement.era);
         if !self.apply_digest(digest, era) {
@@ -331,6 +332,10 @@
     }
 }
 
+fn log_unread(e: &Error) {
+    log::warn!(event = "digest_unreadable", error = e.to_string().as_str(); "");
+}
+
 /// `PeerServer` answers the calls of other hosts.
 pub struct PeerServer {
     /// The state that other hosts ask for.
--- a/crates/gateway/tests/digests.rs
+++ b/crates/gateway/tests/digests.rs
@@ -13,7 +13,10 @@
 use aspenloft_gateway::roster::ServerRole::Plain;
 use aspenloft_transport::frames;
 use bytes::BytesMut;
-use common::{MemoryStore, TestHost, configuration, entry, free_addr};
+use common::peer::ScriptedPeer;
+use common::{
+    MemoryStore, Scripted, TestHost, configuration, digest, entry, free_addr, sealed, wait_for,
+};
 
 /// The size of an unfragmented datagram, in bytes.
 const MAX_DIGEST_BYTES: usize = 1_400;
@@ -77,3 +80,18 @@
         assert!(heard >= servers * 9 / 10, "{heard} of {servers} unreachable servers heard of");
     }
 }
+
+// A digest was lost with what followed it and could not be decoded.
+#[test]
+fn a_digest_counts_although_what_follows_it_cannot_be_decoded() {
+    let server = Scripted::start(|_, req| sealed(req, "200 OK", "done"));
+    let host = TestHost::with_servers(&[entry("s1", server.addr, Plain)]);
+    let ahead = ScriptedPeer::start();
+    let mut datagram = BytesMut::new();
+    frames::encode(&digest("h0", ahead.addr, 1_000_000), &mut datagram).expect("a digest");
+    // A list of some four thousand million entries.
+    frames::encode(&(1_u8, u32::MAX), &mut datagram).expect("a frame");
+    let socket = UdpSocket::bind("127.0.0.1:0").expect("bind");
+    socket.send_to(&datagram, host.settings.listen.peers).expect("send");
+    wait_for("the view to be requested", || ahead.calls() > 0);
+}
