Count a lost entry once

While the store refused the host, the entry counted as lost and was logged again at each try to write it. Found when the diff was read; no test of its own, the log and the counter are not part of one.

--- a/crates/gateway/src/sync/entry.rs
+++ b/crates/gateway/src/sync/entry.rs
@@ -37,11 +37,8 @@
         let mut random = Pcg64Mcg::from_os_rng();
         let mut written: Option<WrittenEntry> = None;
         loop {
-            match self.renew_entry(written).await {
-                Ok(renewed) => {
-                    written = Some(renewed);
-                    self.wait_for_renewal(renewed, &mut random).await;
-                }
+            match self.renew_entry(&mut written).await {
+                Ok(renewed) => self.wait_for_renewal(renewed, &mut random).await,
                 Err(e) => {
                     log::info!(event = "entry_unrenewed", error = e.to_string().as_str(); "");
                     task::sleep(RETRY_PAUSE).await;
@@ -67,14 +64,16 @@
         self.kv.era().max(self.view.position().era)
     }
 
-    async fn renew_entry(&self, written: Option<WrittenEntry>) -> Result<WrittenEntry> {
+    /// Renews the lease of the entry, or writes the entry if it is lost or was never written.
+    async fn renew_entry(&self, written: &mut Option<WrittenEntry>) -> Result<WrittenEntry> {
         let era = self.latest_era();
-        if let Some(written) = written {
-            if written.era == era && self.kv.renew(written.lease).await? {
-                return Ok(written);
+        if let Some(entry) = *written {
+            if entry.era == era && self.kv.renew(entry.lease).await? {
+                return Ok(entry);
             }
+            *written = None;
             self.metrics.lease_lost("entry");
-            let (from, to) = (written.era.0, era.0);
+            let (from, to) = (entry.era.0, era.0);
             log::info!(event = "entry_lost", from, to; "");
         }
         let lease = self.kv.grant(self.options.lease).await?;
@@ -84,7 +83,7 @@
         let expect = self.kv.get(&key).await?.map_or(0, |current| current.version);
         let put = Put { key, expect, value: Some(value), lease: Some(lease) };
         match self.kv.put(put).await? {
-            Swap::Done(_) => Ok(WrittenEntry { lease, era }),
+            Swap::Done(_) => Ok(*written.insert(WrittenEntry { lease, era })),
             Swap::Conflict(_) => Err(unavailable("the entry was written at the same time")),
         }
     }
