Send Retry-After only with the promise that a request has not run

The response decides it now, whatever the error carries. a_call_that_may_have_run_is_not_told_when_to_return failed before (Retry-After: 4.81).

--- a/crates/gateway/src/responses.rs
+++ b/crates/gateway/src/responses.rs
@@ -114,7 +114,7 @@
     *response.status_mut() = status_of(error);
     let headers = response.headers_mut();
     headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-    if let Some(after) = error.retry_after {
+    if let Some(after) = error.retry_after.filter(|_| error.execution == Execution::NotRun) {
         headers.insert(RETRY_AFTER, retry_after_value(after));
     }
     if let Some(id) = id {
--- a/crates/gateway/tests/calls.rs
+++ b/crates/gateway/tests/calls.rs
@@ -297,3 +297,22 @@
     let extra = servers.iter().map(Scripted::count).sum::<usize>() - REQUESTS;
     assert!(extra <= REQUESTS / 5 + 1, "{extra} extra sends by one of ten hosts");
 }
+
+// The status promised nothing, but the caller was told when to return.
+#[test]
+fn a_call_that_may_have_run_is_not_told_when_to_return() {
+    let limited = Scripted::start(|_, req| {
+        let response = String::from_utf8(sealed(req, "200 OK", "done")).expect("text");
+        response.replacen("seal:", "limit: 0.2\r\nseal:", 1).into_bytes()
+    });
+    let host = TestHost::with_servers(&[entry("s1", limited.addr, Plain)]);
+    let get = |id: &str| format!("GET /many/ HTTP/1.1\r\nhost: app.test\r\nid: {id}\r\n\r\n");
+    assert_eq!(status(&host.send(&get("a"))), "200");
+    let breaking = Scripted::start(|_, _| Vec::new());
+    host.store.write("servers/s2", &entry("s2", breaking.addr, Plain));
+    std::thread::sleep(Duration::from_millis(200));
+    let response = host.send(&get("b"));
+    assert_eq!(status(&response), "502", "{response}");
+    assert_eq!(breaking.count(), 1);
+    assert_eq!(header(&response, "retry-after"), None, "{response}");
+}
