--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -86,12 +86,16 @@
         let crashes = self.clone();
         task::spawn(async move {
             let probe = socket::connect(addr, PROBE_TIMEOUT, &KeepaliveOptions::default()).await;
-            if probe.is_ok() || !crashes.tracker.lock().record_crash(crash, at, true) {
+            let Err(e) = probe else {
+                log::info!(event = "server_alive", request = id.as_str(), server = &*instance; "");
+                return;
+            };
+            if !crashes.tracker.lock().record_crash(crash, at, true) {
                 return;
             }
             log::warn!(
                 event = "server_crashed", request = id.as_str(), server = &*instance,
-                parts = parts.as_str(); ""
+                parts = parts.as_str(), error = e.to_string().as_str(); ""
             );
             crashes.log_changes();
             crashes.loads.notify();
@@ -101,7 +105,12 @@
     /// Records that a server has begun to answer the request.
     pub fn record_answer(&self, inbound: &InboundRequest) {
         let now = self.clock.now();
-        if !self.tracker.lock().record_answer(inbound.causes(), now).is_empty() {
+        let cleared = self.tracker.lock().record_answer(inbound.causes(), now);
+        if !cleared.is_empty() {
+            for cause in cleared {
+                let cause = cause.to_string();
+                log::info!(event = "cause_answered", request = inbound.log_id(), cause = cause.as_str(); "");
+            }
             self.log_changes();
             self.loads.notify();
         }
