Open connections to backend servers through a connector

A test could not cut one host off from servers that another one reaches: all hosts of a test share the loopback interface. The pool and the confirmation of crashes now take a connector; behaviour is unchanged.

--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -13,13 +13,13 @@
 use aspenloft_policy::crash_tracker::{
     Cause, Change, Conviction, Crash, CrashTracker, RequestCauses, Standing,
 };
-use aspenloft_transport::socket::{self, KeepaliveOptions};
 use async_std::task;
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::http::Connector;
 use crate::loads::EngineLoads;
 use crate::peers::Peers;
 use crate::request::InboundRequest;
@@ -64,6 +64,7 @@
 pub struct Crashes {
     tracker: Mutex<CrashTracker>,
     clock: SharedClock,
+    connector: Arc<dyn Connector>,
     /// Is told of changes that others should hear of soon.
     loads: Arc<EngineLoads>,
     /// How many convictions have been told in digests that did not hold all.
@@ -72,8 +73,13 @@
 
 impl Crashes {
     /// Creates a record without crashes.
-    pub fn new(clock: SharedClock, loads: Arc<EngineLoads>) -> Arc<Crashes> {
-        Arc::new(Crashes { tracker: Mutex::default(), clock, loads, told: AtomicUsize::new(0) })
+    pub fn new(
+        clock: SharedClock,
+        loads: Arc<EngineLoads>,
+        connector: Arc<dyn Connector>,
+    ) -> Arc<Crashes> {
+        let (tracker, told) = Default::default();
+        Arc::new(Crashes { tracker, clock, connector, loads, told })
     }
 
     /// Records that the connection to `server` broke before it began to answer the request,
@@ -85,7 +91,7 @@
         let (id, parts) = (inbound.log_id().to_string(), inbound.log_parts());
         let crashes = self.clone();
         task::spawn(async move {
-            let probe = socket::connect(addr, PROBE_TIMEOUT, &KeepaliveOptions::default()).await;
+            let probe = crashes.connector.connect(addr, PROBE_TIMEOUT).await;
             let Err(e) = probe else {
                 log::info!(event = "server_alive", request = id.as_str(), server = &*instance; "");
                 return;
--- /dev/null
+++ b/crates/gateway/src/http/connector.rs
@@ -0,0 +1,30 @@
+//! The `connector` module opens connections to backend servers.
+
+use std::io::Result;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use aspenloft_transport::socket::{self, KeepaliveOptions};
+use async_std::net::TcpStream;
+use async_trait::async_trait;
+
+/// `Connector` opens connections to backend servers over the host's network.
+#[async_trait]
+pub trait Connector: Send + Sync {
+    /// Opens a connection to `addr` within `limit`. If it fails, nothing was sent.
+    async fn connect(&self, addr: SocketAddr, limit: Duration) -> Result<TcpStream>;
+}
+
+/// `TcpConnector` is the connector of a host that runs on a machine of its own.
+#[derive(Debug, Default)]
+pub struct TcpConnector {
+    /// The limits after which a silent connection counts as broken.
+    pub silence: KeepaliveOptions,
+}
+
+#[async_trait]
+impl Connector for TcpConnector {
+    async fn connect(&self, addr: SocketAddr, limit: Duration) -> Result<TcpStream> {
+        socket::connect(addr, limit, &self.silence).await
+    }
+}
--- a/crates/gateway/src/http/pool.rs
+++ b/crates/gateway/src/http/pool.rs
@@ -6,7 +6,6 @@
 use std::time::{Duration, Instant};
 
 use aspenloft_core::prelude::{Arc, SharedClock};
-use aspenloft_transport::socket::{self, KeepaliveOptions};
 use async_std::future::timeout;
 use async_std::task;
 use bytes::Bytes;
@@ -15,6 +14,7 @@
 use parking_lot::Mutex;
 use smol_hyper::rt::FuturesIo;
 
+use super::connector::Connector;
 use super::metered::{MeteredStream, ReadAllowance};
 use crate::metrics::Metrics;
 
@@ -33,8 +33,6 @@
     pub max_idle_per_server: usize,
     /// How long a connection may take to become ready again after a response.
     pub ready_timeout: Duration,
-    /// The limits after which a silent connection counts as broken.
-    pub silence: KeepaliveOptions,
 }
 
 impl Default for PoolOptions {
@@ -46,7 +44,6 @@
             close_margin: Duration::from_millis(600),
             max_idle_per_server: 32,
             ready_timeout: Duration::from_secs(1),
-            silence: KeepaliveOptions::default(),
         }
     }
 }
@@ -75,15 +72,21 @@
 /// `Pool` keeps idle connections by address.
 pub struct Pool {
     options: PoolOptions,
+    connector: Arc<dyn Connector>,
     clock: SharedClock,
     metrics: Arc<Metrics>,
     idle: Mutex<HashMap<SocketAddr, Vec<IdleConnection>>>,
 }
 
 impl Pool {
-    /// Creates an empty pool.
-    pub fn new(options: PoolOptions, clock: SharedClock, metrics: Arc<Metrics>) -> Arc<Pool> {
-        Arc::new(Pool { options, clock, metrics, idle: Mutex::default() })
+    /// Creates an empty pool, whose connections `connector` opens.
+    pub fn new(
+        options: PoolOptions,
+        connector: Arc<dyn Connector>,
+        clock: SharedClock,
+        metrics: Arc<Metrics>,
+    ) -> Arc<Pool> {
+        Arc::new(Pool { options, connector, clock, metrics, idle: Mutex::default() })
     }
 
     /// Returns a connection to `addr`, an idle one if there is one. On failure, nothing
@@ -98,8 +101,7 @@
     /// Opens a new connection to `addr`.
     pub async fn open(&self, addr: SocketAddr) -> std::io::Result<Connection> {
         self.metrics.connection_opened();
-        let stream =
-            socket::connect(addr, self.options.connect_timeout, &self.options.silence).await?;
+        let stream = self.connector.connect(addr, self.options.connect_timeout).await?;
         let mut builder = http1::Builder::new();
         builder.max_buf_size(MAX_BUFFER_BYTES);
         let reads = Arc::<ReadAllowance>::default();
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -24,7 +24,7 @@
 use crate::dispatch::Dispatcher;
 use crate::front::Frontend;
 use crate::generation::GenerationHandler;
-use crate::http::{BackendClient, Pool, PoolOptions};
+use crate::http::{BackendClient, Connector, Pool, PoolOptions};
 use crate::loads::EngineLoads;
 use crate::metrics::Metrics;
 use crate::orders::Orders;
@@ -50,6 +50,8 @@
     pub kv: Arc<dyn KeyValue>,
     /// Translates message heads, items of the key-value service and engine calls.
     pub dialect: Arc<dyn Dialect>,
+    /// Opens connections to backend servers.
+    pub connector: Arc<dyn Connector>,
 }
 
 /// Runs a host until SIGTERM or SIGINT stops it; returns the number of requests that
@@ -90,7 +92,8 @@
     let shutdown = Arc::<Shutdown>::default();
     let limits = ServerLimits::new(clock.clone(), metrics.clone());
     let streams = StreamVersions::new(clock.clone(), view.clone());
-    let crashes = Crashes::new(clock.clone(), loads.clone());
+    let connector = platform.connector.clone();
+    let crashes = Crashes::new(clock.clone(), loads.clone(), connector.clone());
     let local_state = LocalState {
         loads: loads.clone(),
         demand: demand.clone(),
@@ -134,7 +137,7 @@
     task::spawn(probes::serve_readiness(readiness, path, ready));
     task::spawn(probes::serve_metrics(metrics_listener, metrics.clone()));
 
-    let pool = Pool::new(PoolOptions::default(), clock.clone(), metrics.clone());
+    let pool = Pool::new(PoolOptions::default(), connector, clock.clone(), metrics.clone());
     task::spawn(sweep(pool.clone()));
     let client = BackendClient::new(
         pool,
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code)]
 
 pub mod crashing;
+pub mod network;
 pub mod peer;
 
 use std::collections::{BTreeMap, HashSet};
@@ -42,6 +43,8 @@
 use http::{HeaderMap, HeaderValue, Method, request, response};
 use parking_lot::Mutex;
 
+pub use network::{Cut, TestNetwork};
+
 /// The maximum wait of a test for data or for a condition.
 pub const READ_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -391,6 +394,7 @@
     pub store: Arc<MemoryStore>,
     pub shutdown: Arc<Shutdown>,
     pub settings: Settings,
+    pub network: Arc<TestNetwork>,
 }
 
 /// The ports of hosts: below the system's ephemeral range, so that no connection takes
@@ -433,8 +437,9 @@
             free_addr(),
         );
         let settings = Settings::from_json(&settings).expect("settings");
-        let platform =
-            Platform { feed: store.clone(), kv: store.clone(), dialect: Arc::new(TestDialect) };
+        let (dialect, network) = (Arc::new(TestDialect), Arc::<TestNetwork>::default());
+        let connector = network.clone();
+        let platform = Platform { feed: store.clone(), kv: store.clone(), dialect, connector };
         let metrics = Metrics::new(name).expect("metrics");
         let clock = Arc::new(SystemClock);
         let shutdown = task::block_on(start(&settings, platform, metrics, clock)).expect("start");
@@ -444,6 +449,7 @@
             store,
             shutdown,
             settings,
+            network,
         }
     }
 
