--- /dev/null
+++ b/crates/gateway/tests/crashing_calls.rs
@@ -0,0 +1,163 @@
+//! Tests of calls that crash each plain server which runs them, and of sound calls that were
+//! at servers when these ended or could not be reached.
+
+mod common;
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+use aspenloft_gateway::roster::ServerRole::Plain;
+use common::crashing::{CrashingEngine, EngineLog};
+use common::{Cut, MemoryStore, Scripted, TestHost, configuration, entry, sealed, status};
+
+/// Returns a store that lists no servers yet.
+fn store() -> Arc<MemoryStore> {
+    let store = Arc::new(MemoryStore::default());
+    store.write("configuration", &configuration(1));
+    store
+}
+
+/// Starts hosts that know each other.
+fn hosts(store: &Arc<MemoryStore>, count: usize) -> Vec<TestHost> {
+    let start = |n: usize| TestHost::start(&format!("h{n}"), store.for_another_host());
+    let hosts: Vec<TestHost> = (0..count).map(start).collect();
+    for host in &hosts {
+        host.wait_ready();
+    }
+    std::thread::sleep(Duration::from_millis(500));
+    hosts
+}
+
+fn crashing_servers(
+    store: &Arc<MemoryStore>,
+    count: usize,
+    log: &Arc<EngineLog>,
+) -> Vec<Arc<CrashingEngine>> {
+    let start = |n: usize| CrashingEngine::start(&format!("s{n}"), Plain, store, &["bad"], log);
+    (0..count).map(start).collect()
+}
+
+/// Sends a call whose prompt has `parts` and returns its status.
+fn send(host: &TestHost, path: &str, id: &str, parts: &str, body: &str) -> String {
+    let length = body.len();
+    status(&host.send(&format!(
+        "POST {path} HTTP/1.1\r\nhost: app.test\r\nid: {id}\r\nparts: {parts}\r\n\
+         content-length: {length}\r\n\r\n{body}"
+    )))
+}
+
+// A host that had lost its path confirmed crashes by connections that failed.
+#[test]
+fn a_host_that_is_cut_off_speaks_against_no_request() {
+    let store = store();
+    let servers: Vec<Scripted> = (0..5)
+        .map(|_| {
+            Scripted::start(|_, req| {
+                std::thread::sleep(Duration::from_millis(300));
+                sealed(req, "200 OK", "done")
+            })
+        })
+        .collect();
+    for (n, server) in servers.iter().enumerate() {
+        store.write(&format!("servers/s{n}"), &entry(&format!("s{n}"), server.addr, Plain));
+    }
+    let hosts = hosts(&store, 2);
+    std::thread::scope(|scope| {
+        for round in 0..4 {
+            let host = &hosts[0];
+            let call = scope.spawn(move || send(host, "/once/", &format!("a{round}"), "", "same"));
+            std::thread::sleep(Duration::from_millis(120));
+            host.network.cut(Cut::Reset, &[]);
+            assert_eq!(call.join().expect("a status"), "502");
+            std::thread::sleep(Duration::from_millis(500));
+            host.network.heal();
+            std::thread::sleep(Duration::from_millis(300));
+        }
+    });
+    for (n, host) in hosts.iter().enumerate() {
+        assert_eq!(send(host, "/once/", &format!("b{n}"), "", "same"), "200", "host {n}");
+    }
+}
+
+// A server that answers 500 to whatever it is sent cleared the call each time.
+#[test]
+fn a_server_error_does_not_clear_a_call_that_crashes_servers() {
+    let (store, log) = (store(), Arc::<EngineLog>::default());
+    let _crashing = crashing_servers(&store, 2, &log);
+    let failing = Scripted::start(|_, req| sealed(req, "500 Error", "no"));
+    store.write("servers/e", &entry("e", failing.addr, Plain));
+    let hosts = hosts(&store, 1);
+    for n in 0..30 {
+        send(&hosts[0], "/once/", &format!("a{n}"), "bad", "bad");
+        std::thread::sleep(Duration::from_millis(60));
+    }
+    let crashes = log.crashes.load(Ordering::SeqCst);
+    assert!(crashes <= 4, "{crashes} crashes");
+}
+
+// A trial was sent again after it had crashed the first server.
+#[test]
+fn a_trial_reaches_one_server() {
+    let (store, log) = (store(), Arc::<EngineLog>::default());
+    let _crashing = crashing_servers(&store, 6, &log);
+    let hosts = hosts(&store, 1);
+    let began = Instant::now();
+    let crashes = || log.crashes.load(Ordering::SeqCst);
+    let mut number = 0;
+    while crashes() < 3 {
+        assert!(began.elapsed() < Duration::from_secs(5), "{} crashes", crashes());
+        number += 1;
+        send(&hosts[0], "/once/", &format!("a{number}"), "bad", &format!("body {number}"));
+        std::thread::sleep(Duration::from_millis(200));
+    }
+    let before = log.crashing_arrivals.load(Ordering::SeqCst);
+    std::thread::sleep(Duration::from_millis(2_300));
+    send(&hosts[0], "/many/", "trial", "bad", "body of the trial");
+    let arrivals = log.crashing_arrivals.load(Ordering::SeqCst) - before;
+    assert_eq!(arrivals, 1);
+}
+
+// Nothing ever tried a whole request again that was held back.
+#[test]
+fn servers_that_are_killed_together_hold_a_sound_call_back_for_a_while_only() {
+    let (store, log) = (store(), Arc::<EngineLog>::default());
+    let servers = crashing_servers(&store, 4, &log);
+    let hosts = hosts(&store, 1);
+    let host = &hosts[0];
+    std::thread::scope(|scope| {
+        for n in 0..8 {
+            scope.spawn(move || send(host, "/once/", &format!("a{n}"), "", "same"));
+        }
+        std::thread::sleep(Duration::from_millis(25));
+        for server in &servers {
+            server.crash();
+        }
+    });
+    let began = Instant::now();
+    let mut number = 0;
+    while send(host, "/once/", &format!("b{number}"), "", "same") != "200" {
+        assert!(began.elapsed() < Duration::from_secs(6), "the call is still held back");
+        number += 1;
+        std::thread::sleep(Duration::from_millis(100));
+    }
+}
+
+// All servers of a service could fall to one call before the third was known.
+#[test]
+fn a_call_that_has_crashed_two_servers_is_not_sent_to_a_third_at_once() {
+    let (store, log) = (store(), Arc::<EngineLog>::default());
+    let _crashing = crashing_servers(&store, 6, &log);
+    let hosts = hosts(&store, 3);
+    let began = Instant::now();
+    let mut number = 0;
+    while began.elapsed() < Duration::from_millis(1_800) {
+        number += 1;
+        let host = &hosts[number % hosts.len()];
+        send(host, "/many/", &format!("a{number}"), "", "bad");
+        send(host, "/once/", &format!("b{number}"), "bad", "bad");
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    let crashes = log.crashes.load(Ordering::SeqCst);
+    assert!(crashes <= 2, "{crashes} crashes");
+}
