Let a server's error clear no call that crashes others

A complete response cleared its call whatever its status, but a server that fails quietly answers 500 to whatever it is sent, and sound ones do to one call in seven on this site. Only responses other than 5xx clear a call; a request that is sound is answered by others.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -261,8 +261,8 @@
     fn record_outcome(&self, inbound: &InboundRequest, server: &Server, sent: &SendOutcome) {
         let now = self.clock.now();
         let outcome = match sent {
+            // A server may fail whatever it is sent, so its error clears nothing.
             SendOutcome::Complete(head, _) if head.status.is_server_error() => {
-                self.crashes.record_answer(inbound);
                 server.state.health(|h| h.record_failure(now));
                 "server_error".to_string()
             }
