Close a test's connections to servers when the host drops them

The connector of the tests kept a clone of each connection, so servers did not see that the host had closed it: a_call_is_cancelled_when_its_caller_disconnects failed since the connector came. Connections that a cut is to reset now go through a relay, others are handed over as they are.

--- a/crates/gateway/tests/crashing_calls.rs
+++ b/crates/gateway/tests/crashing_calls.rs
@@ -63,6 +63,7 @@
         store.write(&format!("servers/s{n}"), &entry(&format!("s{n}"), server.addr, Plain));
     }
     let hosts = hosts(&store, 2);
+    hosts[0].network.relay_connections();
     std::thread::scope(|scope| {
         for round in 0..4 {
             let host = &hosts[0];
