Send a trial to one server only

A request that is held back is tried now and then to see whether servers still crash. The loop asked whether the request is on trial, not whether its trial was used. a_trial_reaches_one_server: 2 servers before, now 1.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -110,6 +110,8 @@
             let attempts_left = runs + 1 < inbound.route.max_attempts;
             let sent = self.send(inbound, &server, permit, attempts_left).await;
             arrived |= sent.reached_server();
+            // A trial may crash the server that it reaches, and one shows enough.
+            let may_try_again = !(inbound.is_trial() && sent.reached_server());
             match sent {
                 SendOutcome::Complete(head, body) if !head.status.is_server_error() => {
                     return Ok(relayed_response(&head, whole_body(body)));
@@ -124,7 +126,10 @@
                         "a server of the service refused the call",
                     )
                     .retry_after(SERVER_RETRY_AFTER);
-                    continue;
+                    if may_try_again {
+                        continue;
+                    }
+                    break;
                 }
                 SendOutcome::Failed(failure) => {
                     error = send_error(failure);
@@ -134,7 +139,8 @@
                     runs += 1;
                 }
             }
-            if !inbound.route.repeat.allows_rerun() || runs >= inbound.route.max_attempts {
+            let may_rerun = inbound.route.repeat.allows_rerun() && may_try_again;
+            if !may_rerun || runs >= inbound.route.max_attempts {
                 break;
             }
         }
--- a/crates/gateway/src/generation/decode.rs
+++ b/crates/gateway/src/generation/decode.rs
@@ -112,6 +112,9 @@
                 SendOutcome::Refused { full } => {
                     search.arrived = true;
                     self.log_decode_failure(inbound, &search.server, None, with_kv_cache);
+                    if inbound.is_trial() {
+                        break;
+                    }
                     // A refusal with a KV cache mostly means that the cache is lost, and
                     // the same engine can process the prompt itself.
                     full || !with_kv_cache
