Try a whole request again that is held back

A sound call that was at three servers when these were killed together got 502 for as long as anybody asked for it: a request that is held back had no trial, and a conviction lasts 30 minutes after its last use. The verdict had no appeal, and crashes at one moment counted for a request although they do not for a part.

--- a/crates/gateway/tests/crashing_calls.rs
+++ b/crates/gateway/tests/crashing_calls.rs
@@ -9,7 +9,8 @@
 
 use aspenloft_gateway::roster::ServerRole::Plain;
 use common::crashing::{CrashingEngine, EngineLog};
-use common::{Cut, MemoryStore, Scripted, TestHost, configuration, entry, sealed, status};
+use common::network::Cut;
+use common::{MemoryStore, Scripted, TestHost, configuration, entry, sealed, status};
 
 /// Returns a store that lists no servers yet.
 fn store() -> Arc<MemoryStore> {
--- a/crates/policy/src/crash_tracker.rs
+++ b/crates/policy/src/crash_tracker.rs
@@ -14,11 +14,16 @@
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
-/// The number of servers that must crash before a cause is convicted.
-const MIN_CRASHES: usize = 3;
+/// The number of servers that must crash before a part is convicted.
+const MIN_PART_CRASHES: usize = 3;
 
-/// The number of crashes from which a conviction is firm, and requests get a final answer.
-const FIRM_CRASHES: usize = 5;
+/// The number of crashes from which the conviction of a part is firm, and requests get a
+/// final answer.
+const FIRM_PART_CRASHES: usize = 5;
+
+/// The same for one request.
+const MIN_REQUEST_CRASHES: usize = 3;
+const FIRM_REQUEST_CRASHES: usize = 4;
 
 /// The minimum number of different requests with a part that is convicted. Otherwise one
 /// request that is sent again would convict all parts of its prompt.
@@ -28,6 +33,10 @@
 /// that crash at the same moment crash for another reason.
 const MIN_SPAN: Duration = Duration::from_millis(300);
 
+/// The minimum time from the first to the last crash by which the conviction of a request is
+/// firm: a trial has failed, while other sends were in flight at the first crash.
+const MIN_FIRM_SPAN: Duration = Duration::from_secs(1);
+
 /// How long a crash counts: a few times the interval at which callers retry.
 const CRASH_TTL: Duration = Duration::from_secs(60);
 
@@ -43,8 +52,8 @@
 const FIRM_TRIAL_INTERVAL: Duration = Duration::from_secs(60);
 const FIRM_TRIAL_GROWTH: u32 = 4;
 
-/// The number of crashes from which a cause gets no trial.
-const MAX_TRIED_CRASHES: usize = 7;
+/// The number of trials of a cause whose conviction is firm.
+const MAX_FIRM_TRIALS: usize = 2;
 
 /// The maximum number of crashes that are stored; the oldest are evicted first.
 const MAX_CRASHES: usize = 256;
@@ -78,6 +87,16 @@
     },
 }
 
+impl Cause {
+    /// Returns the number of crashes from which the conviction is firm.
+    fn firm_crashes(self) -> usize {
+        match self {
+            Cause::Request(_) => FIRM_REQUEST_CRASHES,
+            Cause::Part { .. } => FIRM_PART_CRASHES,
+        }
+    }
+}
+
 /// `RequestCauses` is what of a request may crash servers.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RequestCauses {
@@ -155,18 +174,19 @@
 
 impl HeldCause {
     fn is_firm(&self, cause: Cause) -> bool {
-        self.crashes >= FIRM_CRASHES || matches!(cause, Cause::Request(_))
+        self.crashes >= cause.firm_crashes()
     }
 
-    /// Returns the time between trials; `None` if there are none. One request is not missed
-    /// by anybody else, so it gets none.
+    /// Returns the time between trials; `None` if there are none.
     fn trial_interval(&self, cause: Cause) -> Option<Duration> {
-        if matches!(cause, Cause::Request(_)) || self.crashes >= MAX_TRIED_CRASHES {
-            return None;
+        match self.crashes.checked_sub(cause.firm_crashes()) {
+            None => Some(TRIAL_INTERVAL),
+            Some(trials) if trials >= MAX_FIRM_TRIALS => None,
+            Some(trials) => {
+                let growth = FIRM_TRIAL_GROWTH.pow(u32::try_from(trials).unwrap_or(0));
+                Some(FIRM_TRIAL_INTERVAL * growth)
+            }
         }
-        let firm_crashes = self.crashes.checked_sub(FIRM_CRASHES);
-        let growth = |crashes: usize| FIRM_TRIAL_GROWTH.pow(u32::try_from(crashes).unwrap_or(0));
-        Some(firm_crashes.map_or(TRIAL_INTERVAL, |n| FIRM_TRIAL_INTERVAL * growth(n)))
     }
 }
 
@@ -230,7 +250,8 @@
     }
 
     /// Counts a crash for the cause that is held back already and explains it best. Earlier
-    /// crashes may no longer be stored.
+    /// crashes may no longer be stored. A request that was in flight when it was held back
+    /// counts no further crash.
     fn count_held(&mut self, crash: &Crash, at: Instant) {
         let held = crash.causes.causes().filter_map(|cause| Some((cause, *self.held.get(&cause)?)));
         let Some((cause, _)) = held.max_by_key(|(cause, held)| (held.crashes, *cause)) else {
@@ -240,9 +261,11 @@
             .crashes
             .iter()
             .any(|c| c.crash.server == crash.server && c.crash.causes.has(cause));
-        if let Some(held) = self.held.get(&cause).filter(|_| !is_counted) {
-            self.hold(cause, held.crashes.saturating_add(1), at, at);
-        }
+        let Some(held) = self.held.get(&cause).copied().filter(|_| !is_counted) else { return };
+        let since = at.saturating_duration_since(held.last_crash);
+        let was_in_flight = matches!(cause, Cause::Request(_)) && since < MIN_FIRM_SPAN;
+        let crashes = held.crashes.saturating_add(usize::from(!was_in_flight));
+        self.hold(cause, crashes, at, at);
     }
 
     /// Records that a server began to answer a request at `at`: none of its causes crashes
@@ -460,7 +483,7 @@
         let mut found: HashMap<Cause, (usize, Instant)> = HashMap::new();
         while let Some((cause, evidence)) = self.best_cause(&unexplained) {
             let last = evidence.span.map_or(now, |(_, last)| last);
-            found.insert(cause, (evidence.servers.len(), last));
+            found.insert(cause, (evidence.crashes(cause), last));
             unexplained.retain(|index| !self.crashes[*index].crash.causes.has(cause));
         }
         let found_causes: Vec<Cause> = found.keys().copied().collect();
@@ -524,9 +547,24 @@
 }
 
 impl Evidence {
+    fn span(&self) -> Duration {
+        self.span.map_or(Duration::ZERO, |(first, last)| last.duration_since(first))
+    }
+
     fn suffices(&self, cause: Cause) -> bool {
-        let span = self.span.map_or(Duration::ZERO, |(first, last)| last.duration_since(first));
-        let several = self.requests.len() >= MIN_REQUESTS && span >= MIN_SPAN;
-        self.servers.len() >= MIN_CRASHES && (several || matches!(cause, Cause::Request(_)))
+        match cause {
+            Cause::Request(_) => self.servers.len() >= MIN_REQUEST_CRASHES,
+            Cause::Part { .. } => {
+                let several = self.requests.len() >= MIN_REQUESTS && self.span() >= MIN_SPAN;
+                self.servers.len() >= MIN_PART_CRASHES && several
+            }
+        }
+    }
+
+    /// Returns the number of crashes that count for `cause`.
+    fn crashes(&self, cause: Cause) -> usize {
+        let servers = self.servers.len();
+        let is_firm = matches!(cause, Cause::Part { .. }) || self.span() >= MIN_FIRM_SPAN;
+        if is_firm { servers } else { servers.min(MIN_REQUEST_CRASHES) }
     }
 }
