Hold a request back once it has crashed two servers

The call was sent until the third crash was known: nobody decided for all hosts whether a further server is worth it. One crash mostly has another reason, so the repeat of the same attempt is still sent; after the second the call is tried every 2 s by one host, and the third crash convicts it. a_call_that_has_crashed_two_servers_is_not_sent_to_a_third_at_once: 3 crashes within 1.8 s before, 2 now.

--- a/crates/policy/src/crash_tracker.rs
+++ b/crates/policy/src/crash_tracker.rs
@@ -21,9 +21,9 @@
 /// final answer.
 const FIRM_PART_CRASHES: usize = 5;
 
-/// The same for one request.
-const MIN_REQUEST_CRASHES: usize = 3;
-const FIRM_REQUEST_CRASHES: usize = 4;
+/// The same for one request. It concerns fewer callers, so it needs less evidence.
+const MIN_REQUEST_CRASHES: usize = 2;
+const FIRM_REQUEST_CRASHES: usize = 3;
 
 /// The minimum number of different requests with a part that is convicted. Otherwise one
 /// request that is sent again would convict all parts of its prompt.
