--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -91,7 +91,7 @@
             if inbound.remaining(self.clock.now()).is_zero() {
                 break;
             }
-            if let Err(e) = self.crashes.check(inbound, &self.peers) {
+            if let Err(e) = self.crashes.check(inbound, &self.peers).await {
                 error = e;
                 break;
             }
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -4,7 +4,7 @@
 
 use std::collections::HashSet;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use aspenloft_core::errors::{Error, ErrorCode, Result};
 use aspenloft_core::execution::Execution;
@@ -132,18 +132,14 @@
     /// Returns an error if the request must not be sent to a server now, because it would
     /// probably crash it. The error says that the request has not run unless the caller's
     /// request has no prospect of being served.
-    pub fn check(&self, inbound: &InboundRequest, peers: &Peers) -> Result<()> {
+    pub async fn check(&self, inbound: &InboundRequest, peers: &Peers) -> Result<()> {
         let now = self.clock.now();
-        let mut tracker = self.tracker.lock();
-        let Standing::Held { cause, firm } = tracker.standing(inbound.causes(), now) else {
-            return Ok(());
-        };
+        let standing = self.tracker.lock().standing(inbound.causes(), now);
+        let Standing::Held { cause, firm } = standing else { return Ok(()) };
         if inbound.is_trial() {
             return Ok(());
         }
-        // One host for all makes the trials, so that they are as rare as intended.
-        if peers.is_home_of(cause_key(cause)) && tracker.try_trial(cause, now) {
-            drop(tracker);
+        if self.may_try(cause, now, peers).await {
             inbound.begin_trial();
             let cause = cause.to_string();
             log::info!(event = "trial", request = inbound.log_id(), cause = cause.as_str(); "");
@@ -158,6 +154,31 @@
         Err(Error::new(ErrorCode::Poisonous, message).retry_after(after))
     }
 
+    /// Returns whether a trial of `cause` is due. One host decides for all, so that trials are
+    /// as rare as intended.
+    async fn may_try(&self, cause: Cause, now: Instant, peers: &Peers) -> bool {
+        let conviction = {
+            let mut tracker = self.tracker.lock();
+            if !tracker.try_trial(cause, now) {
+                return false;
+            }
+            tracker.conviction(cause, now)
+        };
+        let Some((conviction, age)) = conviction else { return true };
+        match peers.decider(cause_key(cause)) {
+            None => true,
+            Some(decider) => peers.request_trial(&decider, conviction, age).await.unwrap_or(false),
+        }
+    }
+
+    /// Decides for another host whether it may make a trial.
+    pub fn grant_trial(&self, conviction: Conviction, age: Duration) -> bool {
+        let now = self.clock.now();
+        let mut tracker = self.tracker.lock();
+        tracker.record_conviction(conviction, age, now);
+        tracker.try_trial(conviction.cause, now)
+    }
+
     /// Returns what other hosts are to be told.
     pub fn notices(&self) -> CrashNotices {
         let now = self.clock.now();
--- a/crates/gateway/src/generation/decode.rs
+++ b/crates/gateway/src/generation/decode.rs
@@ -96,7 +96,7 @@
                 }
                 break;
             };
-            if let Err(e) = self.crashes.check(inbound, &self.peers) {
+            if let Err(e) = self.crashes.check(inbound, &self.peers).await {
                 let has_run = search.runs > 0;
                 return Err(if has_run { e.execution(Execution::Unknown) } else { e });
             }
--- a/crates/gateway/src/generation/mod.rs
+++ b/crates/gateway/src/generation/mod.rs
@@ -85,14 +85,14 @@
         requested: GenerationSize,
         engine: &EngineProfile,
     ) -> Result<Response<ResponseBody>, Error> {
-        self.crashes.check(&inbound, &self.peers)?;
+        self.crashes.check(&inbound, &self.peers).await?;
         let size = estimate_size(requested);
         let version = self.stream_version(&inbound).await?;
         let needs = RunNeeds { size, version };
         self.demand.record_request(&inbound.service, size);
         let (placement, permit) = self.place(&inbound, engine, needs).await?;
         // Engines may have crashed while the request waited.
-        self.crashes.check(&inbound, &self.peers)?;
+        self.crashes.check(&inbound, &self.peers).await?;
         self.log_placed(&inbound, &placement, size);
         let placed = self.clock.now();
         let kv_cache = self.prefill(&inbound, &placement, requested.prompt_tokens, engine).await?;
--- a/crates/gateway/src/generation/relay.rs
+++ b/crates/gateway/src/generation/relay.rs
@@ -246,7 +246,7 @@
 
     async fn resume_on_another(&mut self, tried: Vec<Name>, runs: u32) -> bool {
         let generations = self.generations.clone();
-        if generations.crashes.check(&self.inbound, &generations.peers).is_err() {
+        if generations.crashes.check(&self.inbound, &generations.peers).await.is_err() {
             return false;
         }
         let engine = permitted_engine(&generations, &self.inbound, self.needs, tried);
--- a/crates/gateway/src/peers/digest.rs
+++ b/crates/gateway/src/peers/digest.rs
@@ -6,6 +6,7 @@
 use aspenloft_core::errors::{Error, Result};
 use aspenloft_core::prelude::{Era, Host, Name, Position};
 use aspenloft_core::suspects::Fingerprint;
+use aspenloft_policy::crash_tracker::Conviction;
 use aspenloft_policy::stream_versions::StreamRecord;
 use aspenloft_transport::frames;
 use bytes::BytesMut;
@@ -86,10 +87,26 @@
     /// The version of the sender's configuration, 0 if it has none. It may be newer than the
     /// one that the key-value service lists at the sender's position.
     pub configuration: u64,
+    /// The [`CALLS_VERSION`] of the sender, 0 for a host of the previous build.
+    pub calls: u32,
 }
 
+/// The version of the calls that this build answers beside those of the previous one.
+pub const CALLS_VERSION: u32 = 1;
+
 /// The supplement of the previous build.
 #[derive(Debug, Deserialize)]
+struct SupplementWithoutCalls {
+    leaving: bool,
+    limits: Vec<LimitNotice>,
+    streams: Vec<StreamRecord>,
+    unreachable: usize,
+    era: Option<Era>,
+    configuration: u64,
+}
+
+/// The supplement of the build before that.
+#[derive(Debug, Deserialize)]
 struct SupplementWithoutEra {
     leaving: bool,
     limits: Vec<LimitNotice>,
@@ -98,15 +115,29 @@
 }
 
 impl DigestSupplement {
-    /// Decodes a supplement. The last fields are empty in one of the previous build, which in
+    /// Decodes a supplement. The last fields are empty in one of a previous build, which in
     /// turn does not read them.
     pub fn decode(body: &[u8]) -> Result<DigestSupplement> {
-        frames::decode(body).or_else(|_: Error| {
-            let supplement: SupplementWithoutEra = frames::decode(body)?;
-            let SupplementWithoutEra { leaving, limits, streams, unreachable } = supplement;
-            let (era, configuration) = Default::default();
-            Ok(DigestSupplement { leaving, limits, streams, unreachable, era, configuration })
-        })
+        frames::decode(body)
+            .or_else(|_: Error| frames::decode::<SupplementWithoutCalls>(body).map(Into::into))
+            .or_else(|_: Error| frames::decode::<SupplementWithoutEra>(body).map(Into::into))
+    }
+}
+
+impl From<SupplementWithoutCalls> for DigestSupplement {
+    fn from(supplement: SupplementWithoutCalls) -> DigestSupplement {
+        let SupplementWithoutCalls { leaving, limits, streams, .. } = supplement;
+        let SupplementWithoutCalls { unreachable, era, configuration, .. } = supplement;
+        let calls = 0;
+        DigestSupplement { leaving, limits, streams, unreachable, era, configuration, calls }
+    }
+}
+
+impl From<SupplementWithoutEra> for DigestSupplement {
+    fn from(supplement: SupplementWithoutEra) -> DigestSupplement {
+        let SupplementWithoutEra { leaving, limits, streams, unreachable } = supplement;
+        let (era, configuration) = Default::default();
+        SupplementWithoutCalls { leaving, limits, streams, unreachable, era, configuration }.into()
     }
 }
 
@@ -136,6 +167,9 @@
     /// Asks at which version the stream of a service with this key began. The reply is an
     /// optional [`VersionTag`](aspenloft_policy::stream_versions::VersionTag).
     StreamVersion(Name, u64),
+    /// Asks the host that decides on trials whether one may be made for the cause of this
+    /// conviction, whose last crash has this age in milliseconds. The reply is a `bool`.
+    Trial(Conviction, u64),
 }
 
 /// `ViewReply` is a host's complete view, for a host that does not watch the key-value
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -6,6 +6,7 @@
 
 use aspenloft_core::errors::{Error, Result, internal, invalid, unavailable};
 use aspenloft_core::prelude::{Arc, Era, Host, Name};
+use aspenloft_policy::crash_tracker::Conviction;
 use aspenloft_policy::host_groups::{group_interval, remote_interval};
 use aspenloft_policy::stream_versions::{Scope, VersionTag};
 use aspenloft_transport::frames;
@@ -19,7 +20,9 @@
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 
-use super::digest::{Digest, DigestSupplement, KeptServer, PeerCall, ViewReply, WithheldServer};
+use super::digest::{
+    CALLS_VERSION, Digest, DigestSupplement, KeptServer, PeerCall, ViewReply, WithheldServer,
+};
 use super::{LIVENESS_TIMEOUT, LocalState, Peer, Peers, is_recent};
 use crate::configuration::Configuration;
 use crate::permits::{PermitReply, PermitRequest, Permits};
@@ -52,6 +55,9 @@
 /// The timeout of the question at which version a stream began.
 const STREAM_VERSION_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// The timeout of the question whether a trial may be made.
+const TRIAL_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// The number of hosts that are asked for the version of a stream.
 const MAX_ASKED: usize = 3;
 
@@ -78,6 +84,19 @@
         frames::decode(&self.call(home, &PeerCall::Permit(*req), PERMIT_TIMEOUT).await?)
     }
 
+    /// Asks `decider` whether a request may be sent to find out whether servers still crash by
+    /// the cause of `conviction`, whose last crash is `age` old.
+    pub async fn request_trial(
+        &self,
+        decider: &Host,
+        conviction: Conviction,
+        age: Duration,
+    ) -> Result<bool> {
+        let age_ms = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
+        let call = PeerCall::Trial(conviction, age_ms);
+        frames::decode(&self.call(decider, &call, TRIAL_TIMEOUT).await?)
+    }
+
     /// Asks other hosts at which version the stream of `service` with `key` began. Returns
     /// an error if none answers.
     pub async fn ask_stream_version(&self, service: &Name, key: u64) -> Result<Option<VersionTag>> {
@@ -223,6 +242,7 @@
             unreachable,
             era: Some(era),
             configuration: view.configuration().map_or(0, |c| c.version),
+            calls: CALLS_VERSION,
         };
         loop {
             let mut buf = BytesMut::new();
@@ -357,6 +377,11 @@
                 frames::encode(&version, &mut buf)?;
             }
             PeerCall::Permit(req) => frames::encode(&self.permits.serve(&req), &mut buf)?,
+            PeerCall::Trial(conviction, age_ms) => {
+                let age = Duration::from_millis(age_ms);
+                let may_try = self.peers.state.crashes.grant_trial(conviction, age);
+                frames::encode(&may_try, &mut buf)?;
+            }
         }
         Ok(buf.freeze())
     }
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -28,7 +28,9 @@
 use crate::stream_versions::StreamVersions;
 use crate::view::View;
 
-pub use digest::{Digest, DigestSupplement, KeptServer, PeerCall, ViewReply, WithheldServer};
+pub use digest::{
+    CALLS_VERSION, Digest, DigestSupplement, KeptServer, PeerCall, ViewReply, WithheldServer,
+};
 pub use exchange::PeerServer;
 
 use digest::peer_position;
@@ -71,8 +73,10 @@
     /// The servers that earlier digests named, with the time, while one digest does not hold
     /// all of them.
     unreachable_before: HashMap<u64, Instant>,
-    /// Whether the host's build sends supplements, and so answers all calls.
+    /// Whether the host's build sends supplements, and so answers all calls of that build.
     answers_calls: bool,
+    /// The host's [`CALLS_VERSION`].
+    calls: u32,
     /// Whether the host is shutting down.
     leaving: bool,
     /// When the last digest arrived.
@@ -260,6 +264,7 @@
             unreachable: Vec::new(),
             unreachable_before: HashMap::new(),
             answers_calls: false,
+            calls: 0,
             leaving: false,
             last_digest: None,
             silence_logged: false,
@@ -423,6 +428,7 @@
                     .map(|p| p.unreachable_before.clone())
                     .unwrap_or_default(),
                 answers_calls: same_process.is_some_and(|p| p.answers_calls),
+                calls: same_process.map_or(0, |p| p.calls),
                 leaving: same_process.is_some_and(|p| p.leaving),
                 last_digest: Some(now),
                 silence_logged: false,
@@ -441,6 +447,7 @@
         if let Some(peer) = self.peers.lock().get_mut(name) {
             (peer.answers_calls, peer.leaving) = (true, supplement.leaving);
             peer.configuration = supplement.configuration;
+            peer.calls = supplement.calls;
             peer.record_unreachable(supplement.unreachable, now);
         }
         if !supplement.streams.is_empty() {
@@ -473,16 +480,18 @@
         best.filter(|host| leaving || rank(host) > rank(&self.local)).cloned()
     }
 
-    /// Returns whether this host does what one host for all does about the matter with the
-    /// number `key`.
-    pub fn is_home_of(&self, key: u64) -> bool {
+    /// Returns the host that decides for all about the matter with the number `key`, or `None`
+    /// if it is this one.
+    pub fn decider(&self, key: u64) -> Option<Host> {
         let now = self.clock.now();
         let peers = self.peers.lock();
         let rank = |host: &Host| xxh3_64_with_seed(host.name.as_bytes(), key);
-        let mut able = peers
+        let able = peers
             .values()
-            .filter(|p| p.answers_calls && !p.leaving && is_recent(p, now, LIVENESS_TIMEOUT));
-        !self.state.shutdown.is_leaving() && able.all(|p| rank(&p.host) < rank(&self.local))
+            .filter(|p| p.calls > 0 && !p.leaving && is_recent(p, now, LIVENESS_TIMEOUT));
+        let best = able.map(|p| &p.host).max_by_key(|host| rank(host));
+        let leaving = self.state.shutdown.is_leaving();
+        best.filter(|host| leaving || rank(host) > rank(&self.local)).cloned()
     }
 
     /// Returns up to `max` live hosts that answer calls, those that have run longest first:
--- a/crates/gateway/tests/crashing_calls.rs
+++ b/crates/gateway/tests/crashing_calls.rs
@@ -163,3 +163,32 @@
     let crashes = log.crashes.load(Ordering::SeqCst);
     assert!(crashes <= 2, "{crashes} crashes");
 }
+
+// Only the host that decides on trials made them, which the caller may never reach.
+#[test]
+fn a_call_that_is_held_back_is_tried_at_whichever_host_it_comes() {
+    let (store, log) = (store(), Arc::<EngineLog>::default());
+    let servers = crashing_servers(&store, 4, &log);
+    let hosts = hosts(&store, 3);
+    std::thread::scope(|scope| {
+        for (n, host) in hosts.iter().enumerate() {
+            for call in 0..8 {
+                let id = format!("a{n}-{call}");
+                scope.spawn(move || send(host, "/once/", &id, "", &format!("same {n}")));
+            }
+        }
+        std::thread::sleep(Duration::from_millis(25));
+        for server in &servers {
+            server.crash();
+        }
+    });
+    let began = Instant::now();
+    for (n, host) in hosts.iter().enumerate() {
+        let mut number = 0;
+        while send(host, "/once/", &format!("b{n}-{number}"), "", &format!("same {n}")) != "200" {
+            assert!(began.elapsed() < Duration::from_secs(6), "held back at host {n}");
+            number += 1;
+            std::thread::sleep(Duration::from_millis(100));
+        }
+    }
+}
--- a/crates/policy/src/crash_tracker.rs
+++ b/crates/policy/src/crash_tracker.rs
@@ -420,6 +420,14 @@
         recent
     }
 
+    /// Returns the conviction of `cause` with the time since the last crash, if it is held back.
+    pub fn conviction(&self, cause: Cause, now: Instant) -> Option<(Conviction, Duration)> {
+        let held = self.held.get(&cause)?;
+        let crashes = u32::try_from(held.crashes).unwrap_or(u32::MAX);
+        let age = now.saturating_duration_since(held.last_crash);
+        Some((Conviction { cause, crashes }, age))
+    }
+
     /// Returns up to `max` convictions with the time since the last crash, from number `from`
     /// on in a fixed order, so that all are told in turn.
     pub fn convictions(
@@ -435,12 +443,7 @@
             all.rotate_left(from);
             all.truncate(max);
         }
-        let told = all.into_iter().map(|(cause, held)| {
-            let crashes = u32::try_from(held.crashes).unwrap_or(u32::MAX);
-            let age = now.saturating_duration_since(held.last_crash);
-            (Conviction { cause: *cause, crashes }, age)
-        });
-        told.collect()
+        all.into_iter().filter_map(|(cause, _)| self.conviction(*cause, now)).collect()
     }
 
     /// Returns the numbers of stored crashes, convictions and answered causes.
