--- a/crates/gateway/src/http/mod.rs
+++ b/crates/gateway/src/http/mod.rs
@@ -2,12 +2,10 @@
 //! reports for each failure whether the server may have run the request.
 
 pub mod client;
-pub mod connector;
 pub mod headers;
 pub mod json;
 pub mod metered;
 pub mod pool;
 
 pub use client::{BackendClient, BackendResponse, FailureCause, SendFailure, WholeBody};
-pub use connector::{Connector, TcpConnector};
 pub use pool::{Pool, PoolOptions};
--- a/crates/gateway/src/http/pool.rs
+++ b/crates/gateway/src/http/pool.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use aspenloft_core::prelude::{Arc, SharedClock};
+use aspenloft_transport::connector::Connector;
 use async_std::future::timeout;
 use async_std::task;
 use bytes::Bytes;
@@ -14,7 +15,6 @@
 use parking_lot::Mutex;
 use smol_hyper::rt::FuturesIo;
 
-use super::connector::Connector;
 use super::metered::{MeteredStream, ReadAllowance};
 use crate::metrics::Metrics;
 
--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -9,13 +9,13 @@
 use std::time::Duration;
 
 use aspenloft_core::prelude::{Arc, SharedClock};
+use aspenloft_transport::connector::Connector;
 use futures::StreamExt;
 use futures::future::join;
 use futures::stream::FuturesUnordered;
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::http::Connector;
 use crate::roster::Server;
 use crate::view::View;
 
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -4,7 +4,6 @@
 #![allow(dead_code)]
 
 pub mod crashing;
-pub mod network;
 pub mod peer;
 
 use std::collections::{BTreeMap, HashSet};
@@ -36,6 +35,7 @@
 use aspenloft_protocol::platform::{
     Change, ChangeFeed, Changes, KeyValue, LeaseId, Put, Snapshot, Swap, Version, Versioned,
 };
+use aspenloft_standin::network::FaultyNetwork;
 use aspenloft_transport::frames;
 use async_std::task;
 use async_trait::async_trait;
@@ -43,8 +43,6 @@
 use http::{HeaderMap, HeaderValue, Method, request, response};
 use parking_lot::Mutex;
 
-use network::TestNetwork;
-
 /// The maximum wait of a test for data or for a condition.
 pub const READ_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -394,7 +392,7 @@
     pub store: Arc<MemoryStore>,
     pub shutdown: Arc<Shutdown>,
     pub settings: Settings,
-    pub network: Arc<TestNetwork>,
+    pub network: Arc<FaultyNetwork>,
 }
 
 /// The ports of hosts: below the system's ephemeral range, so that no connection takes
@@ -437,7 +435,7 @@
             free_addr(),
         );
         let settings = Settings::from_json(&settings).expect("settings");
-        let (dialect, network) = (Arc::new(TestDialect), Arc::<TestNetwork>::default());
+        let (dialect, network) = (Arc::new(TestDialect), Arc::<FaultyNetwork>::default());
         let connector = network.clone();
         let platform = Platform { feed: store.clone(), kv: store.clone(), dialect, connector };
         let metrics = Metrics::new(name).expect("metrics");
--- a/crates/gateway/tests/crashing_calls.rs
+++ b/crates/gateway/tests/crashing_calls.rs
@@ -8,8 +8,8 @@
 use std::time::{Duration, Instant};
 
 use aspenloft_gateway::roster::ServerRole::{Decode, Plain};
+use aspenloft_standin::network::Cut;
 use common::crashing::{CrashingEngine, EngineLog};
-use common::network::Cut;
 use common::{MemoryStore, Scripted, TestHost, configuration, entry, sealed, status};
 
 /// Returns a store that lists no servers yet.
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod engine;
 pub mod hosts;
 pub mod kv;
+pub mod network;
 pub mod rates;
 pub mod relay;
 pub mod service;
--- a/crates/gateway/tests/common/network.rs
+++ b/crates/standin/src/network.rs
@@ -1,4 +1,5 @@
-//! The network between one host and the backend servers, which a test can cut.
+//! The `network` module is a test double of the network between one host and the backend
+//! servers. A test can cut it, for that host alone.
 
 use std::io::{Error, ErrorKind, Result};
 use std::net::SocketAddr;
@@ -6,15 +7,18 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 
-use aspenloft_gateway::http::{Connector, TcpConnector};
+use aspenloft_transport::connector::{Connector, TcpConnector};
 use async_std::io::{ReadExt, WriteExt};
 use async_std::net::{Shutdown, TcpListener, TcpStream};
 use async_std::task;
 use async_trait::async_trait;
 use parking_lot::Mutex;
+use serde::{Deserialize, Serialize};
+use socket2::SockRef;
 
 /// How a host is cut off from servers.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Cut {
     /// New connections are refused, open ones live on.
     Refused,
@@ -27,37 +31,52 @@
 /// How often an open connection looks for a cut.
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 
-#[derive(Default)]
-struct CutState {
-    cut: Option<Cut>,
+/// `NetworkFaults` holds the injected faults; the default injects none.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct NetworkFaults {
+    /// How the host is cut off.
+    pub cut: Option<Cut>,
     /// The servers that are still reached.
-    spared: Vec<SocketAddr>,
+    pub spared: Vec<SocketAddr>,
 }
 
-/// The network of one host.
-#[derive(Default)]
-pub struct TestNetwork {
-    state: Arc<Mutex<CutState>>,
+impl NetworkFaults {
+    /// Returns how the host is cut off from the server at `addr`.
+    fn cut_of(&self, addr: SocketAddr) -> Option<Cut> {
+        self.cut.filter(|_| !self.spared.contains(&addr))
+    }
+}
+
+/// `FaultyNetwork` opens the connections of one host to backend servers.
+#[derive(Debug, Default)]
+pub struct FaultyNetwork {
+    faults: Arc<Mutex<NetworkFaults>>,
     /// Whether connections go through a relay, so that a cut concerns open ones too.
     relayed: AtomicBool,
     attempts: AtomicUsize,
     system: TcpConnector,
 }
 
-impl TestNetwork {
+impl FaultyNetwork {
     /// Has connections that are opened from now on hang or reset by a cut.
     pub fn relay_connections(&self) {
         self.relayed.store(true, Ordering::SeqCst);
     }
 
+    /// Replaces the injected faults.
+    pub fn set_faults(&self, faults: NetworkFaults) {
+        *self.faults.lock() = faults;
+    }
+
     /// Cuts the host off from all servers but `spared`.
     pub fn cut(&self, cut: Cut, spared: &[SocketAddr]) {
-        *self.state.lock() = CutState { cut: Some(cut), spared: spared.to_vec() };
+        self.set_faults(NetworkFaults { cut: Some(cut), spared: spared.to_vec() });
     }
 
     /// Ends the cut.
     pub fn heal(&self) {
-        self.state.lock().cut = None;
+        self.set_faults(NetworkFaults::default());
     }
 
     /// Returns how many connections the host has tried to open.
@@ -66,47 +85,55 @@
     }
 }
 
-fn cut_of(state: &Mutex<CutState>, addr: SocketAddr) -> Option<Cut> {
-    let state = state.lock();
-    state.cut.filter(|_| !state.spared.contains(&addr))
+/// Has both ends see a reset, which is no end of a response.
+fn reset(streams: &[TcpStream]) {
+    for stream in streams {
+        let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
+        let _ = stream.shutdown(Shutdown::Read);
+    }
 }
 
 /// Copies bytes until the connection ends or is reset by a cut.
-async fn copy(state: Arc<Mutex<CutState>>, addr: SocketAddr, from: TcpStream, to: TcpStream) {
+async fn copy(faults: Arc<Mutex<NetworkFaults>>, addr: SocketAddr, from: TcpStream, to: TcpStream) {
     let (mut reader, mut writer) = (from.clone(), to.clone());
     let mut buf = vec![0; 16 * 1024];
     loop {
         let read = async_std::future::timeout(POLL_INTERVAL, reader.read(&mut buf)).await;
-        let mut cut = cut_of(&state, addr);
+        let mut cut = faults.lock().cut_of(addr);
         if cut == Some(Cut::Reset) {
-            let _ = (from.shutdown(Shutdown::Both), to.shutdown(Shutdown::Both));
+            reset(&[from, to]);
             return;
         }
         let Ok(read) = read else { continue };
         while cut == Some(Cut::Hanging) {
             task::sleep(POLL_INTERVAL).await;
-            cut = cut_of(&state, addr);
+            cut = faults.lock().cut_of(addr);
         }
         match read {
             Ok(length) if length > 0 => {
                 if writer.write_all(&buf[..length]).await.is_err() {
-                    let _ = from.shutdown(Shutdown::Both);
+                    reset(&[from, to]);
                     return;
                 }
             }
-            _ => {
+            Ok(_) => {
                 let _ = to.shutdown(Shutdown::Write);
                 return;
             }
+            Err(_) => {
+                reset(&[from, to]);
+                return;
+            }
         }
     }
 }
 
 #[async_trait]
-impl Connector for TestNetwork {
+impl Connector for FaultyNetwork {
     async fn connect(&self, addr: SocketAddr, limit: Duration) -> Result<TcpStream> {
         self.attempts.fetch_add(1, Ordering::SeqCst);
-        match cut_of(&self.state, addr) {
+        let cut = self.faults.lock().cut_of(addr);
+        match cut {
             Some(Cut::Hanging) => {
                 task::sleep(limit).await;
                 return Err(Error::new(ErrorKind::TimedOut, "cut"));
@@ -122,8 +149,8 @@
         let host = TcpStream::connect(listener.local_addr()?).await?;
         let (relay, _) = listener.accept().await?;
         let _ = (host.set_nodelay(true), relay.set_nodelay(true));
-        task::spawn(copy(self.state.clone(), addr, relay.clone(), server.clone()));
-        task::spawn(copy(self.state.clone(), addr, server, relay));
+        task::spawn(copy(self.faults.clone(), addr, relay.clone(), server.clone()));
+        task::spawn(copy(self.faults.clone(), addr, server, relay));
         Ok(host)
     }
 }
--- a/crates/gateway/src/http/connector.rs
+++ b/crates/transport/src/connector.rs
@@ -4,10 +4,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use aspenloft_transport::socket::{self, KeepaliveOptions};
 use async_std::net::TcpStream;
 use async_trait::async_trait;
 
+use crate::socket::{self, KeepaliveOptions};
+
 /// `Connector` opens connections to backend servers over the host's network.
 #[async_trait]
 pub trait Connector: Send + Sync {
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -3,6 +3,7 @@
 //!
 //! The messages themselves are defined in `aspenloft-protocol`.
 
+pub mod connector;
 pub mod frames;
 pub mod http;
 pub mod inactivity;
