Log when a host loses its path to all servers

Failures at two servers raise a doubt, which connections to others settle within 350 ms. Nothing acts on it yet.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod loads;
 pub mod metrics;
 pub mod orders;
+pub mod path;
 pub mod peers;
 pub mod permits;
 pub mod probes;
--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -6,6 +6,7 @@
 //! `docs/design/crash-causes.md`.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use aspenloft_core::prelude::{Arc, SharedClock};
@@ -22,8 +23,8 @@
 /// The timeout of a connection that shows whether a server can be reached.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(350);
 
-/// The maximum number of other servers by which a host checks its own path.
-const MAX_CONTROLS: usize = 3;
+/// The maximum number of servers by which a host checks its own path.
+const MAX_CONTROLS: usize = 4;
 
 /// `Reachability` is what a host knows of a server's process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -52,6 +53,8 @@
     connector: Arc<dyn Connector>,
     view: Arc<View>,
     clock: SharedClock,
+    /// The number of checks so far, which decides by which servers the next one is made.
+    checks: AtomicUsize,
 }
 
 impl ReachProbe {
@@ -61,7 +64,7 @@
         view: Arc<View>,
         clock: SharedClock,
     ) -> Arc<ReachProbe> {
-        Arc::new(ReachProbe { connector, view, clock })
+        Arc::new(ReachProbe { connector, view, clock, checks: AtomicUsize::new(0) })
     }
 
     /// Returns whether a server at `addr` accepts connections.
@@ -84,16 +87,33 @@
     /// Returns whether a server other than `server` can be reached, one of another service if
     /// there is one: all of a service may have ended.
     async fn reaches_another(&self, server: &Server) -> bool {
+        self.reaches_one_of(|s| {
+            (s.key != server.key).then_some(s.entry.service == server.entry.service)
+        })
+        .await
+    }
+
+    /// Returns whether any server can be reached. Others are tried each time.
+    pub async fn reaches_any(&self) -> bool {
+        self.reaches_one_of(|_| Some(false)).await
+    }
+
+    /// Returns whether one of a few servers can be reached, first of those for which `rank` is
+    /// false, and none of those for which it is `None`.
+    async fn reaches_one_of(&self, rank: impl Fn(&Server) -> Option<bool>) -> bool {
         let (roster, now) = (self.view.roster(), self.clock.now());
-        let mut controls: Vec<&Arc<Server>> =
-            roster.all().filter(|s| s.key != server.key && s.is_staying(now)).collect();
-        controls.sort_by_key(|s| {
-            let is_same_service = s.entry.service == server.entry.service;
-            (!s.seems_reachable(now), is_same_service, xxh3_64_with_seed(b"control", s.key))
-        });
+        let seed = self.checks.fetch_add(1, Ordering::Relaxed);
+        let staying = roster.all().filter(|s| s.is_staying(now));
+        let mut controls: Vec<(_, SocketAddr)> = staying
+            .filter_map(|s| {
+                let order = xxh3_64_with_seed(&seed.to_ne_bytes(), s.key);
+                Some(((!s.seems_reachable(now), rank(s)?, order), s.entry.addr))
+            })
+            .collect();
+        controls.sort_unstable();
         controls.truncate(MAX_CONTROLS);
         let mut probes: FuturesUnordered<_> =
-            controls.iter().map(|s| self.connects(s.entry.addr)).collect();
+            controls.into_iter().map(|(_, addr)| self.connects(addr)).collect();
         while let Some(connected) = probes.next().await {
             if connected {
                 return true;
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -29,6 +29,7 @@
 use crate::loads::EngineLoads;
 use crate::metrics::Metrics;
 use crate::orders::Orders;
+use crate::path::PathMonitor;
 use crate::peers::{LocalState, PeerServer, Peers};
 use crate::permits::Permits;
 use crate::probes;
@@ -96,6 +97,7 @@
     let streams = StreamVersions::new(clock.clone(), view.clone());
     let connector = platform.connector.clone();
     let reach = ReachProbe::new(connector.clone(), view.clone(), clock.clone());
+    let path = PathMonitor::new(connector, reach.clone(), clock.clone());
     let crashes = Crashes::new(clock.clone(), loads.clone(), reach.clone());
     let local_state = LocalState {
         loads: loads.clone(),
@@ -136,11 +138,11 @@
     task::spawn(mesh::serve(mesh, Arc::new(server)));
 
     let ready = probes::Readiness { view: view.clone(), shutdown: shutdown.clone() };
-    let path = platform.dialect.readiness_path().to_string();
-    task::spawn(probes::serve_readiness(readiness, path, ready));
+    let readiness_path = platform.dialect.readiness_path().to_string();
+    task::spawn(probes::serve_readiness(readiness, readiness_path, ready));
     task::spawn(probes::serve_metrics(metrics_listener, metrics.clone()));
 
-    let pool = Pool::new(PoolOptions::default(), connector, clock.clone(), metrics.clone());
+    let pool = Pool::new(PoolOptions::default(), path.clone(), clock.clone(), metrics.clone());
     task::spawn(sweep(pool.clone()));
     let client = BackendClient::new(
         pool,
