Have another host serve requests while the own path to the servers is lost

A host answered from what it could reach itself, and nothing could carry a request over a host that reaches the servers (hypothesis 1); each server was paused by itself, and callers' requests found out again and again (hypothesis 2).

A host that reaches at most half of a service's servers, none if its path is cut, now has another host serve the request: one hop only, chosen by load, then data centre, of those that reach more, know the own configuration and are not leaving. What fails before it has arrived goes to another host. The end of a response is explicit, dropping it cancels the work, and the other host counts the request for its budgets.

a_host_that_is_cut_off_from_all_servers_serves_through_others: with resets 0 of 3 served before; now at least 95 of 100 from 1 s after the cut, with refused, reset and hanging connections.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -13,6 +13,7 @@
 use crate::crashes::Crashes;
 use crate::dialect::{Dialect, Phase, SendMetadata};
 use crate::http::{BackendClient, FailureCause, SendFailure, WholeBody};
+use crate::path::PathMonitor;
 use crate::peers::Peers;
 use crate::permits::{LimitReached, Permits, SendPermit};
 use crate::request::InboundRequest;
@@ -54,6 +55,8 @@
     pub peers: Arc<Peers>,
     /// The crashes of servers and what they speak for.
     pub crashes: Arc<Crashes>,
+    /// The state of the path to the servers.
+    pub path: Arc<PathMonitor>,
     /// The source of time.
     pub clock: SharedClock,
     /// The data centre of this host; its servers are preferred.
@@ -81,9 +84,7 @@
     /// Serves the call. The error states whether the call may have been executed.
     pub async fn serve(&self, inbound: &InboundRequest) -> Result<Response<ResponseBody>, Error> {
         let mut tried: Vec<Name> = Vec::new();
-        let mut runs = 0;
-        // A send only counts as an extra one after another has reached a server.
-        let mut arrived = false;
+        let progress = &inbound.progress;
         let mut error = Error::new(ErrorCode::NoBackend, "no server of the service is available")
             .retry_after(SERVER_RETRY_AFTER);
         let mut server_error: Option<(response::Parts, WholeBody)> = None;
@@ -91,6 +92,10 @@
             if inbound.remaining(self.clock.now()).is_zero() {
                 break;
             }
+            // Another host may reach what this one does not.
+            if !tried.is_empty() && self.path.is_cut() {
+                break;
+            }
             if let Err(e) = self.crashes.check(inbound, &self.peers).await {
                 error = e;
                 break;
@@ -103,13 +108,16 @@
                     break;
                 }
             };
-            if arrived && !self.take_extra_send(inbound, self.clock.now()) {
+            // A send only counts as an extra one after another has reached a server.
+            if progress.has_arrived() && !self.take_extra_send(inbound, self.clock.now()) {
                 break;
             }
             tried.push(server.entry.instance.clone());
-            let attempts_left = runs + 1 < inbound.route.max_attempts;
+            let attempts_left = progress.runs() + 1 < inbound.route.max_attempts;
             let sent = self.send(inbound, &server, permit, attempts_left).await;
-            arrived |= sent.reached_server();
+            if sent.reached_server() {
+                progress.record_arrival();
+            }
             // A trial may crash the server that it reaches, and one shows enough.
             let may_try_again = !(inbound.is_trial() && sent.reached_server());
             match sent {
@@ -117,7 +125,7 @@
                     return Ok(relayed_response(&head, whole_body(body)));
                 }
                 SendOutcome::Complete(head, body) => {
-                    runs += 1;
+                    progress.record_run();
                     server_error = Some((head, body));
                 }
                 SendOutcome::Refused => {
@@ -136,17 +144,19 @@
                     if !failure.may_have_run() {
                         continue;
                     }
-                    runs += 1;
+                    progress.record_run();
                 }
             }
             let may_rerun = inbound.route.repeat.allows_rerun() && may_try_again;
-            if !may_rerun || runs >= inbound.route.max_attempts {
+            if !may_rerun || progress.runs() >= inbound.route.max_attempts {
                 break;
             }
         }
         match server_error {
             Some((head, body)) => Ok(relayed_response(&head, whole_body(body))),
-            None => Err(if runs > 0 { error.execution(Execution::Unknown) } else { error }),
+            None => {
+                Err(if progress.runs() > 0 { error.execution(Execution::Unknown) } else { error })
+            }
         }
     }
 
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -23,13 +23,14 @@
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::body_budget::BodyBudget;
+use crate::body_budget::{BodyBudget, BodyReservation};
 use crate::call::CallHandler;
-use crate::configuration::{CallerLimits, Configuration};
+use crate::configuration::{CallerLimits, Configuration, Route};
 use crate::dialect::{Dialect, RequestMetadata};
+use crate::forwarding::Forwarder;
 use crate::generation::GenerationHandler;
 use crate::metrics::Metrics;
-use crate::request::{CrashState, InboundRequest};
+use crate::request::InboundRequest;
 use crate::responses::{self, ResponseBody};
 use crate::retries::RetryBudgets;
 use crate::settings::ShutdownSettings;
@@ -62,6 +63,8 @@
     pub calls: CallHandler,
     /// Serves model requests.
     pub generations: Arc<GenerationHandler>,
+    /// Has other hosts serve requests.
+    pub forwarder: Forwarder,
     /// Limits the memory of buffered bodies.
     pub bodies: Arc<BodyBudget>,
     /// The budgets of extra sends, which grow with the number of requests.
@@ -173,27 +176,58 @@
             let error = Error::new(ErrorCode::NotReady, "the host has no configuration yet");
             return Err(error.retry_after(STARTUP_RETRY_AFTER));
         };
-        let inbound = self.read(head, body, metadata, arrived, &configuration).await?;
+        let inbound = Arc::new(self.read(head, body, metadata, arrived, &configuration).await?);
         *route_name = inbound.route.name.to_string();
-        self.retries.record_request(&inbound.service, arrived);
+        let remaining = inbound.remaining(self.clock.now());
+        with_deadline(self.serve_here_or_forward(inbound, &configuration), remaining).await
+    }
+
+    /// Serves the request, through another host if that is the only way.
+    async fn serve_here_or_forward(
+        &self,
+        inbound: Arc<InboundRequest>,
+        configuration: &Configuration,
+    ) -> Result<Response<ResponseBody>> {
+        self.check_leaving(&inbound)?;
+        if let Some(response) = self.forwarder.forward_at_once(&inbound).await {
+            return response;
+        }
+        let error = match self.serve_here(inbound.clone(), configuration, false).await {
+            Err(error) => error,
+            response => return response,
+        };
+        self.forwarder.forward_after(&inbound, &error).await.unwrap_or(Err(error))
+    }
+
+    /// Serves the request with the servers that this host reaches. `is_counted` is whether
+    /// another host has counted it for the retry budgets.
+    pub(crate) async fn serve_here(
+        &self,
+        inbound: Arc<InboundRequest>,
+        configuration: &Configuration,
+        is_counted: bool,
+    ) -> Result<Response<ResponseBody>> {
+        let now = self.clock.now();
+        if !is_counted {
+            self.retries.record_request(&inbound.service, now);
+        }
+        self.check_leaving(&inbound)?;
+        let remaining = inbound.remaining(now);
         let engine = configuration.services.get(&inbound.service).and_then(|s| s.engine.as_ref());
         match (inbound.metadata.generation, engine) {
             (Some(requested), Some(engine)) => {
-                self.check_leaving(WorkKind::Generation)?;
-                let inbound = Arc::new(inbound);
-                let deadline = inbound.remaining(arrived);
-                let response = self.generations.serve(inbound, requested, engine);
-                with_deadline(response, deadline).await
-            }
-            _ => {
-                self.check_leaving(WorkKind::Call)?;
-                with_deadline(self.calls.serve(&inbound), inbound.remaining(arrived)).await
+                with_deadline(self.generations.serve(inbound, requested, engine), remaining).await
             }
+            _ => with_deadline(self.calls.serve(&inbound), remaining).await,
         }
     }
 
     /// Refuses work that the host cannot finish before it shuts down.
-    fn check_leaving(&self, work: WorkKind) -> Result<()> {
+    fn check_leaving(&self, inbound: &InboundRequest) -> Result<()> {
+        let work = match inbound.metadata.generation {
+            Some(_) => WorkKind::Generation,
+            None => WorkKind::Call,
+        };
         if !self.shutdown.may_start(work, &self.shutdown_settings, self.clock.now()) {
             let error = Error::new(ErrorCode::NotReady, "the host is shutting down");
             return Err(error.retry_after(LEAVING_RETRY_AFTER));
@@ -210,7 +244,21 @@
         arrived: Instant,
         configuration: &Configuration,
     ) -> Result<InboundRequest> {
-        let host = request_host(&head)?;
+        let selected = self.select_route(&head, &metadata, configuration)?;
+        let reservation = self.reserve_body(body.size_hint().exact())?;
+        let max_bytes = configuration.limits.max_body_bytes;
+        let body = read_body(body, max_bytes, selected.time_limit).await?;
+        Ok(selected.inbound(head, body, reservation, metadata, arrived))
+    }
+
+    /// Selects the route of a request by its head, and the service by the route's weights.
+    pub(crate) fn select_route(
+        &self,
+        head: &request::Parts,
+        metadata: &RequestMetadata,
+        configuration: &Configuration,
+    ) -> Result<SelectedRoute> {
+        let host = request_host(head)?;
         let path = head.uri.path();
         let route = configuration.route(&host, path).cloned();
         let route = route.ok_or_else(|| {
@@ -223,22 +271,14 @@
             Error::new(ErrorCode::NoBackend, format!("route {} has no service", route.name))
         })?;
         let time_limit = metadata.timeout.unwrap_or(route.timeout).min(route.timeout);
-        let body_reservation = self.bodies.reserve(body.size_hint().exact()).ok_or_else(|| {
+        Ok(SelectedRoute { route: Arc::new(route), service, time_limit })
+    }
+
+    /// Reserves memory for a body of `length` bytes.
+    pub(crate) fn reserve_body(&self, length: Option<u64>) -> Result<BodyReservation> {
+        self.bodies.reserve(length).ok_or_else(|| {
             Error::new(ErrorCode::Overloaded, "the memory limit for request bodies is reached")
                 .retry_after(BODY_MEMORY_RETRY_AFTER)
-        })?;
-        let body = read_body(body, configuration.limits.max_body_bytes, time_limit).await?;
-        let deadline = arrived + time_limit;
-        Ok(InboundRequest {
-            head,
-            body,
-            body_reservation,
-            metadata,
-            route: Arc::new(route),
-            service,
-            arrived,
-            deadline,
-            crash_state: CrashState::default(),
         })
     }
 
@@ -254,6 +294,42 @@
     }
 }
 
+/// `SelectedRoute` is what the configuration says of a request.
+pub(crate) struct SelectedRoute {
+    route: Arc<Route>,
+    service: Name,
+    /// The time from the request's arrival to its deadline.
+    time_limit: Duration,
+}
+
+impl SelectedRoute {
+    /// Returns the request with its whole body.
+    pub(crate) fn inbound(
+        self,
+        head: request::Parts,
+        body: Bytes,
+        body_reservation: BodyReservation,
+        metadata: RequestMetadata,
+        arrived: Instant,
+    ) -> InboundRequest {
+        let SelectedRoute { route, service, time_limit } = self;
+        let (crash_state, progress) = Default::default();
+        InboundRequest {
+            head,
+            body,
+            body_reservation,
+            metadata,
+            route,
+            service,
+            arrived,
+            deadline: arrived + time_limit,
+            crash_state,
+            progress,
+            is_forwarded: false,
+        }
+    }
+}
+
 /// `PendingRequest` logs and counts a request whose caller disconnects before the
 /// response, in which case the connection drops the request's future.
 struct PendingRequest<'a> {
--- a/crates/gateway/src/generation/decode.rs
+++ b/crates/gateway/src/generation/decode.rs
@@ -44,9 +44,6 @@
     tried: Vec<Name>,
     /// How many engines may have run the request.
     runs: u32,
-    /// Whether the request may have reached an engine. Only after that does another
-    /// send count as an extra one.
-    arrived: bool,
 }
 
 /// The outcome of one send.
@@ -76,14 +73,17 @@
             kv_cache,
             unconfirmed: None,
             tried: Vec::new(),
-            runs: 0,
-            arrived: false,
+            runs: inbound.progress.runs(),
         };
         for _ in 0..MAX_SENDS {
             let now = self.clock.now();
             if inbound.remaining(now).is_zero() {
                 break;
             }
+            // Another host may reach what this one does not.
+            if !search.tried.is_empty() && self.path.is_cut() {
+                break;
+            }
             if !self.is_staying(&search.server, now) {
                 // The engine started to leave during the prefill.
                 self.select_next_engine(inbound, placement, needs, &mut search, true).await?;
@@ -100,7 +100,7 @@
                 let has_run = search.runs > 0;
                 return Err(if has_run { e.execution(Execution::Unknown) } else { e });
             }
-            if search.arrived && !self.take_extra_send(inbound, now) {
+            if inbound.progress.has_arrived() && !self.take_extra_send(inbound, now) {
                 break;
             }
             let with_kv_cache = search.kv_cache.is_some();
@@ -110,7 +110,7 @@
                     return Ok(Accepted { response: *response, server, runs: runs + 1 });
                 }
                 SendOutcome::Refused { full } => {
-                    search.arrived = true;
+                    inbound.progress.record_arrival();
                     self.log_decode_failure(inbound, &search.server, None, with_kv_cache);
                     if inbound.is_trial() {
                         break;
@@ -217,7 +217,7 @@
         if !failure.may_have_run() {
             return Ok(());
         }
-        search.arrived = true;
+        inbound.progress.record_run();
         search.runs += 1;
         if failure.cause == FailureCause::Broken {
             self.crashes.report(inbound, &search.server, &self.peers);
--- a/crates/gateway/src/generation/mod.rs
+++ b/crates/gateway/src/generation/mod.rs
@@ -27,6 +27,7 @@
 use crate::http::{BackendClient, BackendResponse, FailureCause, SendFailure};
 use crate::loads::{EngineLoads, RunSize};
 use crate::metrics::Metrics;
+use crate::path::PathMonitor;
 use crate::peers::Peers;
 use crate::permits::{Permits, SendPermit};
 use crate::request::InboundRequest;
@@ -65,6 +66,8 @@
     pub metrics: Arc<Metrics>,
     /// The average demand of requests.
     pub demand: Arc<DemandTracker>,
+    /// The state of the path to the engines.
+    pub path: Arc<PathMonitor>,
     /// The source of time.
     pub clock: SharedClock,
 }
--- a/crates/gateway/src/generation/prefill.rs
+++ b/crates/gateway/src/generation/prefill.rs
@@ -59,7 +59,10 @@
             server = permitted;
             let sent = self.send_prefill(inbound, &server, permit, tokens, engine).await;
             let unusable = match sent {
-                Ok(kv_cache) => return Ok(Some(kv_cache)),
+                Ok(kv_cache) => {
+                    inbound.progress.record_prefill();
+                    return Ok(Some(kv_cache));
+                }
                 Err(unusable) => unusable,
             };
             let now = self.clock.now();
@@ -76,6 +79,7 @@
             let instance = &*server.entry.instance;
             log::info!(event = "prefill_failed", request = inbound.log_id(), server = instance, cause = cause.as_str(); "");
             if accepted {
+                inbound.progress.record_prefill();
                 self.metrics.prompt_processed(tokens, false);
             }
             // The next send is an extra one, unless the request did not reach the engine.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod dialect;
 pub mod dispatch;
 pub mod events;
+pub mod forwarding;
 pub mod front;
 pub mod generation;
 pub mod http;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -34,6 +34,7 @@
     store_calls: Counter<u64>,
     store_restores: Counter<u64>,
     leases_lost: Counter<u64>,
+    forwarded: Counter<u64>,
 }
 
 impl Metrics {
@@ -61,6 +62,7 @@
             store_calls: m.u64_counter("aspenloft_gateway_store_calls").build(),
             store_restores: m.u64_counter("aspenloft_gateway_store_restores").build(),
             leases_lost: m.u64_counter("aspenloft_gateway_leases_lost").build(),
+            forwarded: m.u64_counter("aspenloft_gateway_forwarded").build(),
             meters,
         }))
     }
@@ -139,6 +141,12 @@
         self.leases_lost.add(1, &[KeyValue::new("purpose", purpose)]);
     }
 
+    /// Counts a request that another host answered or failed for this one, or that this host
+    /// served for another.
+    pub fn forwarded(&self, outcome: &'static str) {
+        self.forwarded.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
     /// Renders the metrics page for the scraper.
     pub fn render(&self) -> Result<String> {
         let page = self.meters.render()?;
--- a/crates/gateway/src/peers/digest.rs
+++ b/crates/gateway/src/peers/digest.rs
@@ -15,6 +15,7 @@
 
 use crate::configuration::Configuration;
 use crate::demand::DemandDigest;
+use crate::forwarding::ForwardRequest;
 use crate::loads::LoadDigest;
 use crate::permits::PermitRequest;
 use crate::roster::{ServerEntry, ServerRole};
@@ -89,6 +90,9 @@
     pub configuration: u64,
     /// The [`CALLS_VERSION`] of the sender, 0 for a host of the previous build.
     pub calls: u32,
+    /// Whether the sender reaches no backend server at all. What it says of servers is then
+    /// about its own path.
+    pub is_cut: bool,
 }
 
 /// The version of the calls that this build answers beside those of the previous one.
@@ -128,8 +132,17 @@
     fn from(supplement: SupplementWithoutCalls) -> DigestSupplement {
         let SupplementWithoutCalls { leaving, limits, streams, .. } = supplement;
         let SupplementWithoutCalls { unreachable, era, configuration, .. } = supplement;
-        let calls = 0;
-        DigestSupplement { leaving, limits, streams, unreachable, era, configuration, calls }
+        let (calls, is_cut) = Default::default();
+        DigestSupplement {
+            leaving,
+            limits,
+            streams,
+            unreachable,
+            era,
+            configuration,
+            calls,
+            is_cut,
+        }
     }
 }
 
@@ -173,6 +186,10 @@
     /// Asks the host that decides on trials whether one may be made for the cause of this
     /// conviction, whose last crash has this age in milliseconds. The reply is a `bool`.
     Trial(Conviction, u64),
+    /// Has the host serve a request. The replies are [`ForwardReply`]s.
+    ///
+    /// [`ForwardReply`]: crate::forwarding::ForwardReply
+    Forward(Box<ForwardRequest>),
 }
 
 /// `ViewReply` is a host's complete view, for a host that does not watch the key-value
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -10,7 +10,7 @@
 use aspenloft_policy::host_groups::{group_interval, remote_interval};
 use aspenloft_policy::stream_versions::{Scope, VersionTag};
 use aspenloft_transport::frames;
-use aspenloft_transport::mesh::{FrameHandler, PeerLink};
+use aspenloft_transport::mesh::{FrameHandler, PeerLink, RemoteCall};
 use async_std::channel::{Receiver, Sender};
 use async_std::future::timeout;
 use async_std::net::UdpSocket;
@@ -25,6 +25,7 @@
 };
 use super::{LIVENESS_TIMEOUT, LocalState, Peer, Peers, is_recent};
 use crate::configuration::Configuration;
+use crate::forwarding::{ForwardHandler, ForwardRequest};
 use crate::permits::{PermitReply, PermitRequest, Permits};
 use crate::reach::{ReachProbe, Reachability};
 
@@ -144,6 +145,13 @@
         outcome
     }
 
+    /// Has `host` serve a request. An error says whether it may have done so.
+    pub async fn forward(&self, host: &Host, req: ForwardRequest) -> Result<RemoteCall> {
+        let mut buf = BytesMut::new();
+        frames::encode(&PeerCall::Forward(Box::new(req)), &mut buf)?;
+        self.link(host).connection().await?.call(buf.freeze()).await
+    }
+
     async fn call(&self, host: &Host, call: &PeerCall, limit: Duration) -> Result<Bytes> {
         let mut buf = BytesMut::new();
         frames::encode(call, &mut buf)?;
@@ -257,7 +265,7 @@
 
     /// Encodes the supplement of a digest, without the oldest limits if it is too large.
     fn encode_supplement(&self, scope: Scope, unreachable: usize, era: Era) -> Result<BytesMut> {
-        let LocalState { view, limits, streams, shutdown, .. } = &self.state;
+        let LocalState { view, limits, streams, shutdown, path, .. } = &self.state;
         streams.observe();
         let roster = view.roster();
         let mut supplement = DigestSupplement {
@@ -268,6 +276,7 @@
             era: Some(era),
             configuration: view.configuration().map_or(0, |c| c.version),
             calls: CALLS_VERSION,
+            is_cut: path.is_cut(),
         };
         loop {
             let mut buf = BytesMut::new();
@@ -389,13 +398,17 @@
     pub permits: Arc<Permits>,
     /// Finds out which servers this host reaches.
     pub reach: Arc<ReachProbe>,
+    /// Serves the requests that other hosts forward.
+    pub forwarded: Arc<dyn ForwardHandler>,
 }
 
 impl PeerServer {
-    async fn reply(&self, body: &[u8]) -> Result<Bytes> {
+    async fn reply(&self, call: PeerCall) -> Result<Bytes> {
         let mut buf = BytesMut::new();
-        // Hosts of the previous build may send an empty call for the whole view.
-        match frames::decode(body).unwrap_or(PeerCall::View) {
+        match call {
+            PeerCall::Forward(_) => {
+                return Err(internal("a forwarded request has more than one reply"));
+            }
             PeerCall::View => self.peers.view_reply(None).encode(&mut buf)?,
             PeerCall::ViewSince(v) => self.peers.view_reply(Some(v)).encode(&mut buf)?,
             PeerCall::StreamVersion(service, key) => {
@@ -420,7 +433,12 @@
 #[async_trait]
 impl FrameHandler for PeerServer {
     async fn handle(&self, body: Bytes, tx: Sender<Bytes>) {
-        match self.reply(&body).await {
+        // Hosts of a previous build may send an empty call for the whole view.
+        let call = match frames::decode(&body).unwrap_or(PeerCall::View) {
+            PeerCall::Forward(req) => return self.forwarded.serve_forwarded(*req, tx).await,
+            call => call,
+        };
+        match self.reply(call).await {
             // A closed channel means that the peer has cancelled the call.
             Ok(reply) => {
                 let _ = tx.send(reply).await;
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -22,6 +22,7 @@
 use crate::crashes::Crashes;
 use crate::demand::DemandTracker;
 use crate::loads::EngineLoads;
+use crate::path::PathMonitor;
 use crate::roster::Server;
 use crate::server_limits::ServerLimits;
 use crate::shutdown::Shutdown;
@@ -53,6 +54,14 @@
 /// date: a little longer than a watch waits.
 const FOLLOWED_MAX_AGE: Duration = Duration::from_millis(1_750);
 
+/// The maximum age of the last digest of a host to which a request is forwarded: that of the
+/// digests between data centres, and a lost one.
+const FORWARDING_MAX_AGE: Duration = Duration::from_millis(2_000);
+
+/// How many more forwarded requests a host of the own data centre serves than others before
+/// they get some.
+const LOAD_STEP: usize = 8;
+
 /// How long after a call to a host failed other hosts are preferred for a call.
 const FAILED_CALL_PERIOD: Duration = Duration::from_secs(2);
 
@@ -77,6 +86,8 @@
     answers_calls: bool,
     /// The host's [`CALLS_VERSION`].
     calls: u32,
+    /// Whether the host reaches no backend server.
+    is_cut: bool,
     /// Whether the host is shutting down.
     leaving: bool,
     /// When the last digest arrived.
@@ -125,6 +136,8 @@
     pub streams: Arc<StreamVersions>,
     /// The crashes of servers and what they speak for.
     pub crashes: Arc<Crashes>,
+    /// The state of the path to the servers.
+    pub path: Arc<PathMonitor>,
     /// The shutdown of this host.
     pub shutdown: Arc<Shutdown>,
 }
@@ -265,6 +278,7 @@
             unreachable_before: HashMap::new(),
             answers_calls: false,
             calls: 0,
+            is_cut: false,
             leaving: false,
             last_digest: None,
             silence_logged: false,
@@ -429,6 +443,7 @@
                     .unwrap_or_default(),
                 answers_calls: same_process.is_some_and(|p| p.answers_calls),
                 calls: same_process.map_or(0, |p| p.calls),
+                is_cut: same_process.is_some_and(|p| p.is_cut),
                 leaving: same_process.is_some_and(|p| p.leaving),
                 last_digest: Some(now),
                 silence_logged: false,
@@ -447,7 +462,7 @@
         if let Some(peer) = self.peers.lock().get_mut(name) {
             (peer.answers_calls, peer.leaving) = (true, supplement.leaving);
             peer.configuration = supplement.configuration;
-            peer.calls = supplement.calls;
+            (peer.calls, peer.is_cut) = (supplement.calls, supplement.is_cut);
             peer.record_unreachable(supplement.unreachable, now);
         }
         if !supplement.streams.is_empty() {
@@ -494,6 +509,45 @@
         best.filter(|host| leaving || rank(host) > rank(&self.local)).cloned()
     }
 
+    /// Returns the best host to serve a request for `service`, except those in `tried`: one that
+    /// reaches at least `min_reached` servers, knows the configuration in force here and has
+    /// few of the requests `in_flight` from this host. Hosts of the own data centre come first
+    /// among those that have about as many.
+    pub fn forwarding_host(
+        &self,
+        service: &Name,
+        min_reached: usize,
+        tried: &[Name],
+        in_flight: &HashMap<Name, usize>,
+    ) -> Option<Host> {
+        let now = self.clock.now();
+        let version = self.state.view.configuration().map_or(0, |c| c.version);
+        let peers = self.peers.lock();
+        let is_able = |p: &&Peer| {
+            let failed = p
+                .failed_at
+                .is_some_and(|at| now.saturating_duration_since(at) < FAILED_CALL_PERIOD);
+            p.calls > 0
+                && !p.leaving
+                && !p.is_cut
+                && !failed
+                && p.configuration >= version
+                && is_recent(p, now, FORWARDING_MAX_AGE)
+                && !tried.contains(&p.host.name)
+        };
+        let able = peers.values().filter(is_able).filter(|p| {
+            let unreachable = p.unreachable();
+            let reach = self.state.view.reach(service, now, |s| !unreachable.contains(&s.key));
+            reach.reached >= min_reached
+        });
+        let rank = |p: &Peer| {
+            let load = in_flight.get(&p.host.name).copied().unwrap_or_default() / LOAD_STEP;
+            let is_remote = p.host.data_centre != self.local.data_centre;
+            (load, is_remote, xxh3_64_with_seed(p.host.name.as_bytes(), self.born_ms))
+        };
+        able.min_by_key(|p| rank(p)).map(|p| p.host.clone())
+    }
+
     /// Returns up to `max` live hosts that answer all calls, from as many data centres as
     /// possible.
     fn spread_over_data_centres(&self, max: usize) -> Vec<Host> {
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -1,7 +1,7 @@
 //! The `request` module defines a caller's request while it is being served.
 
 use std::sync::OnceLock;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use aspenloft_core::prelude::{Arc, Name};
@@ -45,6 +45,53 @@
     pub deadline: Instant,
     /// What is known of the request's part in crashes of servers.
     pub crash_state: CrashState,
+    /// Where the request has been sent so far.
+    pub progress: Progress,
+    /// Whether another host has forwarded the request, which therefore ends here.
+    pub is_forwarded: bool,
+}
+
+/// `Progress` is where a request has been sent so far.
+#[derive(Debug, Default)]
+pub struct Progress {
+    arrived: AtomicBool,
+    prefilled: AtomicBool,
+    runs: AtomicU32,
+}
+
+impl Progress {
+    /// Returns whether the request may have reached a server, so that another send is an extra
+    /// one.
+    pub fn has_arrived(&self) -> bool {
+        self.arrived.load(Ordering::SeqCst)
+    }
+
+    /// Records that the request may have reached a server.
+    pub fn record_arrival(&self) {
+        self.arrived.store(true, Ordering::SeqCst);
+    }
+
+    /// Returns whether an engine has processed the prompt, so that another prefill is an extra
+    /// send.
+    pub fn has_prefilled(&self) -> bool {
+        self.prefilled.load(Ordering::SeqCst)
+    }
+
+    /// Records that an engine may have processed the prompt.
+    pub fn record_prefill(&self) {
+        self.prefilled.store(true, Ordering::SeqCst);
+    }
+
+    /// Returns how many servers may have run the request.
+    pub fn runs(&self) -> u32 {
+        self.runs.load(Ordering::SeqCst)
+    }
+
+    /// Records that a server may have run the request.
+    pub fn record_run(&self) {
+        self.record_arrival();
+        self.runs.fetch_add(1, Ordering::SeqCst);
+    }
 }
 
 /// `CrashState` is what is known of the part that one request has in crashes of servers.
@@ -68,6 +115,17 @@
         due.saturating_duration_since(now) / 2
     }
 
+    /// Returns the request as another host has forwarded it, which must be answered by
+    /// `deadline` and which `runs` servers may have run.
+    pub fn forwarded(mut self, deadline: Instant, runs: u32) -> InboundRequest {
+        self.deadline = self.deadline.min(deadline);
+        self.is_forwarded = true;
+        for _ in 0..runs {
+            self.progress.record_run();
+        }
+        self
+    }
+
     /// Returns the attempt id for log lines, `-` when there is none.
     pub fn log_id(&self) -> &str {
         self.metadata.id.as_deref().unwrap_or("-")
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -23,6 +23,7 @@
 use crate::demand::DemandTracker;
 use crate::dialect::Dialect;
 use crate::dispatch::Dispatcher;
+use crate::forwarding::Forwarder;
 use crate::front::Frontend;
 use crate::generation::GenerationHandler;
 use crate::http::{BackendClient, Pool, PoolOptions};
@@ -106,6 +107,7 @@
         limits: limits.clone(),
         streams: streams.clone(),
         crashes: crashes.clone(),
+        path: path.clone(),
         shutdown: shutdown.clone(),
     };
     let peers = Peers::new(host, clock.clone(), local_state, seeds);
@@ -134,8 +136,6 @@
     task::spawn(sync.clone().maintain_entry());
     task::spawn(peers.clone().receive_digests(socket.clone()));
     task::spawn(peers.clone().send_digests(socket, load_changes));
-    let server = PeerServer { peers: peers.clone(), permits: permits.clone(), reach };
-    task::spawn(mesh::serve(mesh, Arc::new(server)));
 
     let ready = probes::Readiness { view: view.clone(), shutdown: shutdown.clone() };
     let readiness_path = platform.dialect.readiness_path().to_string();
@@ -192,32 +192,46 @@
         streams,
         crashes: crashes.clone(),
         metrics: metrics.clone(),
+        path: path.clone(),
         clock: clock.clone(),
     });
     let calls = CallHandler {
         view: view.clone(),
         client,
-        permits,
+        permits: permits.clone(),
         dialect: platform.dialect.clone(),
         retries: retries.clone(),
-        peers,
+        peers: peers.clone(),
         crashes,
+        path: path.clone(),
         clock: clock.clone(),
         data_centre: settings.data_centre.clone(),
     };
-    let front = Frontend {
+    let forwarder = Forwarder {
+        peers: peers.clone(),
+        view: view.clone(),
+        path,
+        retries: retries.clone(),
+        metrics: metrics.clone(),
+        clock: clock.clone(),
+        in_flight: Arc::default(),
+    };
+    let front = Arc::new(Frontend {
         view,
         dialect: platform.dialect,
         calls,
         generations,
+        forwarder,
         bodies: BodyBudget::new(settings.memory_mb),
         retries,
         shutdown: shutdown.clone(),
         shutdown_settings: settings.shutdown.clone(),
         metrics,
         clock: clock.clone(),
-    };
-    task::spawn(Arc::new(front).serve(callers));
+    });
+    let server = PeerServer { peers, permits, reach, forwarded: front.clone() };
+    task::spawn(mesh::serve(mesh, Arc::new(server)));
+    task::spawn(front.serve(callers));
     log::info!(event = "started", host = &*settings.host, data_centre = &*settings.data_centre; "");
     Ok(shutdown)
 }
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -101,6 +101,22 @@
 /// as long as the leases of servers that are gone may last.
 pub const RESTORE_SETTLE_TIME: Duration = Duration::from_secs(6);
 
+/// `ServiceReach` is how much of a service a host reaches.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct ServiceReach {
+    /// The number of servers that stay.
+    pub staying: usize,
+    /// The number of those that the host reaches.
+    pub reached: usize,
+}
+
+impl ServiceReach {
+    /// Returns whether the host reaches at most half of the servers.
+    pub fn is_poor(self) -> bool {
+        self.staying > 0 && self.reached * 2 <= self.staying
+    }
+}
+
 impl View {
     /// Returns the configuration in force, or `None` if none has been received yet.
     pub fn configuration(&self) -> Option<Arc<Configuration>> {
@@ -242,6 +258,22 @@
         }
     }
 
+    /// Returns how many servers of `service` stay, and for how many of them `reaches` holds.
+    pub fn reach(
+        &self,
+        service: &Name,
+        now: Instant,
+        reaches: impl Fn(&Server) -> bool,
+    ) -> ServiceReach {
+        let roster = self.roster();
+        let mut reach = ServiceReach::default();
+        for server in roster.all().filter(|s| s.entry.service == *service && s.is_staying(now)) {
+            reach.staying += 1;
+            reach.reached += usize::from(reaches(server));
+        }
+        reach
+    }
+
     /// Removes the servers whose time is over for which they were kept without an entry.
     pub fn remove_expired(&self, now: Instant) {
         if !self.roster().all().any(|server| server.is_expired(now)) {
