Take reports of unreachable servers from hosts with a working path only

Two hosts that had lost their paths made all others avoid servers that were sound: their digests name what they cannot reach, and two reports sufficed. The class: an observation of one's own path told as a fact about the server.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -438,9 +438,12 @@
         let mut servers = self.view.roster().available(service, role, now);
         let switching = self.loads.switching(now);
         servers.retain(|s| !tried.contains(&s.entry.instance) && !switching.contains(&s.key));
-        let unreachable = self.peers.unreachable_elsewhere();
-        let reachable: Vec<Arc<Server>> =
-            servers.iter().filter(|s| !unreachable.contains(&s.key)).cloned().collect();
+        let unreachable = self.peers.unreachable_elsewhere(service);
+        let reachable: Vec<Arc<Server>> = servers
+            .iter()
+            .filter(|s| !unreachable.contains(&s.key) || s.state.is_heard(now))
+            .cloned()
+            .collect();
         // When all are reported unreachable, this host tries them itself, which shows
         // which ones are back.
         if reachable.is_empty() { servers } else { reachable }
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -240,15 +240,22 @@
         (total, keys)
     }
 
-    /// Returns the keys of the servers that several other hosts cannot reach. A report by
-    /// a single host may be due to that host's own network.
-    pub fn unreachable_elsewhere(&self) -> HashSet<u64> {
+    /// Returns the keys of the servers of `service` that several other hosts cannot reach. A
+    /// report by a single host may be due to that host's own network, and so are those of hosts
+    /// that reach at most half of the service.
+    pub fn unreachable_elsewhere(&self, service: &Name) -> HashSet<u64> {
         let now = self.clock.now();
         let peers = self.peers.lock();
-        let live = peers.values().filter(|p| is_recent(p, now, LIVENESS_TIMEOUT));
+        let live = peers.values().filter(|p| is_recent(p, now, LIVENESS_TIMEOUT) && !p.is_cut);
         let mut reports: HashMap<u64, usize> = HashMap::new();
-        for server in live.flat_map(Peer::unreachable) {
-            *reports.entry(server).or_default() += 1;
+        for unreachable in live.map(Peer::unreachable).filter(|servers| !servers.is_empty()) {
+            let reach = self.state.view.reach(service, now, |s| !unreachable.contains(&s.key));
+            if reach.is_poor() {
+                continue;
+            }
+            for server in unreachable {
+                *reports.entry(server).or_default() += 1;
+            }
         }
         let confirmed = reports.into_iter().filter(|(_, hosts)| *hosts >= MIN_UNREACHABLE_REPORTS);
         confirmed.map(|(server, _)| server).collect()
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -82,6 +82,9 @@
     last_activity: Mutex<Option<Instant>>,
 }
 
+/// How long a server counts as reached after it has sent something, whatever other hosts say.
+const HEARD_PERIOD: Duration = Duration::from_secs(2);
+
 /// How long all streams of an engine may be silent before it gets no new work. Busy
 /// engines send an event on each stream about every 50 ms.
 const MAX_STREAM_SILENCE: Duration = Duration::from_millis(500);
@@ -116,6 +119,13 @@
         silent && self.streams.load(Ordering::Relaxed) > 0
     }
 
+    /// Tells whether the server has lately sent something to this host.
+    pub fn is_heard(&self, now: Instant) -> bool {
+        let last = *self.last_activity.lock();
+        last.is_some_and(|at| now.saturating_duration_since(at) < HEARD_PERIOD)
+            || self.health(|h| h.has_answered_within(HEARD_PERIOD, now))
+    }
+
     /// Returns the number of calls in flight from this host to the server.
     pub fn in_flight(&self) -> usize {
         self.in_flight.load(Ordering::Relaxed)
--- a/crates/gateway/tests/forwarded_requests.rs
+++ b/crates/gateway/tests/forwarded_requests.rs
@@ -12,7 +12,7 @@
 use aspenloft_core::errors::ErrorCode;
 use aspenloft_core::execution::Execution;
 use aspenloft_gateway::forwarding::{ForwardReply, ForwardRequest};
-use aspenloft_gateway::peers::PeerCall;
+use aspenloft_gateway::peers::{Digest, PeerCall};
 use aspenloft_gateway::roster::ServerRole::{Decode, Plain, Prefill};
 use aspenloft_standin::network::Cut;
 use aspenloft_transport::{frames, mesh};
@@ -20,9 +20,10 @@
 use bytes::{Bytes, BytesMut};
 use common::peer::ScriptedPeer;
 use common::{
-    MemoryStore, READ_TIMEOUT, Scripted, TestHost, body, configuration, entry, exchange, header,
-    not_run, sealed, status, wait_for,
+    MemoryStore, READ_TIMEOUT, Scripted, TestHost, body, configuration, digest, entry, exchange,
+    header, not_run, sealed, send_digest, status, wait_for,
 };
+use xxhash_rust::xxh3::xxh3_64;
 
 const CUTS: [Cut; 3] = [Cut::Refused, Cut::Reset, Cut::Hanging];
 
@@ -32,7 +33,7 @@
 /// Hosts in front of plain servers and engines.
 struct Deployment {
     hosts: Vec<TestHost>,
-    _servers: Vec<Scripted>,
+    servers: Vec<Scripted>,
 }
 
 impl Deployment {
@@ -44,7 +45,7 @@
             let role = [Plain, Plain, Plain, Prefill, Prefill, Decode, Decode, Decode][n];
             store.write(&format!("servers/s{n}"), &entry(&format!("s{n}"), server.addr, role));
         }
-        Deployment { hosts: start_hosts(&store, hosts), _servers: servers }
+        Deployment { hosts: start_hosts(&store, hosts), servers }
     }
 
     /// Sends calls and model requests to host 0 for `span`, each as soon as it comes, and
@@ -325,3 +326,33 @@
     assert_eq!(status(&call(&host, "/once/", "a", "")), "503");
     assert_eq!(peer.calls(), 0);
 }
+
+// Two hosts' reports made all others avoid a server that only these two could not reach.
+#[test]
+fn reports_of_others_keep_no_host_from_a_server_that_it_reaches() {
+    let deployment = Deployment::start(1);
+    let host = &deployment.hosts[0];
+    deployment.send_for(Duration::from_millis(500));
+    let engine = &deployment.servers[5];
+    let peer = ScriptedPeer::start();
+    let target = host.settings.listen.peers;
+    let revision = host.store.revision();
+    std::thread::scope(|scope| {
+        scope.spawn(|| {
+            for seq in 1..40 {
+                for name in ["x1", "x2"] {
+                    let unreachable = vec![xxh3_64(b"s5") ^ 1];
+                    let digest = digest(name, peer.addr, revision);
+                    send_digest(target, &Digest { seq, unreachable, ..digest });
+                }
+                std::thread::sleep(Duration::from_millis(25));
+            }
+        });
+        std::thread::sleep(Duration::from_millis(100));
+        let before = engine.count();
+        let (sent, served) = deployment.send_for(Duration::from_millis(700));
+        assert_eq!(served, sent);
+        let arrived = engine.count() - before;
+        assert!(arrived * 12 >= sent, "{arrived} of {sent} requests, of which half are streams");
+    });
+}
--- a/crates/policy/src/server_health.rs
+++ b/crates/policy/src/server_health.rs
@@ -36,12 +36,14 @@
     paused_until: Option<Instant>,
     pause: Duration,
     probing: bool,
+    answered_at: Option<Instant>,
 }
 
 impl ServerHealth {
     /// Records a complete answer.
     pub fn record_success(&mut self, now: Instant) {
         self.update_failure_rate(0.0, now);
+        self.answered_at = Some(now);
         self.paused_until = None;
         self.pause = Duration::ZERO;
         self.probing = false;
@@ -80,6 +82,11 @@
         self.paused_until.is_some_and(|until| now < until)
     }
 
+    /// Returns whether the server has answered within `period`.
+    pub fn has_answered_within(&self, period: Duration, now: Instant) -> bool {
+        self.answered_at.is_some_and(|at| now.saturating_duration_since(at) < period)
+    }
+
     /// Returns the share of recent calls that failed, from 0 to 1.
     pub fn failure_rate(&self, now: Instant) -> f64 {
         let Some(updated) = self.updated else { return 0.0 };
