--- a/crates/gateway/src/generation/relay.rs
+++ b/crates/gateway/src/generation/relay.rs
@@ -40,6 +40,13 @@
     tokens.saturating_mul(MAX_BYTES_PER_TOKEN).saturating_add(STREAM_BASE_BYTES)
 }
 
+/// How long an engine may be silent before its streams go on at another one. A sound engine may
+/// fall silent for two seconds, and its host sends the lost packets again a second later.
+const MAX_SILENCE: Duration = Duration::from_millis(3_200);
+
+/// How often an engine is checked for silence.
+const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(400);
+
 /// How long a broken stream may wait for an engine that limits its requests.
 const MAX_PERMIT_WAIT: Duration = Duration::from_millis(500);
 
@@ -85,6 +92,8 @@
     /// Completes at the request's deadline. It is one timer for all events, because a
     /// timer for each event costs more than relaying the event.
     deadline: BoxFuture<'static, ()>,
+    /// Completes when the engine is to be checked for silence.
+    silence_check: BoxFuture<'static, ()>,
     end: Option<StreamEnd>,
     /// Whether the version of the stream has been recorded.
     version_recorded: bool,
@@ -121,6 +130,7 @@
             last_frame_at: started_at,
             longest_pause: Duration::ZERO,
             deadline,
+            silence_check: task::sleep(SILENCE_CHECK_INTERVAL).boxed(),
             end,
             version_recorded: false,
         }
@@ -180,9 +190,14 @@
     async fn read(&mut self) -> Result<Bytes, StreamEnd> {
         let Some(upstream) = self.upstream.as_mut() else { return Err(StreamEnd::Broken) };
         let frame = upstream.response.body.frame();
-        let frame = match select(pin!(frame), &mut self.deadline).await {
+        let interrupt = select(&mut self.deadline, &mut self.silence_check);
+        let frame = match select(pin!(frame), interrupt).await {
             Either::Left((frame, _)) => frame,
-            Either::Right(_) => return Err(StreamEnd::Expired),
+            Either::Right((Either::Left(_), _)) => return Err(StreamEnd::Expired),
+            Either::Right((Either::Right(_), _)) => {
+                self.silence_check = task::sleep(SILENCE_CHECK_INTERVAL).boxed();
+                return if self.is_given_up() { Err(StreamEnd::Broken) } else { Ok(Bytes::new()) };
+            }
         };
         match frame {
             Some(Ok(frame)) => {
@@ -216,6 +231,18 @@
         }
     }
 
+    /// Tells whether the stream should go on at another engine because this one has been silent
+    /// on all its streams for longer than a sound one. Others wait until the connection breaks.
+    fn is_given_up(&self) -> bool {
+        let Some(upstream) = &self.upstream else { return false };
+        let now = self.generations.clock.now();
+        let route = &self.inbound.route;
+        route.repeat == RepeatPolicy::ResumableStream
+            && upstream.runs < route.max_attempts
+            && now.saturating_duration_since(self.last_frame_at) >= MAX_SILENCE
+            && upstream.server.state.is_silent(now)
+    }
+
     /// Resumes the stream on another engine after the last complete event. Returns false
     /// when the route, the budget or the deadline does not allow it.
     async fn resume(&mut self) -> bool {
--- a/crates/transport/src/connector.rs
+++ b/crates/transport/src/connector.rs
@@ -16,13 +16,25 @@
     async fn connect(&self, addr: SocketAddr, limit: Duration) -> Result<TcpStream>;
 }
 
+/// How long a backend server may be silent before the connection counts as broken. A sound one
+/// may fall silent for two seconds, and what was sent meanwhile is sent again a second later.
+const SERVER_SILENCE: Duration = Duration::from_millis(3_500);
+
 /// `TcpConnector` is the connector of a host that runs on a machine of its own.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct TcpConnector {
     /// The limits after which a silent connection counts as broken.
     pub silence: KeepaliveOptions,
 }
 
+impl Default for TcpConnector {
+    fn default() -> Self {
+        let silence =
+            KeepaliveOptions { user_timeout: SERVER_SILENCE, ..KeepaliveOptions::default() };
+        TcpConnector { silence }
+    }
+}
+
 #[async_trait]
 impl Connector for TcpConnector {
     async fn connect(&self, addr: SocketAddr, limit: Duration) -> Result<TcpStream> {
--- a/crates/transport/src/socket.rs
+++ b/crates/transport/src/socket.rs
@@ -20,7 +20,8 @@
     /// How long a connection may be idle before the peer is probed, and the interval
     /// between probes. The socket option takes whole seconds.
     pub probe_interval: Duration,
-    /// How many unanswered probes close the connection.
+    /// How many unanswered probes close the connection. `user_timeout` also decides that,
+    /// whatever the count.
     pub probe_count: u32,
 }
 
