--- a/crates/gateway/src/orders/mod.rs
+++ b/crates/gateway/src/orders/mod.rs
@@ -25,6 +25,7 @@
 use crate::http::BackendClient;
 use crate::loads::EngineLoads;
 use crate::metrics::Metrics;
+use crate::path::PathMonitor;
 use crate::peers::Peers;
 use crate::permits::Permits;
 use crate::roster::{Server, ServerRole};
@@ -81,6 +82,8 @@
     pub permits: Arc<Permits>,
     /// Translates calls to engines.
     pub dialect: Arc<dyn Dialect>,
+    /// The state of the path to the engines.
+    pub path: Arc<PathMonitor>,
     /// The host's shutdown; no orders are sent once it has begun.
     pub shutdown: Arc<Shutdown>,
     /// The host's metrics.
@@ -127,8 +130,8 @@
                 return;
             }
             let now = self.clock.now();
-            if !self.view.is_settled(now) {
-                // The service may list engines in roles that they have left.
+            // After a restore the service may list engines in roles that they have left.
+            if !self.view.is_settled(now) || self.path.is_cut() {
                 lease = None;
                 planned_since = None;
                 continue;
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -174,6 +174,7 @@
         client: client.clone(),
         permits: permits.clone(),
         dialect: platform.dialect.clone(),
+        path: path.clone(),
         shutdown: shutdown.clone(),
         metrics: metrics.clone(),
         clock: clock.clone(),
--- a/crates/gateway/tests/orders.rs
+++ b/crates/gateway/tests/orders.rs
@@ -10,6 +10,7 @@
 
 use aspenloft_gateway::roster::ServerEntry;
 use aspenloft_gateway::roster::ServerRole::{self, Decode, Prefill};
+use aspenloft_standin::network::Cut;
 use common::{Scripted, TestHost, entry, header, sealed, status, wait_for};
 
 /// The orders that the prefill engines of a test have received.
@@ -166,3 +167,28 @@
     let tokens: Vec<u64> = tokens.collect();
     assert!(!tokens.is_empty() && tokens.iter().all(|t| *t > highest_before + 1_000), "{tokens:?}");
 }
+
+// A host that reached no engine kept the lease on orders, and nobody gave any.
+#[test]
+fn a_host_that_is_cut_off_leaves_orders_to_others() {
+    let counts = Arc::<OrderCounts>::default();
+    let prefills: Vec<Scripted> = (0..4).map(|_| prefill_engine(&counts)).collect();
+    let decodes: Vec<Scripted> = (0..2).map(|_| Scripted::start(|_, req| stream(req))).collect();
+    let names = [("p0", "v1"), ("p1", "v1"), ("p2", "v1"), ("p3", "v1")];
+    let mut servers = named(&names, &prefills, Prefill);
+    servers.extend(named(&[("d0", "v1"), ("d1", "v1")], &decodes, Decode));
+    let host = TestHost::with_servers(&servers);
+    let other = TestHost::start("h2", host.store.for_another_host());
+    other.wait_ready();
+    std::thread::sleep(Duration::from_millis(500));
+    host.network.cut(Cut::Refused, &[]);
+    let loads = [start_load(&host), start_load(&other)];
+    let began = Instant::now();
+    while counts.orders.load(Ordering::SeqCst) == 0 {
+        assert!(began.elapsed() < Duration::from_secs(15), "no order");
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    for load in loads {
+        load.stop();
+    }
+}
