Test that a call stays the same whatever else its caller changes

Ids, headers, deadline, host name, query and framing differ between the repeats; two servers crash, as for one that is repeated letter by letter.

--- a/crates/gateway/tests/crashing_calls.rs
+++ b/crates/gateway/tests/crashing_calls.rs
@@ -210,3 +210,24 @@
         }
     }
 }
+
+#[test]
+fn a_call_is_the_same_whatever_else_its_caller_changes() {
+    let (store, log) = (store(), Arc::<EngineLog>::default());
+    let _crashing = crashing_servers(&store, 8, &log);
+    let hosts = hosts(&store, 2);
+    let forms = [
+        "POST /once/ HTTP/1.1\r\nhost: app.test\r\nid: a\r\ncontent-length: 3\r\n\r\nbad",
+        "POST /once/ HTTP/1.1\r\nhost: APP.test:80\r\nid: b\r\nx-key: 1\r\ncontent-length: 3\r\n\r\nbad",
+        "POST /once/?x=1 HTTP/1.1\r\nhost: app.test\r\nid: c\r\ncontent-length: 3\r\n\r\nbad",
+        "POST /once/ HTTP/1.1\r\nhost: app.test\r\nid: d\r\nwait-ms: 700\r\ntransfer-encoding: chunked\r\n\r\n1\r\nb\r\n2\r\nad\r\n0\r\n\r\n",
+        "POST /once/ HTTP/1.1\r\nhost: app.test\r\nid: e\r\nresumes: a\r\ncontent-length: 3\r\n\r\nbad",
+    ];
+    for (n, form) in forms.iter().enumerate() {
+        let form = form.replacen("\r\nid:", "\r\nparts: bad\r\nid:", 1);
+        hosts[n % 2].send(&form);
+        std::thread::sleep(Duration::from_millis(200));
+    }
+    let crashes = log.crashes.load(Ordering::SeqCst);
+    assert_eq!(crashes, 2);
+}
