Say that a call may have run when a host that served it did not answer

A repeatable call that was forwarded after its own attempts had reached no server, and whose hop broke after the send, got 503 with Retry-After: the error of the own attempts was passed on, although another host may have run it. It is 502 now, as for a server that does not answer. a_call_that_may_have_run_at_another_host_is_not_called_not_run: 503 before.

--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -196,7 +196,12 @@
             Err(error) => error,
             response => return response,
         };
-        self.forwarder.forward_after(&inbound, &error).await.unwrap_or(Err(error))
+        let forwarded = self.forwarder.forward_after(&inbound, &error).await;
+        forwarded.unwrap_or_else(|| {
+            // It may have run at a host that did not answer.
+            let has_run = inbound.progress.runs() > 0;
+            Err(if has_run { error.execution(Execution::Unknown) } else { error })
+        })
     }
 
     /// Serves the request with the servers that this host reaches. `is_counted` is whether
--- a/crates/gateway/tests/forwarded_requests.rs
+++ b/crates/gateway/tests/forwarded_requests.rs
@@ -4,7 +4,7 @@
 mod common;
 
 use std::io::{Read, Write};
-use std::net::TcpStream;
+use std::net::{TcpStream, UdpSocket};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
@@ -12,11 +12,13 @@
 use aspenloft_core::errors::ErrorCode;
 use aspenloft_core::execution::Execution;
 use aspenloft_gateway::forwarding::{ForwardReply, ForwardRequest};
-use aspenloft_gateway::peers::{Digest, PeerCall};
+use aspenloft_gateway::peers::{CALLS_VERSION, Digest, DigestSupplement, PeerCall};
 use aspenloft_gateway::roster::ServerRole::{Decode, Plain, Prefill};
 use aspenloft_standin::network::Cut;
 use aspenloft_transport::{frames, mesh};
+use async_std::channel::Sender;
 use async_std::task;
+use async_trait::async_trait;
 use bytes::{Bytes, BytesMut};
 use common::peer::ScriptedPeer;
 use common::{
@@ -371,3 +373,43 @@
         |response: &str| response.lines().filter(|l| !l.starts_with("date")).collect::<String>();
     assert_eq!(without_date(&forwarded), without_date(&direct));
 }
+
+/// A host that takes forwarded requests and does not answer them.
+struct Unanswering(Arc<AtomicUsize>);
+
+#[async_trait]
+impl mesh::FrameHandler for Unanswering {
+    async fn handle(&self, _body: Bytes, _tx: Sender<Bytes>) {
+        self.0.fetch_add(1, Ordering::SeqCst);
+    }
+}
+
+// The error of the own attempts, which had reached no server, was passed on.
+#[test]
+fn a_call_that_may_have_run_at_another_host_is_not_called_not_run() {
+    let server = Scripted::start(|_, req| sealed(req, "200 OK", "done"));
+    let host = TestHost::with_servers(&[entry("s1", server.addr, Plain)]);
+    let calls = Arc::<AtomicUsize>::default();
+    let listener = task::block_on(async_std::net::TcpListener::bind("127.0.0.1:0")).expect("bind");
+    let addr = listener.local_addr().expect("address");
+    task::spawn(mesh::serve(listener, Arc::new(Unanswering(calls.clone()))));
+    let (target, revision) = (host.settings.listen.peers, host.store.revision());
+    std::thread::spawn(move || {
+        let socket = UdpSocket::bind("127.0.0.1:0").expect("bind");
+        for seq in 1..100 {
+            let mut buf = BytesMut::new();
+            let digest = Digest { seq, ..digest("x1", addr, revision) };
+            let supplement =
+                DigestSupplement { calls: CALLS_VERSION, configuration: 1, ..Default::default() };
+            frames::encode(&digest, &mut buf).expect("a digest");
+            frames::encode(&supplement, &mut buf).expect("a supplement");
+            let _ = socket.send_to(&buf, target);
+            std::thread::sleep(Duration::from_millis(20));
+        }
+    });
+    std::thread::sleep(Duration::from_millis(200));
+    host.network.cut(Cut::Refused, &[]);
+    let response = call(&host, "/many/", "a", "");
+    assert!(calls.load(Ordering::SeqCst) > 0, "{response}");
+    assert_eq!(status(&response), "502", "{response}");
+}
