Explain crashes by causes without answers first

Change: causes under which no server ever began an answer come first. Result: the new test convicted part 1 before.

--- a/crates/policy/src/crash_tracker.rs
+++ b/crates/policy/src/crash_tracker.rs
@@ -515,9 +515,10 @@
             && speaking().all(|c| others.iter().any(|other| c.crash.causes.has(*other)))
     }
 
-    /// Returns the cause for which most of the crashes `unexplained` speak, if they suffice.
-    /// Among equals, one under which no server has ever begun an answer comes first, then
-    /// the later part, which fewer requests share.
+    /// Returns the best cause for which the crashes `unexplained` suffice. One under which no
+    /// server has ever begun an answer comes first: a part that several crashing ones share
+    /// explains more crashes than each of them. Then comes the cause for which most crashes
+    /// speak, then the later part, which fewer requests share.
     fn best_cause(&self, unexplained: &[usize]) -> Option<(Cause, Evidence)> {
         let mut tally: HashMap<Cause, Evidence> = HashMap::new();
         for recorded in unexplained.iter().map(|index| &self.crashes[*index]) {
@@ -536,7 +537,7 @@
         let sufficient = tally.into_iter().filter(|(cause, e)| e.suffices(*cause));
         sufficient.max_by_key(|(cause, evidence)| {
             let never_answered = self.answered_at(*cause).is_none();
-            (evidence.servers.len(), never_answered, evidence.depth, *cause)
+            (never_answered, evidence.servers.len(), evidence.depth, *cause)
         })
     }
 
--- a/crates/policy/tests/crash_tracker.rs
+++ b/crates/policy/tests/crash_tracker.rs
@@ -201,6 +201,23 @@
     assert_eq!(held_by(&mut tracker, 9, &[1, 4], now), None);
 }
 
+/// Two crashing parts with a common first part came at once, and that part was convicted.
+#[test]
+fn a_part_that_several_crashing_ones_share_is_not_convicted_in_their_place() {
+    let start = Instant::now();
+    let mut tracker = CrashTracker::default();
+    tracker.record_answer(&causes(1, &[1, 4]), start);
+    for number in 0..3_u64 {
+        let at = start + seconds(1.0 + number as f64);
+        tracker.record_crash(crash(number, 100 + number, &[1, 2]), at, true);
+        tracker.record_crash(crash(50 + number, 200 + number, &[1, 3]), at, true);
+    }
+    let now = start + seconds(4.0);
+    assert_eq!(held_by(&mut tracker, 9, &[1, 4], now), None);
+    assert_eq!(held_by(&mut tracker, 9, &[1, 2], now), Some((part(2), false)));
+    assert_eq!(held_by(&mut tracker, 9, &[1, 3], now), Some((part(3), false)));
+}
+
 #[test]
 fn crashes_before_an_answer_do_not_count() {
     let start = Instant::now();
