--- a/crates/gateway/src/generation/relay.rs
+++ b/crates/gateway/src/generation/relay.rs
@@ -44,6 +44,10 @@
 /// fall silent for two seconds, and its host sends the lost packets again a second later.
 const MAX_SILENCE: Duration = Duration::from_millis(3_200);
 
+/// The shortest pause between events that is counted as a stall: longer than the gap between
+/// events of a busy engine, shorter than the time after which a lost packet is sent again.
+const STALL: Duration = Duration::from_millis(150);
+
 /// How often an engine is checked for silence.
 const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(400);
 
@@ -89,6 +93,8 @@
     started_at: Instant,
     last_frame_at: Instant,
     longest_pause: Duration,
+    /// The number of pauses of at least [`STALL`].
+    stalls: u32,
     /// Completes at the request's deadline. It is one timer for all events, because a
     /// timer for each event costs more than relaying the event.
     deadline: BoxFuture<'static, ()>,
@@ -129,6 +135,7 @@
             started_at,
             last_frame_at: started_at,
             longest_pause: Duration::ZERO,
+            stalls: 0,
             deadline,
             silence_check: task::sleep(SILENCE_CHECK_INTERVAL).boxed(),
             end,
@@ -205,6 +212,7 @@
                 upstream.server.state.record_activity(now);
                 let pause = now.saturating_duration_since(self.last_frame_at);
                 self.longest_pause = self.longest_pause.max(pause);
+                self.stalls += u32::from(pause >= STALL);
                 self.last_frame_at = now;
                 let known = self.splitter.events();
                 let events = frame.data_ref().map(|data| self.splitter.push(data));
@@ -346,7 +354,7 @@
         let metrics = &self.generations.metrics;
         metrics.stream_ended(outcome, self.longest_pause);
         let (events, pause_ms) = (self.splitter.events(), self.longest_pause.as_millis() as u64);
-        log::info!(event = "stream_ended", request = self.inbound.log_id(), outcome, events, pause_ms; "");
+        log::info!(event = "stream_ended", request = self.inbound.log_id(), outcome, events, pause_ms, stalls = self.stalls; "");
     }
 }
 
