Simulate a fleet of hosts that share engines under load patterns

aspenloft-load fleet drives the placement and queueing decisions of policy on an injected clock: hosts that hear of each other late, engines with slots and memory in blocks, callers with targets and returns.

--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -3,4 +3,5 @@
 
 pub mod arrivals;
 pub mod compare;
+pub mod fleet;
 pub mod run;
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -5,14 +5,17 @@
 
 use aspenloft_core::prelude::Findings;
 use aspenloft_load::compare::report::{self, CompareOptions};
+use aspenloft_load::fleet::LoadPattern;
 use aspenloft_load::run::driver;
 use aspenloft_load::run::options::{EnginePair, MAX_DURATION, RunOptions};
+use aspenloft_policy::mechanisms::Mechanisms;
 use async_std::task;
 use serde::Serialize;
 
 mod flags {
     #![allow(missing_docs)]
     use std::net::SocketAddr;
+    use std::path::PathBuf;
 
     xflags::xflags! {
         /// Sends load to a deployment on loopback, and compares policies in a simulation.
@@ -65,6 +68,20 @@
                 /// Prints JSON.
                 optional --json
             }
+            /// Simulates a fleet of hosts under a load pattern.
+            ///
+            /// Exit codes: 0 the run was made, 1 the file cannot be read, 2 invalid flags
+            /// or an invalid pattern.
+            cmd fleet {
+                /// The file with the load pattern, JSON.
+                required pattern: PathBuf
+                /// The seed of the requests (default 1).
+                optional --seed seed: u64
+                /// A mechanism to leave out; may be repeated.
+                repeated --without name: String
+                /// Prints JSON.
+                optional --json
+            }
         }
     }
 }
@@ -149,6 +166,31 @@
     if reached { 0 } else { EXIT_MISSED }
 }
 
+fn fleet(f: &flags::Fleet) -> i32 {
+    let path = f.pattern.display();
+    let text = match std::fs::read_to_string(&f.pattern) {
+        Ok(text) => text,
+        Err(e) => {
+            eprintln!("aspenloft-load: cannot read {path}: {e}");
+            return EXIT_ERROR;
+        }
+    };
+    let parsed = LoadPattern::from_json(&text);
+    let (pattern, mechanisms) = match (parsed, Mechanisms::without(&f.without)) {
+        (Ok(pattern), Ok(mechanisms)) => (pattern, mechanisms),
+        (Err(findings), _) => {
+            eprintln!("{path}: {findings}");
+            return EXIT_FLAGS;
+        }
+        (_, Err(unknown)) => {
+            eprintln!("--without {unknown}: no such mechanism");
+            return EXIT_FLAGS;
+        }
+    };
+    print(&aspenloft_load::fleet::run(&pattern, mechanisms, f.seed.unwrap_or(1)), f.json);
+    0
+}
+
 fn print(report: &(impl Serialize + std::fmt::Display), json: bool) {
     let text = if json {
         serde_json::to_string_pretty(report).map(|text| text + "\n")
@@ -167,6 +209,7 @@
     let code = match command {
         flags::AspenloftLoadCmd::Run(f) => run(&f),
         flags::AspenloftLoadCmd::Compare(f) => compare(&f),
+        flags::AspenloftLoadCmd::Fleet(f) => fleet(&f),
     };
     std::process::exit(code);
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod fair_queue;
 pub mod host_groups;
 pub mod limits;
+pub mod mechanisms;
 pub mod own_path;
 pub mod prefill_queue;
 pub mod progress;
--- a/crates/policy/src/waiting.rs
+++ b/crates/policy/src/waiting.rs
@@ -3,9 +3,11 @@
 //!
 //! It handles bursts that exceed capacity for some seconds. Requests that can still meet
 //! their target are placed first, in order of arrival; requests that have missed it gain
-//! nothing from precedence and get the remaining capacity. A request that would not be
-//! placed before callers usually give up is refused on arrival, with the time after
-//! which capacity is expected.
+//! nothing from precedence and get the remaining capacity. This order holds over all
+//! hosts: a balancer spreads callers unevenly, so that late requests wait on one host while
+//! others could still be in time on the next. A request that would not be placed before
+//! callers usually give up is refused on arrival, with the time after which capacity is
+//! expected.
 
 use std::time::{Duration, Instant};
 
@@ -59,6 +61,12 @@
         now + options.placement_lead <= self.due
     }
 
+    /// Returns whether the request leaves free capacity to other hosts, on which `on_time`
+    /// requests wait that can still meet their target. It is late, so that it loses nothing.
+    pub fn yields(&self, on_time: usize, now: Instant, options: &WaitOptions) -> bool {
+        on_time > 0 && !self.continues && !self.meets_target(now, options)
+    }
+
     /// Returns when the request times out.
     pub fn times_out_at(&self, options: &WaitOptions) -> Instant {
         let target = self.due.saturating_duration_since(self.arrived);
