Let late requests leave free engines to hosts with requests on time

Change: digests carry the queues by service, apart what can still meet its target, as a fourth frame that earlier builds do not read; late requests are not placed while another host has one on time. Hosts ahead on an engine are counted the same way. Mechanisms can be left out by the settings, for ablations.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -11,6 +11,7 @@
     DecodeLoad, MEMORY_SHARE, PrefillLoad, choose_decode, choose_prefill, hosts_ahead,
     placed_before, preference_penalty,
 };
+use aspenloft_policy::mechanisms::Mechanisms;
 use aspenloft_policy::stream_versions::VersionTag;
 use aspenloft_policy::waiting::{self, ArrivalDecision, WaitOptions, WaitingRequest};
 use async_std::task;
@@ -19,7 +20,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::configuration::EngineProfile;
-use crate::loads::{EngineLoads, RunGuard, RunSize};
+use crate::loads::{EngineLoads, QueueDigest, QueueScope, RunGuard, RunSize, service_key};
 use crate::metrics::Metrics;
 use crate::peers::Peers;
 use crate::permits::Permits;
@@ -99,6 +100,7 @@
     permits: Arc<Permits>,
     clock: SharedClock,
     metrics: Arc<Metrics>,
+    mechanisms: Mechanisms,
     options: WaitOptions,
     queue: Mutex<Vec<QueuedRequest>>,
 }
@@ -112,10 +114,21 @@
         permits: Arc<Permits>,
         clock: SharedClock,
         metrics: Arc<Metrics>,
+        mechanisms: Mechanisms,
     ) -> Arc<Dispatcher> {
         let options = WaitOptions::default();
         let queue = Mutex::default();
-        Arc::new(Dispatcher { view, loads, peers, permits, clock, metrics, options, queue })
+        Arc::new(Dispatcher {
+            view,
+            loads,
+            peers,
+            permits,
+            clock,
+            metrics,
+            mechanisms,
+            options,
+            queue,
+        })
     }
 
     /// Places the request, immediately or once an engine has capacity. An error means
@@ -138,7 +151,8 @@
         let needs = RunNeeds { size, ..needs };
         let now = self.clock.now();
         if !self.has_queued(&inbound.service)
-            && let Some(placement) = self.try_place(&inbound.service, needs, now)
+            && let Some(placement) =
+                self.try_place(&inbound.service, needs, QueueScope::OnTime, now)
         {
             return Ok(placement);
         }
@@ -157,7 +171,7 @@
         needs: RunNeeds,
     ) -> Result<Placement, Error> {
         let now = self.clock.now();
-        match self.try_place(&inbound.service, needs, now) {
+        match self.try_place(&inbound.service, needs, QueueScope::OnTime, now) {
             Some(placement) => Ok(placement),
             None => self.wait(inbound, needs, now).await,
         }
@@ -181,6 +195,7 @@
         let expected = self.expected_wait(&inbound.service, needs, now);
         if let ArrivalDecision::Refuse(expected) =
             waiting::decide_arrival(&waiter, expected, now, &self.options)
+            && self.mechanisms.early_rejection
         {
             return Err(self.overload_error(
                 inbound,
@@ -215,7 +230,10 @@
         let remaining: Vec<u64> = on_eligible.flatten().map(|run| run.remaining).collect();
         let limited = servers.iter().map(|server| self.permits.known_wait(server)).min();
         // Streams that go on are placed before all others.
-        let ahead = if needs.version.is_some() { 0 } else { self.loads.waiting(now) };
+        let ahead = match needs.version {
+            Some(_) => 0,
+            None => self.loads.queued(service, now),
+        };
         waiting::expected_wait(remaining, ahead, self.loads.step()).max(limited.unwrap_or_default())
     }
 
@@ -241,7 +259,7 @@
         let idle = queue.is_empty();
         queued.waiter.id = queue.iter().map(|w| w.waiter.id).max().unwrap_or(0) + 1;
         queue.push(queued);
-        self.loads.set_waiting(queue.len());
+        self.report_queues(&queue);
         if idle {
             task::spawn(self.clone().serve_queue());
         }
@@ -254,13 +272,33 @@
             task::sleep(QUEUE_POLL_INTERVAL).await;
             let mut queue = self.queue.lock();
             self.process_queue(&mut queue);
-            self.loads.set_waiting(queue.len());
+            self.report_queues(&queue);
             if queue.is_empty() {
                 return;
             }
         }
     }
 
+    /// Makes the numbers of queued requests known to the other hosts.
+    fn report_queues(&self, queue: &[QueuedRequest]) {
+        let now = self.clock.now();
+        let mut digests: Vec<QueueDigest> = Vec::new();
+        for queued in queue {
+            let service = service_key(&queued.service);
+            let known = digests.iter().position(|digest| digest.service == service);
+            let index = known.unwrap_or_else(|| {
+                digests.push(QueueDigest { service, on_time: 0, late: 0 });
+                digests.len() - 1
+            });
+            if queued.waiter.meets_target(now, &self.options) {
+                digests[index].on_time += 1;
+            } else {
+                digests[index].late += 1;
+            }
+        }
+        self.loads.set_queues(digests);
+    }
+
     /// Places the queued requests for which there is capacity, and fails those that have
     /// waited too long.
     fn process_queue(&self, queue: &mut Vec<QueuedRequest>) {
@@ -278,7 +316,15 @@
             if without_room.contains(&next.service) {
                 continue;
             }
-            let Some(placement) = self.try_place(&next.service, next.needs, now) else {
+            let on_time = self.loads.queued_elsewhere(&next.service, QueueScope::OnTime, now);
+            if self.mechanisms.late_yields && next.waiter.yields(on_time, now, &self.options) {
+                continue;
+            }
+            let scope = match next.waiter.meets_target(now, &self.options) {
+                true => QueueScope::OnTime,
+                false => QueueScope::All,
+            };
+            let Some(placement) = self.try_place(&next.service, next.needs, scope, now) else {
                 // Those behind it do not overtake it, but engines of another version may
                 // have room for them.
                 if next.needs.version.is_none() {
@@ -290,8 +336,16 @@
         }
     }
 
-    fn try_place(&self, service: &Name, needs: RunNeeds, now: Instant) -> Option<Placement> {
-        let decode = self.choose_decode_engine(service, needs, now, &[])?;
+    /// Places a request if there is capacity beside what the hosts that have queued requests
+    /// in `scope` take first.
+    fn try_place(
+        &self,
+        service: &Name,
+        needs: RunNeeds,
+        scope: QueueScope,
+        now: Instant,
+    ) -> Option<Placement> {
+        let decode = self.choose_decode_engine_beside(service, needs, scope, now, &[])?;
         let prefill = self.choose_prefill_engine(service, &decode, now, &[]);
         for server in prefill.iter().chain([&decode]) {
             server.state.health(|h| h.record_dispatch(now));
@@ -319,6 +373,17 @@
         needs: RunNeeds,
         now: Instant,
         tried: &[Name],
+    ) -> Option<Arc<Server>> {
+        self.choose_decode_engine_beside(service, needs, QueueScope::OnTime, now, tried)
+    }
+
+    fn choose_decode_engine_beside(
+        &self,
+        service: &Name,
+        needs: RunNeeds,
+        scope: QueueScope,
+        now: Instant,
+        tried: &[Name],
     ) -> Option<Arc<Server>> {
         let configuration = self.view.configuration()?;
         let profile = configuration.services.get(service)?.engine.as_ref()?;
@@ -333,7 +398,7 @@
             !prefill_versions.is_empty() && !prefill_versions.contains(&decode.version)
         };
         let mut runs = self.loads.runs(now);
-        let waiting_hosts = self.loads.waiting_hosts(now);
+        let waiting_hosts = self.loads.queueing_hosts(service, scope, now);
         let group = self.peers.group();
         let digest_horizon = now.checked_sub(DIGEST_DELAY).unwrap_or(now);
         let started = self.loads.runs_started_since(digest_horizon);
@@ -344,16 +409,21 @@
                 slots: profile.slots,
                 capacity: profile.memory_tokens,
                 runs: runs.remove(&server.key).unwrap_or_default(),
-                local: group.has_engine(server.key, &server.entry.data_centre),
+                local: !self.mechanisms.groups
+                    || group.has_engine(server.key, &server.entry.data_centre),
                 slowdown: 1.0
-                    + server.state.health(|h| h.failure_rate(now))
+                    + self.failure_penalty(server, now)
                     + if must_prefill(server) { PREFILL_SLOWDOWN } else { 0.0 },
                 preference_penalty: self.preference(server),
-                placed_before: placed_before(
-                    self.waiting_hosts_ahead(server, order, &waiting_hosts),
-                    waiting_hosts.len(),
-                    started.get(&server.key).copied().unwrap_or_default(),
-                ),
+                placed_before: if self.mechanisms.turns {
+                    placed_before(
+                        self.waiting_hosts_ahead(server, order, &waiting_hosts),
+                        waiting_hosts.len(),
+                        started.get(&server.key).copied().unwrap_or_default(),
+                    )
+                } else {
+                    0
+                },
             })
             .collect();
         choose_decode(&loads, needs.size.forecast()).map(|index| servers[index].clone())
@@ -383,11 +453,18 @@
         let name = &*server.entry.instance;
         log::info!(event = "engine_refused", server = name, runs = runs.len(), held = used_tokens, capacity, ample; "");
         if !ample {
-            server.state.set_full(now + FULL_DURATION);
+            self.record_full(server, now);
         }
         ample
     }
 
+    /// Records that a decode engine has no capacity, so that it gets no work for a while.
+    pub fn record_full(&self, server: &Server, now: Instant) {
+        if self.mechanisms.full_pause {
+            server.state.set_full(now + FULL_DURATION);
+        }
+    }
+
     /// Returns the best prefill engine for a request that is decoded on `decode`, except
     /// those in `tried`. It has the same version, because the KV cache that one version
     /// writes may not fit another.
@@ -417,7 +494,17 @@
         choose_prefill(&loads).map(|index| servers[index].clone())
     }
 
+    fn failure_penalty(&self, server: &Server, now: Instant) -> f64 {
+        match self.mechanisms.failure_penalty {
+            true => server.state.health(|h| h.failure_rate(now)),
+            false => 0.0,
+        }
+    }
+
     fn preference(&self, server: &Server) -> f64 {
+        if !self.mechanisms.preferences {
+            return 0.0;
+        }
         preference_penalty(xxh3_64_with_seed(self.peers.local_host().name.as_bytes(), server.key))
     }
 
--- a/crates/gateway/src/forwarding/mod.rs
+++ b/crates/gateway/src/forwarding/mod.rs
@@ -59,6 +59,8 @@
     pub clock: SharedClock,
     /// The number of forwarded requests that each host is serving.
     pub in_flight: Arc<Mutex<HashMap<Name, usize>>>,
+    /// Whether requests are forwarded.
+    pub enabled: bool,
 }
 
 impl Forwarder {
@@ -69,7 +71,7 @@
         inbound: &InboundRequest,
     ) -> Option<Result<Response<ResponseBody>>> {
         let own = self.own_reach(&inbound.service);
-        if inbound.is_forwarded || !own.is_poor() {
+        if !self.enabled || inbound.is_forwarded || !own.is_poor() {
             return None;
         }
         self.forward(inbound, own.reached * 2 + 1, false).await
@@ -82,6 +84,9 @@
         inbound: &InboundRequest,
         error: &Error,
     ) -> Option<Result<Response<ResponseBody>>> {
+        if !self.enabled {
+            return None;
+        }
         let may_send_again = error.execution == Execution::NotRun
             || (inbound.route.repeat.allows_rerun()
                 && inbound.progress.runs() < inbound.route.max_attempts);
--- a/crates/gateway/src/generation/mod.rs
+++ b/crates/gateway/src/generation/mod.rs
@@ -14,6 +14,7 @@
 use aspenloft_core::errors::{Error, ErrorCode};
 use aspenloft_core::execution::Execution;
 use aspenloft_core::prelude::{Arc, SharedClock};
+use aspenloft_policy::mechanisms::Mechanisms;
 use aspenloft_policy::stream_versions::{VersionTag, stream_key};
 use http::Response;
 use http_body_util::{BodyExt, StreamBody};
@@ -64,6 +65,8 @@
     pub crashes: Arc<Crashes>,
     /// The host's metrics.
     pub metrics: Arc<Metrics>,
+    /// The mechanisms that are in use.
+    pub mechanisms: Mechanisms,
     /// The average demand of requests.
     pub demand: Arc<DemandTracker>,
     /// The state of the path to the engines.
--- a/crates/gateway/src/generation/relay.rs
+++ b/crates/gateway/src/generation/relay.rs
@@ -268,7 +268,8 @@
             generations.crashes.report(&self.inbound, &server, &generations.peers);
         }
         let route = &self.inbound.route;
-        let allowed = route.repeat == RepeatPolicy::ResumableStream
+        let allowed = generations.mechanisms.resumption
+            && route.repeat == RepeatPolicy::ResumableStream
             && runs < route.max_attempts
             && (has_begun || !generations.crashes.is_suspect(&self.inbound));
         self.log_broken(&server, allowed);
--- a/crates/gateway/src/loads.rs
+++ b/crates/gateway/src/loads.rs
@@ -9,6 +9,7 @@
 use async_std::channel::{Receiver, Sender, bounded};
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
 
 /// How long the last digest of a host counts when no newer one arrives. A host's
 /// requests on the engines end when its connections close.
@@ -67,6 +68,31 @@
     pub switching: Vec<u64>,
 }
 
+/// `QueueDigest` is the queue of one host for one service, as sent to other hosts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QueueDigest {
+    /// The hash of the service's name.
+    pub service: u64,
+    /// The number of requests that can still meet their target.
+    pub on_time: usize,
+    /// The number of the other requests.
+    pub late: usize,
+}
+
+/// `QueueScope` selects queued requests of a service by whether they can meet their target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum QueueScope {
+    /// Those that still can.
+    OnTime,
+    /// All of them.
+    All,
+}
+
+/// Returns the hash of the name of `service` in messages between hosts.
+pub fn service_key(service: &str) -> u64 {
+    xxh3_64(service.as_bytes())
+}
+
 #[derive(Debug, Clone, Copy)]
 struct LocalRun {
     server: u64,
@@ -84,13 +110,40 @@
     }
 }
 
+#[derive(Debug)]
+struct PeerLoad {
+    received: Instant,
+    loads: LoadDigest,
+    /// `None` if the host's build does not send its queues.
+    queues: Option<Vec<QueueDigest>>,
+}
+
+impl PeerLoad {
+    /// Returns the number of requests in `scope` that the host has queued for the service
+    /// with the hash `service`. Those of a host that does not send its queues count as on time.
+    fn queued(&self, service: u64, scope: QueueScope) -> usize {
+        match &self.queues {
+            Some(queues) => queued_in(queues, service, scope),
+            None => self.loads.waiting,
+        }
+    }
+}
+
+fn queued_in(queues: &[QueueDigest], service: u64, scope: QueueScope) -> usize {
+    let queue = queues.iter().find(|queue| queue.service == service);
+    queue.map_or(0, |queue| match scope {
+        QueueScope::OnTime => queue.on_time,
+        QueueScope::All => queue.on_time + queue.late,
+    })
+}
+
 #[derive(Debug, Default)]
 struct State {
     last_id: u64,
     runs: HashMap<u64, LocalRun>,
     prefills: HashMap<u64, PrefillDigest>,
-    peers: HashMap<Name, (Instant, LoadDigest)>,
-    waiting: usize,
+    peers: HashMap<Name, PeerLoad>,
+    queues: Vec<QueueDigest>,
     step: Option<Duration>,
     best_step: Option<Duration>,
     switching: HashMap<u64, Instant>,
@@ -160,10 +213,10 @@
         for run in state.runs.values() {
             runs.entry(run.server).or_default().push(run.forecast());
         }
-        for (_, received, digest) in state.live_digests(now) {
-            let age = now.saturating_duration_since(received);
+        for (_, peer) in state.live_peers(now) {
+            let age = now.saturating_duration_since(peer.received);
             let steps = (age.as_secs_f64() / state.step().as_secs_f64()) as u64;
-            for run in &digest.runs {
+            for run in &peer.loads.runs {
                 let forecast = RunForecast { held: run.held, remaining: run.remaining };
                 runs.entry(run.server).or_default().push(forecast.advanced(steps));
             }
@@ -189,8 +242,8 @@
         for prefill in state.prefills.values() {
             *queued.entry(prefill.server).or_default() += prefill.tokens;
         }
-        for (_, _, digest) in state.live_digests(now) {
-            for prefill in &digest.prefills {
+        for (_, peer) in state.live_peers(now) {
+            for prefill in &peer.loads.prefills {
                 *queued.entry(prefill.server).or_default() += prefill.tokens;
             }
         }
@@ -207,7 +260,7 @@
         LoadDigest {
             runs: runs.collect(),
             prefills: state.prefills.values().copied().collect(),
-            waiting: state.waiting,
+            waiting: state.queues.iter().map(|queue| queue.on_time + queue.late).sum(),
             switching: state.switching.keys().copied().collect(),
         }
     }
@@ -230,38 +283,51 @@
         let state = self.state.lock();
         let local = state.switching.iter().filter(|(_, until)| now < **until).map(|(s, _)| *s);
         let others =
-            state.live_digests(now).flat_map(|(_, _, digest)| digest.switching.iter().copied());
+            state.live_peers(now).flat_map(|(_, peer)| peer.loads.switching.iter().copied());
         local.chain(others).collect()
     }
 
-    /// Sets the number of requests that wait on this host for a decode engine.
-    pub fn set_waiting(&self, waiting: usize) {
+    /// Replaces the queues of this host.
+    pub fn set_queues(&self, queues: Vec<QueueDigest>) {
         let mut state = self.state.lock();
-        let changed = std::mem::replace(&mut state.waiting, waiting) != waiting;
+        let changed = state.queues != queues;
+        state.queues = queues;
         drop(state);
         if changed {
             self.notify();
         }
     }
 
-    /// Returns the number of requests that wait on all hosts.
-    pub fn waiting(&self, now: Instant) -> usize {
+    /// Returns the queues of this host, to be sent to the other hosts.
+    pub fn queues(&self) -> Vec<QueueDigest> {
+        self.state.lock().queues.clone()
+    }
+
+    /// Returns the number of requests in `scope` that the other hosts have queued for `service`.
+    pub fn queued_elsewhere(&self, service: &str, scope: QueueScope, now: Instant) -> usize {
+        let service = service_key(service);
         let state = self.state.lock();
-        let others: usize = state.live_digests(now).map(|(_, _, digest)| digest.waiting).sum();
-        state.waiting + others
+        state.live_peers(now).map(|(_, peer)| peer.queued(service, scope)).sum()
     }
 
-    /// Returns the estimated duration of a decode step on an undisturbed busy engine.
-    pub fn nominal_step(&self) -> Duration {
+    /// Returns the number of requests that all hosts have queued for `service`.
+    pub fn queued(&self, service: &str, now: Instant) -> usize {
+        let here = queued_in(&self.state.lock().queues, service_key(service), QueueScope::All);
+        here + self.queued_elsewhere(service, QueueScope::All, now)
+    }
+
+    /// Returns the other hosts that have queued requests in `scope` for `service`.
+    pub fn queueing_hosts(&self, service: &str, scope: QueueScope, now: Instant) -> Vec<Name> {
+        let service = service_key(service);
         let state = self.state.lock();
-        state.best_step.map_or(DEFAULT_STEP, |best| best.mul_f64(BUSY_STEP_FACTOR))
+        let queueing = state.live_peers(now).filter(|(_, peer)| peer.queued(service, scope) > 0);
+        queueing.map(|(host, _)| host.clone()).collect()
     }
 
-    /// Returns the other hosts on which requests wait.
-    pub fn waiting_hosts(&self, now: Instant) -> Vec<Name> {
+    /// Returns the estimated duration of a decode step on an undisturbed busy engine.
+    pub fn nominal_step(&self) -> Duration {
         let state = self.state.lock();
-        let waiting = state.live_digests(now).filter(|(_, _, digest)| digest.waiting > 0);
-        waiting.map(|(host, ..)| host.clone()).collect()
+        state.best_step.map_or(DEFAULT_STEP, |best| best.mul_f64(BUSY_STEP_FACTOR))
     }
 
     /// Returns the average duration of a decode step in this host's streams.
@@ -269,9 +335,17 @@
         self.state.lock().step()
     }
 
-    /// Replaces the load that `host` reported.
-    pub fn update_peer(&self, host: &Name, digest: LoadDigest, now: Instant) {
-        self.state.lock().peers.insert(host.clone(), (now, digest));
+    /// Replaces the load that `host` reported. Its queues are not known until they are set.
+    pub fn update_peer(&self, host: &Name, loads: LoadDigest, now: Instant) {
+        let peer = PeerLoad { received: now, loads, queues: None };
+        self.state.lock().peers.insert(host.clone(), peer);
+    }
+
+    /// Sets the queues that `host` reported along with its last load.
+    pub fn set_peer_queues(&self, host: &str, queues: Vec<QueueDigest>) {
+        if let Some(peer) = self.state.lock().peers.get_mut(host) {
+            peer.queues = Some(queues);
+        }
     }
 
     /// Has the next digest sent soon.
@@ -291,10 +365,9 @@
         self.step.unwrap_or(DEFAULT_STEP)
     }
 
-    fn live_digests(&self, now: Instant) -> impl Iterator<Item = (&Name, Instant, &LoadDigest)> {
-        let live = move |received: Instant| now.saturating_duration_since(received) < DIGEST_TTL;
-        let peers = self.peers.iter().map(|(host, (received, digest))| (host, *received, digest));
-        peers.filter(move |(_, received, _)| live(*received))
+    fn live_peers(&self, now: Instant) -> impl Iterator<Item = (&Name, &PeerLoad)> {
+        let live = move |peer: &PeerLoad| now.saturating_duration_since(peer.received) < DIGEST_TTL;
+        self.peers.iter().filter(move |(_, peer)| live(peer))
     }
 }
 
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -26,6 +26,7 @@
 use super::{LIVENESS_TIMEOUT, LocalState, Peer, Peers, is_recent};
 use crate::configuration::Configuration;
 use crate::forwarding::{ForwardHandler, ForwardRequest};
+use crate::loads::QueueDigest;
 use crate::permits::{PermitReply, PermitRequest, Permits};
 use crate::reach::{ReachProbe, Reachability};
 
@@ -226,6 +227,8 @@
         let position = self.state.view.position();
         let mut supplement = self.encode_supplement(scope, unreachable_count, position.era)?;
         supplement.extend_from_slice(&self.encode_crash_notices()?);
+        // Hosts of previous builds do not read this frame.
+        frames::encode(&self.state.loads.queues(), &mut supplement)?;
         let mut digest = Digest {
             host: self.local.clone(),
             seq: self.seq.fetch_add(1, Ordering::SeqCst) + 1,
@@ -331,11 +334,17 @@
             .and_then(|body| DigestSupplement::decode(&body).inspect_err(log_unread).ok());
         let notices = frames::split_frame(&mut buf)?;
         let notices = notices.and_then(|body| frames::decode(&body).inspect_err(log_unread).ok());
+        let queues = frames::split_frame(&mut buf)?;
+        let queues: Option<Vec<QueueDigest>> =
+            queues.and_then(|body| frames::decode(&body).inspect_err(log_unread).ok());
         let (name, breaks) = (digest.host.name.clone(), digest.breaks.clone());
         let era = supplement.as_ref().and_then(|supplement| supplement.era);
         if !self.apply_digest(digest, era) {
             return Ok(());
         }
+        if let Some(queues) = queues {
+            self.state.loads.set_peer_queues(&name, queues);
+        }
         if let Some(supplement) = supplement {
             self.apply_supplement(&name, &supplement);
         }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -163,6 +163,7 @@
         permits.clone(),
         clock.clone(),
         metrics.clone(),
+        settings.mechanisms,
     );
     let orders = Orders {
         host: settings.host.clone(),
@@ -179,8 +180,11 @@
         metrics: metrics.clone(),
         clock: clock.clone(),
     };
-    task::spawn(orders.run());
+    if settings.mechanisms.role_changes {
+        task::spawn(orders.run());
+    }
     let generations = Arc::new(GenerationHandler {
+        mechanisms: settings.mechanisms,
         demand,
         view: view.clone(),
         dispatcher,
@@ -216,6 +220,7 @@
         metrics: metrics.clone(),
         clock: clock.clone(),
         in_flight: Arc::default(),
+        enabled: settings.mechanisms.forwarding,
     };
     let front = Arc::new(Frontend {
         view,
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -7,6 +7,7 @@
 
 use aspenloft_core::errors::{Result, invalid};
 use aspenloft_core::prelude::Name;
+use aspenloft_policy::mechanisms::Mechanisms;
 use serde::Deserialize;
 use serde_with::{DurationSecondsWithFrac, serde_as};
 
@@ -32,6 +33,9 @@
     /// deployment listen on the same ports.
     #[serde(default)]
     pub seeds: Vec<SocketAddr>,
+    /// The mechanisms that take part in decisions. Leaving one out is for measurements.
+    #[serde(default)]
+    pub mechanisms: Mechanisms,
 }
 
 /// `Listen` holds the addresses on which a host listens.
