--- a/crates/load/src/fleet/engines.rs
+++ b/crates/load/src/fleet/engines.rs
@@ -43,14 +43,6 @@
     }
 }
 
-/// `Reservation` is memory that an engine keeps for a request that has not arrived.
-#[derive(Debug, Clone, Copy)]
-struct Reservation {
-    request: RequestNo,
-    tokens: u64,
-    expires_at: Duration,
-}
-
 /// `DecodeEngine` generates one token of each running request in a step.
 #[derive(Debug, Default)]
 pub struct DecodeEngine {
@@ -64,7 +56,6 @@
     pub stepping: bool,
     /// The requests that had to leave the memory, in the order in which they return.
     preempted: VecDeque<EngineRun>,
-    reservations: Vec<Reservation>,
 }
 
 /// What happened in one step.
@@ -79,55 +70,22 @@
 }
 
 impl DecodeEngine {
-    fn used(&self, pattern: &EnginePattern, now: Duration) -> u64 {
-        let held: u64 = self.runs.iter().map(|run| run.blocks(pattern)).sum();
-        held + self.live_reservations(now).map(|r| r.tokens).sum::<u64>()
-    }
-
-    fn live_reservations(&self, now: Duration) -> impl Iterator<Item = &Reservation> {
-        self.reservations.iter().filter(move |r| r.expires_at > now)
-    }
-
     /// Returns the tokens in its memory.
     pub fn held(&self, pattern: &EnginePattern) -> u64 {
         self.runs.iter().map(|run| run.blocks(pattern)).sum()
     }
 
-    /// Takes a request if there is a slot and memory for its prompt, or for what it has
-    /// reserved.
-    pub fn accept(&mut self, run: EngineRun, now: Duration, pattern: &EnginePattern) -> bool {
-        let reserved = self.reservations.iter().position(|r| r.request == run.request);
-        let reserved = reserved.map(|index| self.reservations.swap_remove(index));
-        if self.down_until.is_some() {
-            return false;
-        }
-        let is_reserved = reserved.is_some_and(|r| r.expires_at > now);
-        if !is_reserved && !self.has_room(run.prompt, now, pattern) {
-            return false;
+    /// Takes a request if there is a slot and memory for its prompt.
+    pub fn accept(&mut self, run: EngineRun, pattern: &EnginePattern) -> bool {
+        let accepted = self.down_until.is_none() && self.has_room(run.prompt, pattern);
+        if accepted {
+            self.runs.push(run);
         }
-        self.runs.push(run);
-        true
+        accepted
     }
 
-    fn has_room(&self, tokens: u64, now: Duration, pattern: &EnginePattern) -> bool {
-        let slots = self.runs.len() + self.live_reservations(now).count();
-        slots < pattern.slots && self.used(pattern, now) + tokens <= pattern.memory_tokens
-    }
-
-    /// Reserves a slot and `tokens` of memory for a request until `expires_at`.
-    pub fn reserve(
-        &mut self,
-        request: RequestNo,
-        tokens: u64,
-        now: Duration,
-        expires_at: Duration,
-        pattern: &EnginePattern,
-    ) -> bool {
-        if self.down_until.is_some() || !self.has_room(tokens, now, pattern) {
-            return false;
-        }
-        self.reservations.push(Reservation { request, tokens, expires_at });
-        true
+    fn has_room(&self, tokens: u64, pattern: &EnginePattern) -> bool {
+        self.runs.len() < pattern.slots && self.held(pattern) + tokens <= pattern.memory_tokens
     }
 
     /// Returns the time of the next step.
@@ -137,7 +95,7 @@
     }
 
     /// Generates one token of each running request.
-    pub fn step(&mut self, now: Duration, pattern: &EnginePattern) -> StepOutcome {
+    pub fn step(&mut self, pattern: &EnginePattern) -> StepOutcome {
         let mut outcome = StepOutcome::default();
         for run in &mut self.runs {
             run.generated += 1;
@@ -145,14 +103,14 @@
         outcome.ended =
             self.runs.iter().filter(|run| run.generated >= run.answer).copied().collect();
         self.runs.retain(|run| run.generated < run.answer);
-        while self.used(pattern, now) > pattern.memory_tokens && self.runs.len() > 1 {
+        while self.held(pattern) > pattern.memory_tokens && self.runs.len() > 1 {
             let Some(newest) = self.runs.pop() else { break };
             outcome.preempted.push((newest.request, newest.prompt + newest.generated));
             self.preempted.push_back(newest);
         }
         while let Some(next) = self.preempted.front().copied() {
             let blocks = next.blocks(pattern);
-            if !outcome.preempted.is_empty() || !self.has_room(blocks, now, pattern) {
+            if !outcome.preempted.is_empty() || !self.has_room(blocks, pattern) {
                 break;
             }
             self.preempted.pop_front();
@@ -167,7 +125,6 @@
         self.down_until = Some(until);
         self.incarnation += 1;
         self.stepping = false;
-        self.reservations.clear();
         let runs = self.runs.drain(..).chain(self.preempted.drain(..));
         runs.map(|run| run.request).collect()
     }
--- a/crates/load/src/fleet/hosts.rs
+++ b/crates/load/src/fleet/hosts.rs
@@ -6,8 +6,8 @@
 use std::time::{Duration, Instant};
 
 use aspenloft_policy::engine_choice::{
-    DecodeLoad, PrefillLoad, choose_decode, choose_prefill, hosts_ahead, needs_reservation,
-    placed_before, preference_penalty,
+    DecodeLoad, PrefillLoad, choose_decode, choose_prefill, hosts_ahead, placed_before,
+    preference_penalty,
 };
 use aspenloft_policy::engine_memory::RunForecast;
 use aspenloft_policy::mechanisms::Mechanisms;
@@ -93,15 +93,6 @@
     snapshot: Rc<Snapshot>,
 }
 
-/// `DecodeChoice` is the decode engine that a host has chosen for a request.
-#[derive(Debug, Clone, Copy)]
-pub struct DecodeChoice {
-    /// The engine.
-    pub engine: usize,
-    /// Whether the request should reserve its memory first.
-    pub reserve: bool,
-}
-
 /// `Hosts` is all hosts of a run.
 #[derive(Debug)]
 pub struct Hosts<'a> {
@@ -176,7 +167,7 @@
         is_late: bool,
         engines: &[usize],
         now: Duration,
-    ) -> Option<DecodeChoice> {
+    ) -> Option<usize> {
         let heard = self.heard(host, now);
         let mut runs: HashMap<usize, Vec<RunForecast>> = HashMap::new();
         let own = &self.all[host];
@@ -228,10 +219,7 @@
                 }
             })
             .collect();
-        choose_decode(&loads, forecast).map(|index| DecodeChoice {
-            engine: candidates[index],
-            reserve: self.mechanisms.reservations && needs_reservation(&loads[index], forecast),
-        })
+        choose_decode(&loads, forecast).map(|index| candidates[index])
     }
 
     /// Returns the prefill engine that `host` chooses.
--- a/crates/load/src/fleet/report.rs
+++ b/crates/load/src/fleet/report.rs
@@ -95,10 +95,6 @@
     pub wasted_tokens: u64,
     /// Placements that an engine refused for lack of memory or slots.
     pub refused_by_engines: usize,
-    /// Reservations that were asked for.
-    pub reservations: usize,
-    /// Those of them that an engine refused.
-    pub reservations_refused: usize,
     /// Requests that an engine preempted.
     pub preempted: usize,
     /// The most tokens on an engine, as a share of its memory.
@@ -140,11 +136,6 @@
             "engines: {} placements refused, {} requests preempted, memory at most {:.2}",
             self.refused_by_engines, self.preempted, self.peak_memory_share
         )?;
-        writeln!(
-            f,
-            "reservations: {}, of which {} refused",
-            self.reservations, self.reservations_refused
-        )?;
         writeln!(
             f,
             "late placements: {}, of which {} passed over others",
--- a/crates/load/src/fleet/simulation.rs
+++ b/crates/load/src/fleet/simulation.rs
@@ -8,7 +8,7 @@
 use aspenloft_policy::waiting::{self, ArrivalDecision, WaitOptions, WaitingRequest};
 
 use super::engines::{DecodeEngine, EngineRun, PrefillEngine, RequestNo};
-use super::hosts::{DecodeChoice, Hosts, LocalRun, QueuedRequest};
+use super::hosts::{Hosts, LocalRun, QueuedRequest};
 use super::pattern::LoadPattern;
 use super::report::{FleetReport, Outcome, percentile_ms};
 use super::workload::{FleetRequest, generate};
@@ -20,9 +20,6 @@
 /// How long an engine counts as full after it refused a request.
 const FULL_DURATION: Duration = Duration::from_millis(300);
 
-/// How long an engine keeps a reservation.
-const RESERVATION_LIFE: Duration = Duration::from_secs(2);
-
 /// The share of a KV cache's life in which it is used.
 const USABLE_LIFE_SHARE: f64 = 0.8;
 
@@ -243,7 +240,9 @@
     /// Places a request on engines. Returns false if none has capacity.
     fn place(&mut self, no: RequestNo, forecast: RunForecast, is_late: bool) -> bool {
         let host = self.progress[no].host;
-        let Some(engine) = self.reserve_engine(no, forecast, is_late) else { return false };
+        let engines = self.available();
+        let chosen = self.hosts.choose_decode(host, forecast, is_late, &engines, self.now);
+        let Some(engine) = chosen else { return false };
         let request = &self.requests[no];
         let run = LocalRun {
             engine,
@@ -263,34 +262,6 @@
         true
     }
 
-    /// Chooses a decode engine, on which the request has reserved its memory if that is scarce.
-    fn reserve_engine(
-        &mut self,
-        no: RequestNo,
-        forecast: RunForecast,
-        is_late: bool,
-    ) -> Option<usize> {
-        let host = self.progress[no].host;
-        let mut engines = self.available();
-        loop {
-            let chosen = self.hosts.choose_decode(host, forecast, is_late, &engines, self.now)?;
-            let DecodeChoice { engine, reserve } = chosen;
-            if !reserve {
-                return Some(engine);
-            }
-            self.report.reservations += 1;
-            let (now, pattern) = (self.now, &self.pattern.engines);
-            let tokens = forecast.held + forecast.remaining;
-            let node = &mut self.decode[engine];
-            if node.reserve(no, tokens, now, now + RESERVATION_LIFE, pattern) {
-                return Some(engine);
-            }
-            self.report.reservations_refused += 1;
-            self.hosts.all[host].full.insert(engine, now + FULL_DURATION);
-            engines.retain(|other| *other != engine);
-        }
-    }
-
     fn prefill(&mut self, no: RequestNo, host: usize, decode: usize) {
         let tokens = self.requests[no].prompt;
         self.report.prompt_tokens += tokens;
@@ -326,7 +297,7 @@
         let request = &self.requests[no];
         let run =
             EngineRun { request: no, prompt: request.prompt, generated: 0, answer: request.answer };
-        if !self.decode[engine].accept(run, self.now, &self.pattern.engines) {
+        if !self.decode[engine].accept(run, &self.pattern.engines) {
             return self.refused(no, host, engine);
         }
         self.progress[no].first_token = Some(self.now);
@@ -369,7 +340,7 @@
             return;
         }
         node.stepping = false;
-        let outcome = node.step(self.now, &self.pattern.engines);
+        let outcome = node.step(&self.pattern.engines);
         let event_tokens = self.pattern.engines.event_tokens;
         for run in &self.decode[engine].runs {
             let host = self.progress[run.request].host;
--- a/crates/policy/src/engine_choice.rs
+++ b/crates/policy/src/engine_choice.rs
@@ -82,20 +82,6 @@
     }
 }
 
-/// The number of further requests that must fit on an engine for its memory to need no
-/// reservation: other hosts may have placed as many that this host has not heard of.
-const UNHEARD_REQUESTS: usize = 3;
-
-/// Returns whether a request like `run` should reserve its memory on `engine` before its
-/// prompt is read.
-///
-/// Under load, hosts that choose the same engine before they hear of each other overcommit
-/// it, and the prompts of those that it refuses have been read for nothing. While the engine
-/// has room to spare, a reservation would only cost a round trip.
-pub fn needs_reservation(engine: &DecodeLoad, run: RunForecast) -> bool {
-    engine.max_fits(run, UNHEARD_REQUESTS + 1) <= UNHEARD_REQUESTS
-}
-
 /// Returns the penalty of a host for a server, from 0 to 1, from a hash of both. Penalties
 /// are evenly distributed over the servers and differ between hosts.
 pub fn preference_penalty(hash: u64) -> f64 {
--- a/crates/policy/src/mechanisms.rs
+++ b/crates/policy/src/mechanisms.rs
@@ -17,8 +17,6 @@
     /// Requests that have missed their target leave capacity to other hosts' requests that
     /// have not.
     pub late_yields: bool,
-    /// Memory of nearly full engines is reserved before prompts are read.
-    pub reservations: bool,
     /// Requests that cannot be placed in time are rejected on arrival.
     pub early_rejection: bool,
     /// Engines that refuse a request for lack of capacity get none for a while.
@@ -44,7 +42,6 @@
                 "preferences" => &mut mechanisms.preferences,
                 "groups" => &mut mechanisms.groups,
                 "late_yields" => &mut mechanisms.late_yields,
-                "reservations" => &mut mechanisms.reservations,
                 "early_rejection" => &mut mechanisms.early_rejection,
                 "full_pause" => &mut mechanisms.full_pause,
                 "failure_penalty" => &mut mechanisms.failure_penalty,
@@ -66,7 +63,6 @@
             preferences: true,
             groups: true,
             late_yields: true,
-            reservations: true,
             early_rejection: true,
             full_pause: true,
             failure_penalty: true,
