Let queues of silent hosts lapse and bound how many a digest tells

Cause: digests count for 2 s, so the queue of a host that has died kept late requests elsewhere waiting that long; and a digest told the queues of all services, whatever their number. Change: queues count for 600 ms, at most 16 are told. Breaks two long log lines as well.

--- a/crates/gateway/src/generation/mod.rs
+++ b/crates/gateway/src/generation/mod.rs
@@ -184,7 +184,8 @@
         let decode = &*placement.decode.entry.instance;
         let prefill = placement.prefill.as_ref().map_or("-", |p| &*p.entry.instance);
         log::info!(
-            event = "placed", request = inbound.log_id(), route = &*inbound.route.name, decode, prefill,
+            event = "placed", request = inbound.log_id(), route = &*inbound.route.name,
+            decode, prefill,
             version = &*placement.decode.entry.version, waited_ms = waited, prompt = size.prompt,
             answer = size.expected; ""
         );
@@ -203,7 +204,8 @@
         self.metrics.stream_started(span(placed, prefilled), span(prefilled, now));
         log::info!(
             event = "first_event", request = inbound.log_id(), server = &*server.entry.instance,
-            data_centre = &*server.entry.data_centre, total_ms = ms(inbound.arrived, now), prefill_ms = ms(placed, prefilled),
+            data_centre = &*server.entry.data_centre, total_ms = ms(inbound.arrived, now),
+            prefill_ms = ms(placed, prefilled),
             decode_ms = ms(prefilled, now); ""
         );
     }
--- a/crates/gateway/src/loads.rs
+++ b/crates/gateway/src/loads.rs
@@ -15,6 +15,13 @@
 /// requests on the engines end when its connections close.
 const DIGEST_TTL: Duration = Duration::from_secs(2);
 
+/// How long the queues of a host count when no newer digest arrives: two of the longest
+/// intervals between digests. Requests of a host that has died need no capacity.
+const QUEUE_TTL: Duration = Duration::from_millis(600);
+
+/// The maximum number of services of which a digest tells the queue.
+const MAX_QUEUES: usize = 16;
+
 /// The assumed duration of a decode step before any stream was observed: that of a
 /// busy engine.
 const DEFAULT_STEP: Duration = Duration::from_millis(4);
@@ -121,7 +128,10 @@
 impl PeerLoad {
     /// Returns the number of requests in `scope` that the host has queued for the service
     /// with the hash `service`. Those of a host that does not send its queues count as on time.
-    fn queued(&self, service: u64, scope: QueueScope) -> usize {
+    fn queued(&self, service: u64, scope: QueueScope, now: Instant) -> usize {
+        if now.saturating_duration_since(self.received) >= QUEUE_TTL {
+            return 0;
+        }
         match &self.queues {
             Some(queues) => queued_in(queues, service, scope),
             None => self.loads.waiting,
@@ -298,16 +308,20 @@
         }
     }
 
-    /// Returns the queues of this host, to be sent to the other hosts.
+    /// Returns the queues of this host, to be sent to the other hosts: those with the most
+    /// requests on time, if there are too many.
     pub fn queues(&self) -> Vec<QueueDigest> {
-        self.state.lock().queues.clone()
+        let mut queues = self.state.lock().queues.clone();
+        queues.sort_by_key(|queue| std::cmp::Reverse((queue.on_time, queue.late)));
+        queues.truncate(MAX_QUEUES);
+        queues
     }
 
     /// Returns the number of requests in `scope` that the other hosts have queued for `service`.
     pub fn queued_elsewhere(&self, service: &str, scope: QueueScope, now: Instant) -> usize {
         let service = service_key(service);
         let state = self.state.lock();
-        state.live_peers(now).map(|(_, peer)| peer.queued(service, scope)).sum()
+        state.live_peers(now).map(|(_, peer)| peer.queued(service, scope, now)).sum()
     }
 
     /// Returns the number of requests that all hosts have queued for `service`.
@@ -320,7 +334,8 @@
     pub fn queueing_hosts(&self, service: &str, scope: QueueScope, now: Instant) -> Vec<Name> {
         let service = service_key(service);
         let state = self.state.lock();
-        let queueing = state.live_peers(now).filter(|(_, peer)| peer.queued(service, scope) > 0);
+        let queueing =
+            state.live_peers(now).filter(|(_, peer)| peer.queued(service, scope, now) > 0);
         queueing.map(|(host, _)| host.clone()).collect()
     }
 
