Show that silent connections between hosts delay changes beyond every bound

A host that takes views from others asked one after the other over connections that had gone silent while idle, 0.85 s each.

--- a/crates/gateway/tests/common/peer.rs
+++ b/crates/gateway/tests/common/peer.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use aspenloft_gateway::peers::ViewReply;
+use aspenloft_standin::relay::Relay;
 use aspenloft_transport::{frames, mesh};
 use async_std::channel::Sender;
 use async_std::net::TcpListener;
@@ -55,6 +56,15 @@
         ScriptedPeer { addr, calls, reply }
     }
 
+    /// Returns a relay through which the peer is reached at another address.
+    pub fn relay(&self) -> (SocketAddr, Arc<Relay>) {
+        let listener = task::block_on(TcpListener::bind("127.0.0.1:0")).expect("bind");
+        let addr = listener.local_addr().expect("address");
+        let relay = Relay::new(self.addr);
+        task::spawn(relay.clone().serve(listener));
+        (addr, relay)
+    }
+
     /// Answers all calls with `reply`, those that wait included.
     pub fn reply(&self, reply: ViewReply) {
         *self.reply.lock() = Some(reply);
