Ask other hosts for their views side by side, over connections that answer

Callers saw requests handled as an older configuration allows and requests at servers that had announced their leaving, seconds after both bounds, on hosts that take views from others.

Cause: such a host asked one other host at a time, 0.7 s each, and repeated that until one answered. Connections between hosts were kept for 60 s without a sign of life, so after they had gone silent each host that had been asked before cost 0.85 s, even minutes later.

A call that may run more than once is now made again on a new connection as soon as the first one is suspected to be broken (0.3 s). Idle connections are closed after 1.5 s, sooner than hosts count as undisturbed again. The next host is asked 0.2 s after the one before, four at a time (policy::catch_up), so delays of hosts that do not answer do not add up. Hosts whose digests are overdue are asked last. caught_up tells how long a host was behind and how many it asked.

--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -49,8 +49,9 @@
 /// The maximum number of unreachable servers in one digest.
 const MAX_UNREACHABLE: usize = 64;
 
-/// The timeout for fetching a peer's view.
-const FETCH_TIMEOUT: Duration = Duration::from_millis(700);
+/// The timeout for fetching a peer's view, which may hold the whole configuration. Other hosts
+/// are asked long before it ends.
+const FETCH_TIMEOUT: Duration = Duration::from_millis(2_500);
 
 /// The timeout of a request for a permit: some round trips between data centres.
 const PERMIT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -153,17 +154,13 @@
         self.link(host).connection().await?.call(buf.freeze()).await
     }
 
+    /// Makes a call that `host` may run more than once, and returns the reply.
     async fn call(&self, host: &Host, call: &PeerCall, limit: Duration) -> Result<Bytes> {
         let mut buf = BytesMut::new();
         frames::encode(call, &mut buf)?;
         let link = self.link(host);
-        let replied = timeout(limit, async {
-            let mut call = link.connection().await?.call(buf.freeze()).await?;
-            call.next()
-                .await?
-                .ok_or_else(|| unavailable("the peer closed the call without a reply"))
-        });
-        replied.await.map_err(|_| unavailable("the peer did not respond in time"))?
+        let replied = timeout(limit, link.ask(buf.freeze())).await;
+        replied.map_err(|_| unavailable("the peer did not respond in time"))?
     }
 
     fn link(&self, host: &Host) -> Arc<PeerLink> {
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -62,6 +62,14 @@
 /// they get some.
 const LOAD_STEP: usize = 8;
 
+/// How long a connection to another host is kept without calls. Nothing shows whether an idle
+/// connection has gone silent, so it must be closed before a change can be late by it.
+const IDLE_LINK_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// The maximum age of the last digest of a host that is asked first: that of the digests
+/// within a data centre, and a lost one.
+const PROMPT_DIGEST_AGE: Duration = Duration::from_millis(600);
+
 /// How long after a call to a host failed other hosts are preferred for a call.
 const FAILED_CALL_PERIOD: Duration = Duration::from_secs(2);
 
@@ -185,7 +193,10 @@
             seeds,
             peers: Mutex::default(),
             links: Mutex::default(),
-            options: Arc::default(),
+            options: Arc::new(MeshOptions {
+                idle_timeout: IDLE_LINK_TIMEOUT,
+                ..MeshOptions::default()
+            }),
             unreachable_from: AtomicUsize::new(0),
             truncated: AtomicBool::new(false),
             questions: Arc::default(),
@@ -342,7 +353,7 @@
             let peers = self.peers.lock();
             peers.is_empty() || peers.values().any(|p| is_recent(p, now, FOLLOWER_TIMEOUT))
         };
-        (follows || hears) && self.peer_ahead().is_none()
+        (follows || hears) && !self.is_behind()
     }
 
     /// Returns the number of hosts in this host's group that precede it by name, watch
@@ -367,14 +378,21 @@
         }
     }
 
-    /// Returns the live host with the highest position in the key-value service, if that
-    /// is higher than this host's; of several, one in this host's data centre if possible. If
-    /// there is none, a host with a newer configuration.
+    /// Returns whether a live host has a higher position in the key-value service than this
+    /// host, or a newer configuration.
+    pub fn is_behind(&self) -> bool {
+        self.peer_ahead(&[]).is_some()
+    }
+
+    /// Returns the live host, except those in `asked`, with the highest position in the
+    /// key-value service, if that is higher than this host's; of several, one in this host's
+    /// data centre if possible. If there is none, a host with a newer configuration.
     ///
     /// Hosts that did not respond to a recent call come last, whatever their position: the
     /// digests of a host may arrive although it cannot be called. A host that has sent no
-    /// digest since then has probably crashed and is not returned.
-    pub fn peer_ahead(&self) -> Option<Host> {
+    /// digest since then has probably crashed and is not returned. Before them come hosts
+    /// whose digests are overdue.
+    pub fn peer_ahead(&self, asked: &[Name]) -> Option<Host> {
         let (now, own) = (self.clock.now(), self.state.view.position());
         let peers = self.peers.lock();
         let failed = |p: &Peer| {
@@ -382,13 +400,16 @@
         };
         let heard_since =
             |p: &Peer| p.failed_at.is_none_or(|at| p.last_digest.is_some_and(|d| d > at));
-        let live = peers.values().filter(|p| is_recent(p, now, LIVENESS_TIMEOUT) && heard_since(p));
+        let live = peers.values().filter(|p| {
+            is_recent(p, now, LIVENESS_TIMEOUT) && heard_since(p) && !asked.contains(&p.host.name)
+        });
         let positions = live.filter_map(|p| Some((p, p.position(own.era)?)));
         let version = self.state.view.configuration().map_or(0, |c| c.version);
         let ahead = positions.filter(|(p, position)| *position > own || p.configuration > version);
         let is_local = |p: &Peer| p.host.data_centre == self.local.data_centre;
+        let is_prompt = |p: &Peer| is_recent(p, now, PROMPT_DIGEST_AGE);
         ahead
-            .max_by_key(|(p, position)| (!failed(p), *position, is_local(p)))
+            .max_by_key(|(p, position)| (!failed(p), is_prompt(p), *position, is_local(p)))
             .map(|(p, _)| p.host.clone())
     }
 
--- a/crates/gateway/src/sync/learn.rs
+++ b/crates/gateway/src/sync/learn.rs
@@ -1,61 +1,116 @@
-//! The `learn` module fetches the view from another host while this host has no current
+//! The `learn` module fetches the views of other hosts while this host has no current
 //! one from the key-value service.
 
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-use aspenloft_core::prelude::{Arc, Name};
-use async_std::task;
+use aspenloft_core::errors::Result;
+use aspenloft_core::prelude::{Arc, Host, Name};
+use aspenloft_policy::catch_up::CatchUp;
+use async_std::future::timeout;
+use futures::future::BoxFuture;
+use futures::stream::FuturesUnordered;
+use futures::{FutureExt, StreamExt};
 
 use super::StoreSync;
 use crate::peers::ViewReply;
 use crate::view::{Keep, ServerChange, UpdateSource};
 
+/// How often a host that waits for views looks whether another host is to be asked.
+const CALL_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
+/// A call for the view of another host.
+struct ViewCall {
+    host: Host,
+    requested_at: Instant,
+    result: Result<ViewReply>,
+}
+
 impl StoreSync {
-    /// Fetches the view of a host with a higher position: at once if this host is not
-    /// connected to the service, otherwise after it has been behind for `max_lag`. Once after
+    /// Fetches the views of hosts with a higher position: at once if this host is not
+    /// connected to the service, otherwise after it has been behind for a while. Once after
     /// the start it fetches that of any host, which may know of servers that leave what the
     /// service has forgotten. Does not return.
     pub async fn catch_up_from_peers(self: Arc<Self>) {
-        let mut behind_since: Option<Instant> = None;
+        let mut state = CatchUp::default();
+        let mut calls: FuturesUnordered<BoxFuture<'static, ViewCall>> = FuturesUnordered::new();
+        let mut asked: Vec<Name> = Vec::new();
         let mut has_asked = false;
         loop {
-            task::sleep(self.options.peer_check_interval).await;
-            self.view.remove_expired(self.clock.now());
-            let now = self.clock.now();
-            let host = match self.peers.peer_ahead() {
-                Some(ahead) => {
-                    let since = *behind_since.get_or_insert(now);
-                    let behind = now.saturating_duration_since(since);
-                    if self.is_connected() && behind < self.options.max_lag {
-                        continue;
-                    }
-                    ahead
-                }
-                None => {
-                    behind_since = None;
-                    let Some(live) = self.peers.any_live().filter(|_| !has_asked) else { continue };
-                    live
-                }
+            let interval = match calls.is_empty() {
+                true => self.options.peer_check_interval,
+                false => CALL_CHECK_INTERVAL,
             };
-            let fetched = self.peers.fetch_view(&host).await;
-            let took_ms = self.clock.now().saturating_duration_since(now).as_millis() as u64;
-            match fetched {
-                Ok(reply) => {
-                    let (own, era) =
-                        (self.view.position().to_string(), reply.era.unwrap_or_default());
-                    log::info!(
-                        event = "peer_read", peer = &*host.name, revision = reply.revision,
-                        era = era.0, own = own.as_str(), servers = reply.servers.len(), took_ms; ""
-                    );
-                    self.apply_view(reply, now);
+            if let Some(call) = self.next_call(&mut calls, interval).await {
+                asked.retain(|name| *name != call.host.name);
+                if self.finish_call(call) {
                     has_asked = true;
+                } else {
+                    state.record_failure();
                 }
-                Err(e) => {
-                    self.peers.mark_unresponsive(&host.name);
-                    let error = e.to_string();
-                    log::info!(event = "peer_unread", peer = &*host.name, error = error.as_str(), took_ms; "");
+            }
+            let now = self.clock.now();
+            self.view.remove_expired(now);
+            let next = if self.peers.is_behind() {
+                let may_ask =
+                    state.should_ask(self.is_connected(), calls.len(), &self.options.catch_up, now);
+                may_ask.then(|| self.peers.peer_ahead(&asked)).flatten()
+            } else {
+                if let Some(caught_up) = state.record_level(now).filter(|c| c.calls > 0) {
+                    let behind_ms = caught_up.behind.as_millis() as u64;
+                    log::info!(event = "caught_up", behind_ms, calls = caught_up.calls; "");
+                    // Hosts that are still being asked have nothing that is newer.
+                    calls.clear();
+                    asked.clear();
                 }
+                self.peers.any_live().filter(|_| !has_asked && calls.is_empty())
+            };
+            if let Some(host) = next {
+                state.record_call(now);
+                asked.push(host.name.clone());
+                calls.push(self.clone().call_for_view(host, now).boxed());
+            }
+        }
+    }
+
+    /// Waits up to `interval` for the end of one of `calls`.
+    async fn next_call(
+        &self,
+        calls: &mut FuturesUnordered<BoxFuture<'static, ViewCall>>,
+        interval: Duration,
+    ) -> Option<ViewCall> {
+        if calls.is_empty() {
+            async_std::task::sleep(interval).await;
+            return None;
+        }
+        timeout(interval, calls.next()).await.ok().flatten()
+    }
+
+    async fn call_for_view(self: Arc<Self>, host: Host, requested_at: Instant) -> ViewCall {
+        let result = self.peers.fetch_view(&host).await;
+        ViewCall { host, requested_at, result }
+    }
+
+    /// Applies the view that a call brought; returns false if the call failed.
+    fn finish_call(&self, call: ViewCall) -> bool {
+        let ViewCall { host, requested_at, result } = call;
+        let took = self.clock.now().saturating_duration_since(requested_at);
+        let took_ms = took.as_millis() as u64;
+        match result {
+            Ok(reply) => {
+                let (own, era) = (self.view.position().to_string(), reply.era.unwrap_or_default());
+                log::info!(
+                    event = "peer_read", peer = &*host.name, revision = reply.revision,
+                    era = era.0, own = own.as_str(), servers = reply.servers.len(), took_ms; ""
+                );
+                self.apply_view(reply, requested_at);
+                true
+            }
+            Err(e) => {
+                self.peers.mark_unresponsive(&host.name);
+                let error = e.to_string();
+                log::info!(event = "peer_unread", peer = &*host.name, error = error.as_str(), took_ms; "");
+                false
             }
         }
     }
--- a/crates/gateway/src/sync/mod.rs
+++ b/crates/gateway/src/sync/mod.rs
@@ -11,6 +11,7 @@
 
 use aspenloft_core::errors::Result;
 use aspenloft_core::prelude::{Arc, Host, Position, SharedClock};
+use aspenloft_policy::catch_up::CatchUpOptions;
 use aspenloft_protocol::platform::{Change, ChangeFeed, Changes, KeyValue, Versioned};
 use async_std::future::timeout;
 use async_std::task;
@@ -52,9 +53,8 @@
     pub lease: Duration,
     /// How often peers are checked for a higher revision.
     pub peer_check_interval: Duration,
-    /// How long a host that watches the service may be behind another host before it
-    /// fetches that host's view: its watch may be on a dead connection.
-    pub max_lag: Duration,
+    /// When hosts that are ahead are asked for their views.
+    pub catch_up: CatchUpOptions,
     /// The number of hosts of a group that watch the service. The others fetch changes
     /// from them, because each call to the service costs money.
     pub followers: usize,
@@ -71,7 +71,7 @@
             outage_window: Duration::from_millis(500),
             lease: Duration::from_secs(24),
             peer_check_interval: Duration::from_millis(150),
-            max_lag: Duration::from_millis(450),
+            catch_up: CatchUpOptions::default(),
             followers: 2,
         }
     }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod admission;
 pub mod burn;
 pub mod cache_index;
+pub mod catch_up;
 pub mod concurrency;
 pub mod crash_tracker;
 pub mod engine_choice;
--- a/crates/transport/src/mesh/link.rs
+++ b/crates/transport/src/mesh/link.rs
@@ -5,9 +5,13 @@
 use std::sync::{Arc, Weak};
 use std::time::Instant;
 
-use aspenloft_core::errors::{Error, Result};
+use aspenloft_core::errors::{Error, Result, unavailable};
 use async_std::sync::Mutex as AsyncMutex;
 use async_std::task;
+use bytes::Bytes;
+use futures::FutureExt;
+use futures::future::{Either, select, select_ok};
+use futures::pin_mut;
 use parking_lot::Mutex;
 
 use super::connection::PeerConnection;
@@ -76,6 +80,25 @@
         }
     }
 
+    /// Makes a call with the frame in `data` and returns its only reply. The host may run the
+    /// call more than once: it is made again on a new connection when the first one fails or
+    /// is suspected to be broken.
+    pub async fn ask(&self, data: Bytes) -> Result<Bytes> {
+        let connection = self.connection().await?;
+        let first = reply_on(connection.clone(), data.clone()).boxed();
+        let suspected = connection.suspected_or_ended();
+        pin_mut!(suspected);
+        let again = async { reply_on(self.connection().await?, data).await };
+        match select(first, suspected).await {
+            Either::Left((Ok(reply), _)) => Ok(reply),
+            Either::Left((Err(_), _)) => again.await,
+            // The first connection may only be slow.
+            Either::Right((_, first)) => {
+                select_ok([first, again.boxed()]).await.map(|(reply, _)| reply)
+            }
+        }
+    }
+
     fn usable(&self) -> Option<PeerConnection> {
         let current = self.state.lock().current.clone();
         current.filter(|connection| connection.is_usable(&self.options))
@@ -102,3 +125,9 @@
         });
     }
 }
+
+/// Makes a call on `connection` and returns its only reply.
+async fn reply_on(connection: PeerConnection, data: Bytes) -> Result<Bytes> {
+    let mut call = connection.call(data).await?;
+    call.next().await?.ok_or_else(|| unavailable("the peer closed the call without a reply"))
+}
