Send a large configuration to few hosts at the same time

A host sends at most four views with a configuration at the same time, counted until their bytes have been written; others get the view without it at once and ask another host, which soon has it. Hosts that are ahead alike are asked in an order that differs by host, those that have been asked last.

--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -76,6 +76,10 @@
 /// hosts little.
 const MAX_QUESTIONS: usize = 32;
 
+/// The maximum number of views with a configuration that are sent at the same time, so that
+/// none of them takes long over a slow link. Other hosts have the configuration soon after.
+const MAX_CONFIGURATIONS_SENT: usize = 4;
+
 /// The maximum number of stream records in one digest.
 const MAX_STREAM_RECORDS: usize = 20;
 
@@ -364,6 +368,25 @@
         others.map(|p| &p.host).chain([&self.local]).cloned().collect()
     }
 
+    /// Encodes the view for a host that has the configuration `version`. A newer one is left
+    /// out while several are being sent, unless the host has none at all.
+    fn encode_view(&self, version: Option<u64>) -> Result<Bytes> {
+        let slot = self.configuration_slots.clone();
+        let is_busy = Arc::strong_count(&slot) > MAX_CONFIGURATIONS_SENT + 1;
+        let mut reply = self.view_reply(version);
+        if is_busy && version.is_some() && reply.configuration.take().is_some() {
+            log::info!(event = "configuration_withheld", version = version.unwrap_or_default(); "");
+        }
+        let has_configuration = reply.configuration.is_some();
+        let mut buf = BytesMut::new();
+        reply.encode(&mut buf)?;
+        let data = buf.freeze();
+        Ok(match has_configuration {
+            true => Bytes::from_owner(SlottedReply { data, _slot: slot }),
+            false => data,
+        })
+    }
+
     /// Returns the view, with the configuration if it is newer than `version`.
     fn view_reply(&self, version: Option<u64>) -> ViewReply {
         let is_newer = |c: &Arc<Configuration>| version.is_none_or(|v| c.version > v);
@@ -392,6 +415,18 @@
     }
 }
 
+/// An encoded view that takes a slot until it has been written to the connection.
+struct SlottedReply {
+    data: Bytes,
+    _slot: Arc<()>,
+}
+
+impl AsRef<[u8]> for SlottedReply {
+    fn as_ref(&self) -> &[u8] {
+        &self.data
+    }
+}
+
 fn log_unread(e: &Error) {
     log::warn!(event = "digest_unreadable", error = e.to_string().as_str(); "");
 }
@@ -415,8 +450,8 @@
             PeerCall::Forward(_) => {
                 return Err(internal("a forwarded request has more than one reply"));
             }
-            PeerCall::View => self.peers.view_reply(None).encode(&mut buf)?,
-            PeerCall::ViewSince(v) => self.peers.view_reply(Some(v)).encode(&mut buf)?,
+            PeerCall::View => return self.peers.encode_view(None),
+            PeerCall::ViewSince(v) => return self.peers.encode_view(Some(v)),
             PeerCall::StreamVersion(service, key) => {
                 let up_to_date = self.peers.is_up_to_date();
                 let version = self.peers.state.streams.version(&service, key, up_to_date);
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -170,6 +170,8 @@
     truncated: AtomicBool,
     /// Has a clone for each question for the version of a stream that is open.
     questions: Arc<()>,
+    /// Has a clone for each view with a configuration that is being sent.
+    configuration_slots: Arc<()>,
 }
 
 impl Peers {
@@ -200,6 +202,7 @@
             unreachable_from: AtomicUsize::new(0),
             truncated: AtomicBool::new(false),
             questions: Arc::default(),
+            configuration_slots: Arc::new(()),
         })
     }
 
@@ -381,18 +384,19 @@
     /// Returns whether a live host has a higher position in the key-value service than this
     /// host, or a newer configuration.
     pub fn is_behind(&self) -> bool {
-        self.peer_ahead(&[]).is_some()
+        self.peer_ahead(&[], &[]).is_some()
     }
 
-    /// Returns the live host, except those in `asked`, with the highest position in the
+    /// Returns the live host, except those in `open`, with the highest position in the
     /// key-value service, if that is higher than this host's; of several, one in this host's
-    /// data centre if possible. If there is none, a host with a newer configuration.
+    /// data centre if possible. If there is none, a host with a newer configuration. Hosts in
+    /// `asked` come after others: they may be too busy to send the configuration.
     ///
     /// Hosts that did not respond to a recent call come last, whatever their position: the
     /// digests of a host may arrive although it cannot be called. A host that has sent no
     /// digest since then has probably crashed and is not returned. Before them come hosts
     /// whose digests are overdue.
-    pub fn peer_ahead(&self, asked: &[Name]) -> Option<Host> {
+    pub fn peer_ahead(&self, open: &[Name], asked: &[Name]) -> Option<Host> {
         let (now, own) = (self.clock.now(), self.state.view.position());
         let peers = self.peers.lock();
         let failed = |p: &Peer| {
@@ -401,15 +405,20 @@
         let heard_since =
             |p: &Peer| p.failed_at.is_none_or(|at| p.last_digest.is_some_and(|d| d > at));
         let live = peers.values().filter(|p| {
-            is_recent(p, now, LIVENESS_TIMEOUT) && heard_since(p) && !asked.contains(&p.host.name)
+            is_recent(p, now, LIVENESS_TIMEOUT) && heard_since(p) && !open.contains(&p.host.name)
         });
         let positions = live.filter_map(|p| Some((p, p.position(own.era)?)));
         let version = self.state.view.configuration().map_or(0, |c| c.version);
         let ahead = positions.filter(|(p, position)| *position > own || p.configuration > version);
         let is_local = |p: &Peer| p.host.data_centre == self.local.data_centre;
         let is_prompt = |p: &Peer| is_recent(p, now, PROMPT_DIGEST_AGE);
+        let is_fresh = |p: &Peer| !asked.contains(&p.host.name);
+        // Hosts that are behind by the same change ask different ones.
+        let spread = |p: &Peer| xxh3_64_with_seed(p.host.name.as_bytes(), self.born_ms);
         ahead
-            .max_by_key(|(p, position)| (!failed(p), is_prompt(p), *position, is_local(p)))
+            .max_by_key(|(p, position)| {
+                (!failed(p), is_prompt(p), is_fresh(p), *position, is_local(p), spread(p))
+            })
             .map(|(p, _)| p.host.clone())
     }
 
--- a/crates/gateway/src/sync/learn.rs
+++ b/crates/gateway/src/sync/learn.rs
@@ -34,7 +34,8 @@
     pub async fn catch_up_from_peers(self: Arc<Self>) {
         let mut state = CatchUp::default();
         let mut calls: FuturesUnordered<BoxFuture<'static, ViewCall>> = FuturesUnordered::new();
-        let mut asked: Vec<Name> = Vec::new();
+        // The hosts that are being asked, and those that have been since this one is behind.
+        let (mut open, mut asked): (Vec<Name>, Vec<Name>) = Default::default();
         let mut has_asked = false;
         loop {
             let interval = match calls.is_empty() {
@@ -42,7 +43,7 @@
                 false => CALL_CHECK_INTERVAL,
             };
             if let Some(call) = self.next_call(&mut calls, interval).await {
-                asked.retain(|name| *name != call.host.name);
+                open.retain(|name| *name != call.host.name);
                 if self.finish_call(call) {
                     has_asked = true;
                 } else {
@@ -54,19 +55,21 @@
             let next = if self.peers.is_behind() {
                 let may_ask =
                     state.should_ask(self.is_connected(), calls.len(), &self.options.catch_up, now);
-                may_ask.then(|| self.peers.peer_ahead(&asked)).flatten()
+                may_ask.then(|| self.peers.peer_ahead(&open, &asked)).flatten()
             } else {
                 if let Some(caught_up) = state.record_level(now).filter(|c| c.calls > 0) {
                     let behind_ms = caught_up.behind.as_millis() as u64;
                     log::info!(event = "caught_up", behind_ms, calls = caught_up.calls; "");
                     // Hosts that are still being asked have nothing that is newer.
                     calls.clear();
-                    asked.clear();
+                    open.clear();
                 }
+                asked.clear();
                 self.peers.any_live().filter(|_| !has_asked && calls.is_empty())
             };
             if let Some(host) = next {
                 state.record_call(now);
+                open.push(host.name.clone());
                 asked.push(host.name.clone());
                 calls.push(self.clone().call_for_view(host, now).boxed());
             }
--- a/crates/gateway/tests/late_changes.rs
+++ b/crates/gateway/tests/late_changes.rs
@@ -5,11 +5,16 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use aspenloft_gateway::peers::{Digest, ViewReply};
+use aspenloft_gateway::configuration::{Configuration, Route};
+use aspenloft_gateway::peers::{Digest, PeerCall, ViewReply};
 use aspenloft_gateway::roster::ServerEntry;
 use aspenloft_gateway::roster::ServerRole::Plain;
 use aspenloft_standin::relay::Relay;
-use common::peer::ScriptedPeer;
+use aspenloft_transport::frames;
+use aspenloft_transport::mesh::{PeerLink, RemoteCall};
+use async_std::task;
+use bytes::BytesMut;
+use common::peer::{ScriptedPeer, fetch_view};
 use common::{
     READ_TIMEOUT, Scripted, TestHost, configuration, digest, entry, sealed, status, wait_for,
 };
@@ -105,3 +110,42 @@
     let took = peers.time_to_removal(&host);
     assert!(took < CHANGE_LIMIT, "{took:?}");
 }
+
+// All hosts of a data centre asked one host for a large configuration, and all calls timed out.
+#[test]
+fn a_large_configuration_is_sent_to_few_hosts_at_the_same_time() {
+    let host = TestHost::with_servers(&[entry("s1", good().addr, Plain)]);
+    host.store.write("configuration", &large_configuration(2));
+    let has_new = || fetch_view(&host, &PeerCall::ViewSince(1)).configuration.is_some();
+    wait_for("the configuration", has_new);
+    let unread: Vec<_> = (0..8).map(|_| call_for_view(&host)).collect();
+    std::thread::sleep(Duration::from_millis(500));
+    assert!(!has_new(), "the link is shared by too many");
+    let views = unread.into_iter().map(read_view);
+    assert_eq!(views.filter(|view| view.configuration.is_some()).count(), 4);
+    wait_for("the configuration to be sent again", has_new);
+}
+
+/// Calls for the view with the configuration, on a connection of its own, without reading it.
+fn call_for_view(host: &TestHost) -> RemoteCall {
+    let mut buf = BytesMut::new();
+    frames::encode(&PeerCall::ViewSince(1), &mut buf).expect("a request");
+    let link = PeerLink::new(host.settings.listen.peers, Arc::default());
+    task::block_on(async {
+        link.connection().await.expect("a connection").call(buf.freeze()).await.expect("a call")
+    })
+}
+
+fn read_view(mut call: RemoteCall) -> ViewReply {
+    let body = task::block_on(call.next()).expect("a reply").expect("a whole reply");
+    ViewReply::decode(&body).expect("a view")
+}
+
+/// Returns a configuration that exceeds the window of a connection.
+fn large_configuration(version: u64) -> Configuration {
+    let mut large = configuration(version);
+    let route = large.routes[0].clone();
+    let named = |n| Route { name: format!("{n:0100}").into(), ..route.clone() };
+    large.routes.extend((0..20_000).map(named));
+    large
+}
