--- a/crates/gateway/src/http/json.rs
+++ b/crates/gateway/src/http/json.rs
@@ -12,7 +12,7 @@
 use bytes::Bytes;
 use http::header::{CONTENT_TYPE, HOST};
 use http::{HeaderMap, HeaderValue, Method, Request};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::client::conn::http1::{self, SendRequest};
 use parking_lot::Mutex;
 use serde::de::DeserializeOwned;
@@ -109,7 +109,15 @@
         let response = sent.map_err(|e| call_failed(&e))?;
         let (head, body) = response.into_parts();
         let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
-        let body = body.map_err(|e| call_failed(&e))?.to_bytes();
+        let body = body.map_err(|e| match e.is::<LengthLimitError>() {
+            true => {
+                let message =
+                    format!("the response of {} exceeds {MAX_RESPONSE_BYTES} bytes", self.addr);
+                Error::new(ErrorCode::TooLarge, message).execution(Execution::Unknown)
+            }
+            false => call_failed(&e),
+        });
+        let body = body?.to_bytes();
         self.put_back(sender);
         Ok(JsonResponse { status: head.status.as_u16(), headers: head.headers, body })
     }
--- a/crates/gateway/src/sync/mod.rs
+++ b/crates/gateway/src/sync/mod.rs
@@ -9,7 +9,7 @@
 
 use std::time::{Duration, Instant};
 
-use aspenloft_core::errors::Result;
+use aspenloft_core::errors::{ErrorCode, Result};
 use aspenloft_core::prelude::{Arc, Host, Position, SharedClock};
 use aspenloft_policy::catch_up::CatchUpOptions;
 use aspenloft_protocol::platform::{Change, ChangeFeed, Changes, KeyValue, Versioned};
@@ -28,6 +28,9 @@
 /// The key prefix of the entries of the router's hosts.
 pub const HOSTS_PREFIX: &str = "aspenloft/hosts/";
 
+/// The number of watches without a whole response after which a snapshot is read.
+const MAX_UNREAD_WATCHES: u32 = 2;
+
 /// The time after a snapshot within which the loss of its position counts as a failure.
 const MIN_FOLLOW_TIME: Duration = Duration::from_millis(100);
 
@@ -186,9 +189,11 @@
     }
 
     /// Returns the changes after the position of the view. A failed call is retried, which
-    /// costs less than a new snapshot.
+    /// costs less than a new snapshot. If the service answers but the changes cannot be read,
+    /// because they are too many or too large, only a snapshot helps.
     async fn changes(&self, wait: Duration, pause: &mut Duration) -> Result<Changes> {
         let mut wait = wait;
+        let mut unread = 0;
         loop {
             match self.call_watch(self.view.position(), wait).await {
                 Ok(changes) => {
@@ -200,6 +205,12 @@
                 }
                 Err(e) => {
                     self.mark_disconnected(&e.to_string());
+                    unread += u32::from(e.code == ErrorCode::Timeout);
+                    if e.code == ErrorCode::TooLarge || unread >= MAX_UNREAD_WATCHES {
+                        let error = e.to_string();
+                        log::warn!(event = "changes_unread", error = error.as_str(); "");
+                        return Ok(Changes::Compacted);
+                    }
                     // The next call only checks whether the service is back, so it must
                     // not wait for a change.
                     wait = Duration::ZERO;
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -14,7 +14,7 @@
 use std::time::{Duration, Instant};
 
 use aspenloft_core::clock::SystemClock;
-use aspenloft_core::errors::{Result, invalid};
+use aspenloft_core::errors::{Error, ErrorCode, Result, invalid};
 use aspenloft_core::prelude::{Era, Host, Name, Position};
 use aspenloft_core::suspects::PromptPart;
 use aspenloft_gateway::configuration::{
@@ -182,6 +182,8 @@
     leases: HashSet<LeaseId>,
     next_lease: LeaseId,
     era: Era,
+    /// The number of changes from which a response is too large to be read.
+    max_changes: Option<usize>,
 }
 
 impl StoreState {
@@ -273,6 +275,11 @@
         self.snapshots.load(Ordering::SeqCst)
     }
 
+    /// Has clients fail to read responses with more than `max` changes.
+    pub fn limit_changes(&self, max: usize) {
+        self.state.lock().max_changes = Some(max);
+    }
+
     /// Refuses all watches because their history is compacted.
     pub fn compact_for_good(&self) {
         self.state.lock().compacted = Version::MAX;
@@ -328,6 +335,9 @@
                 }
                 let newer = state.changes.iter().filter(|(at, _)| *at > after);
                 let changes: Vec<Change> = newer.map(|(_, change)| change.clone()).collect();
+                if state.max_changes.is_some_and(|max| changes.len() > max) {
+                    return Err(Error::new(ErrorCode::TooLarge, "the response is too large"));
+                }
                 if !changes.is_empty() || Instant::now() >= end {
                     return Ok(Changes::Since { changes, position: state.position() });
                 }
--- a/crates/gateway/tests/late_changes.rs
+++ b/crates/gateway/tests/late_changes.rs
@@ -149,3 +149,21 @@
     large.routes.extend((0..20_000).map(named));
     large
 }
+
+// A host that had fallen behind asked for all changes again and again, which it could not read.
+#[test]
+fn a_host_that_cannot_read_all_changes_reads_a_snapshot() {
+    let host = TestHost::with_servers(&[entry("s1", good().addr, Plain)]);
+    host.store.limit_changes(2);
+    host.store.set_down(true);
+    for version in 2..5 {
+        host.store.write("configuration", &configuration(version));
+    }
+    host.store.remove("servers/s1");
+    host.store.set_down(false);
+    let removed = Instant::now();
+    wait_for("the server to be removed", || status(&host.send(&get("a"))) == "503");
+    // The entry may have been lost in the outage.
+    let limit = CHANGE_LIMIT + Duration::from_secs(1);
+    assert!(removed.elapsed() < limit, "{:?}", removed.elapsed());
+}
