Send nothing new to a server that says itself that it leaves

Requests still reached backend servers that had said they were leaving. A server that leaves says so in all its responses; hosts read that only from the store, so a host whose store was away, whose watch was late, or that kept a server whose entry had been removed went on sending, without a bound.

The host marks the server when a response says so, for the life of its process, whatever is read of it later; server_marked source=response tells it.

--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -94,6 +94,8 @@
     pub keep_alive: Option<Duration>,
     /// The rate of requests that the server accepts, if it names one.
     pub rate_limit: Option<RateLimit>,
+    /// Whether the server states that it is leaving.
+    pub leaving: bool,
 }
 
 /// `RateLimit` is the rate of requests that a server names in its responses. It applies
--- a/crates/gateway/src/http/client.rs
+++ b/crates/gateway/src/http/client.rs
@@ -19,6 +19,7 @@
 use crate::permits::SendPermit;
 use crate::roster::{InFlightGuard, Server};
 use crate::server_limits::ServerLimits;
+use crate::view::View;
 
 /// `FailureCause` is the reason why there is no usable response.
 #[derive(Debug, Display, Clone, Copy, PartialEq, Eq)]
@@ -125,19 +126,21 @@
     pool: Arc<Pool>,
     dialect: Arc<dyn Dialect>,
     limits: Arc<ServerLimits>,
+    view: Arc<View>,
     memory: Arc<BodyBudget>,
 }
 
 impl BackendClient {
-    /// Creates a client that uses the connections of `pool` and records the rates that
-    /// servers name in `limits`. Response bodies are read within `memory`.
+    /// Creates a client that uses the connections of `pool` and records in `limits` and
+    /// `view` what servers say of themselves. Response bodies are read within `memory`.
     pub fn new(
         pool: Arc<Pool>,
         dialect: Arc<dyn Dialect>,
         limits: Arc<ServerLimits>,
+        view: Arc<View>,
         memory: Arc<BodyBudget>,
     ) -> BackendClient {
-        BackendClient { pool, dialect, limits, memory }
+        BackendClient { pool, dialect, limits, view, memory }
     }
 
     /// Sends `req` of the attempt `id` to `server`, for which `permit` was issued, and waits
@@ -162,6 +165,8 @@
         let metadata = self.dialect.read_response(&head);
         if metadata.misdirected {
             self.pool.close_idle(server.entry.addr);
+        } else if metadata.leaving {
+            self.view.record_leaving(server);
         }
         // A server that refuses a request early may not have read the id.
         let id_differs = id.is_some() && metadata.id.as_ref() != id;
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -148,6 +148,7 @@
         pool,
         platform.dialect.clone(),
         limits,
+        view.clone(),
         BodyBudget::new(settings.memory_mb),
     );
     let allowance = RetryAllowance {
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -29,6 +29,9 @@
     /// The end of the time for which a server is kept whose entry was lost.
     #[display("grace")]
     Grace,
+    /// A response of the server itself.
+    #[display("response")]
+    Response,
 }
 
 /// `ServerChange` is a change of the entry of one backend server.
@@ -254,7 +257,17 @@
             (is_same && is_new).then_some((&entry.instance, entry.leaving, until))
         });
         for (instance, leaving, until) in marked {
-            self.servers.write().mark(instance, leaving, until);
+            self.servers.write().mark(instance, leaving, until, UpdateSource::Peer);
+        }
+    }
+
+    /// Records that `server` has said itself that it is leaving. It stays so whatever is read
+    /// of it later, also if its entry has been lost.
+    pub fn record_leaving(&self, server: &Server) {
+        let is_news = |listed: &Server| listed.key == server.key && !listed.entry.leaving;
+        if self.roster().get(&server.entry.instance).is_some_and(|listed| is_news(listed)) {
+            let mut servers = self.servers.write();
+            servers.mark(&server.entry.instance, true, None, UpdateSource::Response);
         }
     }
 
@@ -339,17 +352,28 @@
     }
 
     /// Marks a listed server as leaving or withheld.
-    fn mark(&mut self, instance: &str, leaving: bool, withheld_until: Option<Instant>) {
-        let Some(server) = self.roster.get(instance) else { return };
+    fn mark(
+        &mut self,
+        instance: &str,
+        leaving: bool,
+        withheld_until: Option<Instant>,
+        source: UpdateSource,
+    ) {
+        let Some(server) = self.roster.get(instance).cloned() else { return };
         let mut entry = server.entry.clone();
         entry.leaving |= leaving;
         let withheld_until = withheld_until.or(server.withheld_until);
         let Some(marked) = self.roster.updated_server(entry, withheld_until) else { return };
+        let source = source.to_string();
         log::info!(
             event = "server_marked", server = instance, leaving,
-            withheld = withheld_until.is_some(); ""
+            withheld = withheld_until.is_some(), source = source.as_str(); ""
         );
-        Arc::make_mut(&mut self.roster).insert(marked);
+        let roster = Arc::make_mut(&mut self.roster);
+        match server.kept_until {
+            Some(until) => roster.keep(&marked, until),
+            None => roster.insert(marked),
+        }
     }
 
     /// Returns until when a server is not used that is listed again after `departure`. Only a
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -110,6 +110,7 @@
             keep_alive: None,
             rate_limit: text(&head.headers, "limit")
                 .map(|rate| rate.parse().map_or(RateLimit::Unreadable, RateLimit::PerSecond)),
+            leaving: head.headers.contains_key("leaving"),
         }
     }
 
--- a/crates/gateway/tests/late_changes.rs
+++ b/crates/gateway/tests/late_changes.rs
@@ -167,3 +167,33 @@
     let limit = CHANGE_LIMIT + Duration::from_secs(1);
     assert!(removed.elapsed() < limit, "{:?}", removed.elapsed());
 }
+
+// A server that said in its responses that it leaves got requests until the store said so too.
+#[test]
+fn a_server_that_says_itself_that_it_leaves_gets_no_new_request() {
+    let leaving = Scripted::start(|_, req| {
+        String::from_utf8_lossy(&sealed(req, "200 OK", "done"))
+            .replacen("\r\n", "\r\nleaving: 1\r\n", 1)
+            .into()
+    });
+    let staying = good();
+    let entries = [entry("s1", leaving.addr, Plain), entry("s2", staying.addr, Plain)];
+    let host = TestHost::with_servers(&entries);
+    host.store.set_down(true);
+    let calls = |count: usize| {
+        (0..count).for_each(|n| assert_eq!(status(&host.send(&get(&format!("a{n}")))), "200"));
+    };
+    calls(10);
+    assert_eq!(leaving.count(), 1, "one response is enough");
+    // An older entry of the same process is read when the store is back.
+    host.store.write("servers/s1", &entries[0]);
+    host.store.set_down(false);
+    std::thread::sleep(Duration::from_millis(500));
+    calls(10);
+    assert_eq!(leaving.count(), 1);
+    host.store.write("servers/s1", &ServerEntry { born_ms: 2, ..entries[0].clone() });
+    wait_for("a new process under the same name to be used", || {
+        calls(1);
+        leaving.count() > 1
+    });
+}
