Keep no server beyond its bound after a short outage

A host that had lost the store for a moment kept servers whose entries were removed meanwhile for two seconds from its reconnect, so requests reached a removed server after its bound: 2.26 s in a test with an outage of 150 ms, 2 s allowed.

Servers are kept for at most 1.8 s from the first failed call if the outage was shorter than a second, in which no lease ends, and for at most 2.9 s if it was shorter than that. Longer outages as before. The time counts from the beginning of a watch that was late.

a_short_outage_keeps_no_server_beyond_the_bound failed before: 2.26 s.

--- a/crates/gateway/src/sync/mod.rs
+++ b/crates/gateway/src/sync/mod.rs
@@ -28,6 +28,17 @@
 /// The key prefix of the entries of the router's hosts.
 pub const HOSTS_PREFIX: &str = "aspenloft/hosts/";
 
+/// An outage that is too short for leases to end in it.
+const SHORT_OUTAGE: Duration = Duration::from_secs(1);
+
+/// How long after the beginning of a short outage servers are kept: less than callers' requests
+/// may reach a server after its entry was removed.
+const MAX_SHORT_KEEP: Duration = Duration::from_millis(1_800);
+
+/// An outage during which leases end for certain. Until then entries may be missing for either
+/// reason.
+const LONG_OUTAGE: Duration = Duration::from_millis(2_900);
+
 /// The number of watches without a whole response after which a snapshot is read.
 const MAX_UNREAD_WATCHES: u32 = 2;
 
@@ -117,10 +128,32 @@
 #[derive(Debug, Default)]
 pub struct SyncState {
     connected: bool,
-    // Whether a call has failed since the host was last connected.
-    lost: bool,
-    // When the host was connected again after calls had failed.
-    reconnected_at: Option<Instant>,
+    // When the first call failed since the host was last connected.
+    lost_at: Option<Instant>,
+    // The last outage.
+    outage: Option<Outage>,
+}
+
+/// A time in which this host could not read from the key-value service.
+#[derive(Debug, Clone, Copy)]
+struct Outage {
+    lost_at: Instant,
+    ended_at: Instant,
+}
+
+impl Outage {
+    /// Returns until when servers are kept whose entries are found missing after the outage.
+    /// The service may have lost the entries, but they may as well have been removed for good
+    /// at any time since the outage began, and sooner the less likely it is that leases have
+    /// ended in it.
+    fn keep_until(&self, options: &SyncOptions) -> Instant {
+        let until = self.ended_at + options.outage_grace;
+        match self.ended_at.saturating_duration_since(self.lost_at) {
+            length if length < SHORT_OUTAGE => until.min(self.lost_at + MAX_SHORT_KEEP),
+            length if length < LONG_OUTAGE => until.min(self.lost_at + LONG_OUTAGE),
+            _ => until,
+        }
+    }
 }
 
 impl StoreSync {
@@ -143,7 +176,7 @@
                     false
                 }
                 Err(e) => {
-                    self.mark_disconnected(&e.to_string());
+                    self.mark_disconnected(&e.to_string(), self.clock.now());
                     true
                 }
             };
@@ -204,7 +237,7 @@
                     return Ok(changes);
                 }
                 Err(e) => {
-                    self.mark_disconnected(&e.to_string());
+                    self.mark_disconnected(&e.to_string(), self.clock.now());
                     unread += u32::from(e.code == ErrorCode::Timeout);
                     if e.code == ErrorCode::TooLarge || unread >= MAX_UNREAD_WATCHES {
                         let error = e.to_string();
@@ -226,11 +259,12 @@
     /// on a new connection shows whether the service is slow or the first connection has gone
     /// silent.
     async fn call_watch(&self, after: Position, wait: Duration) -> Result<Changes> {
+        let began = self.clock.now();
         let mut call = self.feed.changes("", after, wait);
         match timeout(wait + self.options.watch_grace, &mut call).await {
             Ok(result) => result,
             Err(_) => {
-                self.mark_disconnected("the response to a watch is late");
+                self.mark_disconnected("the response to a watch is late", began);
                 self.feed.reconnect();
                 let second = self.feed.changes("", after, Duration::ZERO);
                 select_ok([call, second]).await.map(|(changes, _)| changes)
@@ -326,10 +360,10 @@
         if restored {
             return Keep::Until(self.clock.now() + self.options.outage_grace);
         }
-        let Some(reconnected_at) = self.state.lock().reconnected_at else { return Keep::Nothing };
-        let since = self.clock.now().saturating_duration_since(reconnected_at);
+        let Some(outage) = self.state.lock().outage else { return Keep::Nothing };
+        let since = self.clock.now().saturating_duration_since(outage.ended_at);
         match since < self.options.outage_window {
-            true => Keep::Until(reconnected_at + self.options.outage_grace),
+            true => Keep::Until(outage.keep_until(&self.options)),
             false => Keep::Nothing,
         }
     }
@@ -342,7 +376,8 @@
         }
     }
 
-    fn mark_disconnected(&self, error: &str) {
+    /// Records that a call failed; the service may have been away since `lost_at`.
+    fn mark_disconnected(&self, error: &str, lost_at: Instant) {
         self.peers.set_following(false);
         let mut state = self.state.lock();
         if state.connected {
@@ -350,7 +385,7 @@
             log::warn!(event = "store_lost", error, position = position.as_str(); "");
         }
         state.connected = false;
-        state.lost = true;
+        state.lost_at.get_or_insert(lost_at);
     }
 
     fn mark_connected(&self) {
@@ -360,8 +395,8 @@
             let position = self.view.position().to_string();
             log::info!(event = "store_regained", position = position.as_str(); "");
         }
-        if std::mem::take(&mut state.lost) {
-            state.reconnected_at = Some(self.clock.now());
+        if let Some(lost_at) = state.lost_at.take() {
+            state.outage = Some(Outage { lost_at, ended_at: self.clock.now() });
         }
         state.connected = true;
     }
--- a/crates/gateway/tests/late_changes.rs
+++ b/crates/gateway/tests/late_changes.rs
@@ -197,3 +197,18 @@
         leaving.count() > 1
     });
 }
+
+// A server whose entry was removed during a moment's outage was kept for longer than its bound.
+#[test]
+fn a_short_outage_keeps_no_server_beyond_the_bound() {
+    let host = TestHost::with_servers(&[entry("s1", good().addr, Plain)]);
+    std::thread::sleep(Duration::from_millis(600));
+    host.store.set_down(true);
+    std::thread::sleep(Duration::from_millis(50));
+    host.store.remove("servers/s1");
+    let removed = Instant::now();
+    std::thread::sleep(Duration::from_millis(100));
+    host.store.set_down(false);
+    wait_for("the server to be removed", || status(&host.send(&get("a"))) == "503");
+    assert!(removed.elapsed() < CHANGE_LIMIT, "{:?}", removed.elapsed());
+}
