Look at a server once more when it gets a request

The engine of a prefill was chosen before the permit of the decode engine (0.5 s at most) and the check for crashes (0.3 s at most), and was not looked at again, so it could have announced its leaving in between. Every send takes a permit; none is issued now for a server that has begun to leave.

--- a/crates/gateway/src/permits.rs
+++ b/crates/gateway/src/permits.rs
@@ -123,12 +123,16 @@
     }
 
     /// Waits until a request may be sent to `server`, up to `max_wait`. Returns an error at
-    /// once if the wait would be longer.
+    /// once if the wait would be longer, or if the server has begun to leave since it was
+    /// chosen.
     pub async fn acquire(
         &self,
         server: &Server,
         max_wait: Duration,
     ) -> Result<SendPermit, LimitReached> {
+        if !self.is_staying(server) {
+            return Err(LimitReached { retry_after: Duration::ZERO });
+        }
         let limit = self.limits.notice(server.key).filter(|limit| limit.per_s.is_some());
         let Some(limit) = limit else { return Ok(self.unlimited(server)) };
         let known_wait = self.limits.known_wait(server);
