Believe a refusal only if it is that of the request

A faulty server may write an earlier refusal once more on a kept connection. Callers were told that a request had not run which the server ran, and the request was sent to another server, which ran it too.

A refusal counted whatever attempt it named, because servers may refuse before they have read the id. Now a response that names another attempt is never that of the request; one that names none is a refusal only on a new connection; an attempt is not sent twice over one connection, where the two refusals would look alike; and requests without an id, as orders and reports, have connections of their own. What is not certain counts as may have run.

Three tests in calls.rs failed before: 503 where the request may have run, and two sends of one attempt on one connection.

--- a/crates/gateway/src/http/client.rs
+++ b/crates/gateway/src/http/client.rs
@@ -156,7 +156,7 @@
         debug_assert!(permit.is_for(server), "the permit is for another server");
         let in_flight = InFlightGuard::begin(server);
         let sent_at = self.limits.record_send(server);
-        let sending = self.send_over_pool(server, req);
+        let sending = self.send_over_pool(server, id, req);
         let Ok(sent) = timeout(limit, sending).await else {
             return Err(SendFailure::unknown(FailureCause::Timeout));
         };
@@ -168,10 +168,8 @@
         } else if metadata.leaving {
             self.view.record_leaving(server);
         }
-        // A server that refuses a request early may not have read the id.
-        let id_differs = id.is_some() && metadata.id.as_ref() != id;
         let encoded = head.headers.contains_key(header::CONTENT_ENCODING);
-        if (id_differs && !metadata.refused()) || encoded {
+        if !belongs_to(&metadata, id, connection.reused) || encoded {
             return Err(SendFailure::unknown(FailureCause::WrongResponse));
         }
         self.limits.record_response(server, sent_at, &metadata);
@@ -181,11 +179,18 @@
     async fn send_over_pool(
         &self,
         server: &Server,
+        id: Option<&Name>,
         req: Request<Full<Bytes>>,
     ) -> Result<(Connection, http::Response<Incoming>), SendFailure> {
         let addr = server.entry.addr;
         let connect_failed = |_| SendFailure::not_run(FailureCause::Connect);
-        let mut connection = self.pool.take(addr).await.map_err(connect_failed)?;
+        let taken = match id {
+            Some(id) => self.pool.take(addr, id).await,
+            // Only on a new connection it is certain to which request a response belongs.
+            None => self.pool.open(addr).await,
+        };
+        let mut connection = taken.map_err(connect_failed)?;
+        connection.last_id = id.cloned();
         let mut failed = match connection.sender.try_send_request(req).await {
             Ok(response) => return Ok((connection, response)),
             Err(failed) => failed,
@@ -198,6 +203,7 @@
             return Err(SendFailure::not_run(FailureCause::Broken));
         }
         let mut connection = self.pool.open(addr).await.map_err(connect_failed)?;
+        connection.last_id = id.cloned();
         match connection.sender.try_send_request(req).await {
             Ok(response) => Ok((connection, response)),
             Err(mut failed) => match failed.take_message() {
@@ -275,3 +281,13 @@
         self.pool.put_back(connection, metadata.keep_alive);
     }
 }
+
+/// Returns whether a response with `metadata` is the answer to the attempt `id`. A server may
+/// repeat an earlier response on a connection that is `reused`. A refusal without an id is
+/// that of a server which did not read the request, and is believed on a new connection only.
+fn belongs_to(metadata: &ResponseMetadata, id: Option<&Name>, reused: bool) -> bool {
+    match &metadata.id {
+        Some(named) => Some(named) == id,
+        None => id.is_none() || (metadata.refused() && !reused),
+    }
+}
--- a/crates/gateway/src/http/pool.rs
+++ b/crates/gateway/src/http/pool.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use aspenloft_core::prelude::{Arc, SharedClock};
+use aspenloft_core::prelude::{Arc, Name, SharedClock};
 use aspenloft_transport::connector::Connector;
 use async_std::future::timeout;
 use async_std::task;
@@ -58,6 +58,8 @@
     /// Whether the connection has been used before. It may have been closed by the
     /// server meanwhile.
     pub reused: bool,
+    /// The attempt that was sent on the connection last.
+    pub last_id: Option<Name>,
     /// The number of bytes that the server may still send.
     pub reads: Arc<ReadAllowance>,
 }
@@ -65,6 +67,7 @@
 #[derive(Debug)]
 struct IdleConnection {
     sender: SendRequest<Full<Bytes>>,
+    last_id: Option<Name>,
     reads: Arc<ReadAllowance>,
     expires_at: Instant,
 }
@@ -89,10 +92,10 @@
         Arc::new(Pool { options, connector, clock, metrics, idle: Mutex::default() })
     }
 
-    /// Returns a connection to `addr`, an idle one if there is one. On failure, nothing
-    /// has been sent.
-    pub async fn take(&self, addr: SocketAddr) -> std::io::Result<Connection> {
-        match self.take_idle(addr) {
+    /// Returns a connection to `addr` for the attempt `id`, an idle one if there is one on
+    /// which that attempt was not the last. On failure, nothing has been sent.
+    pub async fn take(&self, addr: SocketAddr, id: &Name) -> std::io::Result<Connection> {
+        match self.take_idle(addr, id) {
             Some(connection) => Ok(connection),
             None => self.open(addr).await,
         }
@@ -113,13 +116,13 @@
             // Requests and bodies on the connection report its failure.
             let _ = connection.await;
         });
-        Ok(Connection { sender, addr, reused: false, reads })
+        Ok(Connection { sender, addr, reused: false, last_id: None, reads })
     }
 
     /// Keeps `connection` for later requests after its response has been read, for as
     /// long as the server keeps it open.
     pub fn put_back(self: &Arc<Self>, connection: Connection, server_keeps: Option<Duration>) {
-        let Connection { mut sender, addr, reads, .. } = connection;
+        let Connection { mut sender, addr, last_id, reads, .. } = connection;
         reads.set(MAX_HEAD_BYTES);
         let keep_for =
             server_keeps.unwrap_or(self.options.idle_timeout).min(self.options.idle_timeout);
@@ -127,14 +130,15 @@
         if keep_for.is_zero() || sender.is_closed() {
             return;
         }
+        let expires_at = self.clock.now() + keep_for;
         if sender.is_ready() {
-            self.keep(addr, sender, reads, keep_for);
+            self.keep(addr, IdleConnection { sender, last_id, reads, expires_at });
             return;
         }
         let pool = self.clone();
         task::spawn(async move {
             if matches!(timeout(pool.options.ready_timeout, sender.ready()).await, Ok(Ok(()))) {
-                pool.keep(addr, sender, reads, keep_for);
+                pool.keep(addr, IdleConnection { sender, last_id, reads, expires_at });
             }
         });
     }
@@ -154,33 +158,24 @@
         });
     }
 
-    fn keep(
-        &self,
-        addr: SocketAddr,
-        sender: SendRequest<Full<Bytes>>,
-        reads: Arc<ReadAllowance>,
-        keep_for: Duration,
-    ) {
-        let expires_at = self.clock.now() + keep_for;
+    fn keep(&self, addr: SocketAddr, connection: IdleConnection) {
         let mut idle = self.idle.lock();
         let kept = idle.entry(addr).or_default();
         if kept.len() < self.options.max_idle_per_server {
-            kept.push(IdleConnection { sender, reads, expires_at });
+            kept.push(connection);
         }
     }
 
-    fn take_idle(&self, addr: SocketAddr) -> Option<Connection> {
+    fn take_idle(&self, addr: SocketAddr, id: &Name) -> Option<Connection> {
         let now = self.clock.now();
         let mut idle = self.idle.lock();
         let kept = idle.get_mut(&addr)?;
-        // The most recently used connection is the least likely to have been closed.
-        while let Some(idle) = kept.pop() {
-            if idle.expires_at > now && idle.sender.is_ready() {
-                let IdleConnection { sender, reads, .. } = idle;
-                return Some(Connection { sender, addr, reused: true, reads });
-            }
-        }
-        None
+        kept.retain(|idle| idle.expires_at > now && idle.sender.is_ready());
+        // The most recently used connection is the least likely to have been closed. What a
+        // server repeats of an earlier response to the same attempt looks like the next one.
+        let index = kept.iter().rposition(|idle| idle.last_id.as_ref() != Some(id))?;
+        let IdleConnection { sender, last_id, reads, .. } = kept.remove(index);
+        Some(Connection { sender, addr, reused: true, last_id, reads })
     }
 }
 
--- a/crates/gateway/tests/calls.rs
+++ b/crates/gateway/tests/calls.rs
@@ -4,6 +4,7 @@
 
 mod common;
 
+use std::collections::HashSet;
 use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::sync::Arc;
@@ -14,6 +15,7 @@
     MemoryStore, READ_TIMEOUT, Scripted, TestHost, body, configuration, entry, free_addr, header,
     not_run, read_message, sealed, status, wait_for,
 };
+use parking_lot::Mutex;
 
 fn get(path: &str, id: &str) -> String {
     format!("GET {path} HTTP/1.1\r\nhost: app.test\r\nid: {id}\r\n\r\n")
@@ -316,3 +318,40 @@
     assert_eq!(breaking.count(), 1);
     assert_eq!(header(&response, "retry-after"), None, "{response}");
 }
+
+// A refusal that a server wrote once more was taken for that of the next request.
+#[test]
+fn a_repeated_refusal_is_not_that_of_the_next_request() {
+    let server = Scripted::start(|_, _| not_run("x\r\nid: a\r\n\r\n"));
+    let host = TestHost::with_servers(&[entry("s1", server.addr, Plain)]);
+    assert_eq!(status(&host.send(&post("/once/", "a", "x"))), "503");
+    assert_eq!(status(&host.send(&post("/once/", "b", "x"))), "502", "it may have run");
+    assert_eq!(server.count(), 2);
+}
+
+// A refusal without an id may be that of an earlier request as well.
+#[test]
+fn a_refusal_without_an_id_is_believed_on_a_new_connection_only() {
+    let server = Scripted::start(|_, _| {
+        b"HTTP/1.1 503 Full\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n".to_vec()
+    });
+    let host = TestHost::with_servers(&[entry("s1", server.addr, Plain)]);
+    assert_eq!(status(&host.send(&post("/once/", "a", "x"))), "503");
+    assert_eq!(status(&host.send(&post("/once/", "b", "x"))), "502", "it may have run");
+}
+
+// The repeated refusal of an attempt looks like that of the same attempt, sent again.
+#[test]
+fn an_attempt_is_sent_again_on_another_connection() {
+    let connections = Arc::new(Mutex::new(HashSet::new()));
+    let seen = connections.clone();
+    let server = Scripted::serve(move |_, req, stream| {
+        seen.lock().insert(stream.peer_addr().expect("an address"));
+        stream.write_all(&not_run(req)).is_ok()
+    });
+    let host = TestHost::with_servers(&[entry("s1", server.addr, Plain)]);
+    for _ in 0..2 {
+        assert_eq!(status(&host.send(&post("/once/", "a", "x"))), "503");
+    }
+    assert_eq!((server.count(), connections.lock().len()), (2, 2));
+}
