Do not have hosts fetch views for changes that no view holds

Each write of one of the router's own keys, such as the lease on orders, raised the position that a watching host tells others, and all hosts that do not watch fetched its view, in which nothing had changed. On grown deployments these calls compete with those that bring a change.

A view now goes by the position of the last change that it holds; the watch goes on from its own.

--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -225,7 +225,7 @@
     /// next digest comes soon, then the averages and the servers that cannot be reached.
     fn encode_digest(&self, scope: Scope) -> Result<Bytes> {
         let (unreachable_count, unreachable) = self.unreachable(MAX_UNREACHABLE);
-        let position = self.state.view.position();
+        let position = self.state.view.changed_at();
         let mut supplement = self.encode_supplement(scope, unreachable_count, position.era)?;
         supplement.extend_from_slice(&self.encode_crash_notices()?);
         // Hosts of previous builds do not read this frame.
--- a/crates/gateway/src/sync/mod.rs
+++ b/crates/gateway/src/sync/mod.rs
@@ -25,6 +25,9 @@
 use crate::peers::Peers;
 use crate::view::{Keep, ServerChange, UpdateSource, View};
 
+/// The key prefix of all keys of the router.
+const ROUTER_PREFIX: &str = "aspenloft/";
+
 /// The key prefix of the entries of the router's hosts.
 pub const HOSTS_PREFIX: &str = "aspenloft/hosts/";
 
@@ -300,12 +303,17 @@
     fn apply_changes(&self, changes: Vec<Change>, position: Position) {
         // The view of another host may have been applied while the watch was waiting.
         let applied = self.view.position();
+        let is_news = |change: &Change| {
+            Position::new(position.era, change.version()) > applied && concerns_view(change.key())
+        };
+        let news: Vec<Change> = changes.into_iter().filter(is_news).collect();
+        if news.is_empty() {
+            self.view.skip_to(position);
+            return;
+        }
         let mut server_changes = Vec::new();
-        for change in changes {
+        for change in news {
             let version = change.version();
-            if Position::new(position.era, version) <= applied {
-                continue;
-            }
             let server_change = match change {
                 Change::Written(item) => self.apply_item(&item),
                 Change::Removed { key, .. } => self.apply_removal(&key),
@@ -314,9 +322,7 @@
         }
         let now = self.clock.now();
         self.view.apply_changes(server_changes, position, &self.keep(false), now);
-        if position > applied {
-            self.peers.announce();
-        }
+        self.peers.announce();
     }
 
     /// Applies the entry of a host or the configuration at once. Returns the change of a
@@ -411,6 +417,12 @@
     }
 }
 
+/// Tells whether views hold what is stored under `key`. Other hosts need not hear of changes
+/// of the router's other keys.
+fn concerns_view(key: &str) -> bool {
+    key.starts_with(HOSTS_PREFIX) || !key.starts_with(ROUTER_PREFIX)
+}
+
 /// Decodes the entry of a host; `None` if it is invalid.
 fn read_host(item: &Versioned) -> Option<Host> {
     serde_json::from_str(&item.value).inspect_err(|e| log_unreadable(item, e)).ok()
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -93,6 +93,8 @@
 #[derive(Debug, Default)]
 struct ListedServers {
     position: Position,
+    /// The position of the last change; those up to `position` concern nothing in a view.
+    changed_at: Position,
     /// When the host learned of the era of `position`, if it knew of an earlier one.
     restored_at: Option<Instant>,
     roster: Arc<Roster>,
@@ -145,10 +147,15 @@
     }
 
     /// Returns a snapshot of the backend servers with the position in the key-value service
-    /// at which they were listed.
+    /// from which on they have been listed so.
     pub fn positioned_roster(&self) -> (Position, Arc<Roster>) {
         let servers = self.servers.read();
-        (servers.position, servers.roster.clone())
+        (servers.changed_at, servers.roster.clone())
+    }
+
+    /// Returns the position of the last change that concerns hosts which take this view.
+    pub fn changed_at(&self) -> Position {
+        self.servers.read().changed_at
     }
 
     /// Returns the position in the key-value service up to which changes are applied.
@@ -176,6 +183,7 @@
             servers.restored_at = Some(now);
         }
         servers.position = position;
+        servers.changed_at = position;
         let revision = position.revision;
         let mut present = HashSet::new();
         for entry in entries {
@@ -237,6 +245,16 @@
             }
         }
         servers.position = servers.position.max(position);
+        servers.changed_at = servers.position;
+    }
+
+    /// Advances to `position` of the same era, up to which nothing has changed that a view
+    /// holds.
+    pub fn skip_to(&self, position: Position) {
+        let mut servers = self.servers.write();
+        if position.era == servers.position.era {
+            servers.position = servers.position.max(position);
+        }
     }
 
     /// Takes over that servers are leaving or withheld from the list of another host, whatever
--- a/crates/gateway/tests/view_exchange.rs
+++ b/crates/gateway/tests/view_exchange.rs
@@ -258,3 +258,19 @@
     frames::encode(message, &mut buf).expect("a frame");
     frames::split_frame(&mut buf).expect("a frame").expect("a whole frame")
 }
+
+// Every write of the router's own keys had all hosts fetch the view of the one that saw it.
+#[test]
+fn a_change_that_no_view_holds_does_not_put_a_host_ahead() {
+    let host = TestHost::with_servers(&[entry("s1", free_addr(), Plain)]);
+    std::thread::sleep(Duration::from_millis(200));
+    let before = fetch_view(&host, &PeerCall::ViewSince(1)).revision;
+    host.store.write("aspenloft/orders/holder", &0);
+    std::thread::sleep(Duration::from_millis(200));
+    assert_eq!(fetch_view(&host, &PeerCall::ViewSince(1)).revision, before);
+    host.store.remove("servers/s1");
+    wait_for("the removal to be told", || {
+        let view = fetch_view(&host, &PeerCall::ViewSince(1));
+        view.servers.is_empty() && view.revision == host.store.revision()
+    });
+}
--- a/crates/protocol/src/platform.rs
+++ b/crates/protocol/src/platform.rs
@@ -120,6 +120,14 @@
 }
 
 impl Change {
+    /// Returns the key that was changed.
+    pub fn key(&self) -> &str {
+        match self {
+            Change::Written(item) => &item.key,
+            Change::Removed { key, .. } => key,
+        }
+    }
+
     /// Returns the revision at which the change was made.
     pub fn version(&self) -> Version {
         match self {
