Keep the versions of streams in the key-value service while several serve

Streams that callers took up after all hosts had restarted at once were joined from two versions if the old version had just left, and refused throughout while both served.

A host that knew nothing took a service with one version and one old server for one that had never had another, although the first engine of a new version starts long before the last of the old one leaves. What hosts know of streams was in their memories only.

While a service has several versions, or had them within the time that its streams last, it is marked in the key-value service, and the host with the lowest name writes the records that the digests bring it there, every half second, in segments under a lease. A host that starts reads the log when a caller takes up a stream that no record names, and relies on a single version only if the service bears no mark. Cost: two writes a second for the whole deployment, while versions are mixed, whatever its size.

Both new tests in stream_versions.rs failed before: 503 for each stream while both versions served, 200 at the other version after the old one had left.

--- a/crates/gateway/src/generation/mod.rs
+++ b/crates/gateway/src/generation/mod.rs
@@ -13,7 +13,7 @@
 
 use aspenloft_core::errors::{Error, ErrorCode};
 use aspenloft_core::execution::Execution;
-use aspenloft_core::prelude::{Arc, SharedClock};
+use aspenloft_core::prelude::{Arc, Name, SharedClock};
 use aspenloft_policy::mechanisms::Mechanisms;
 use aspenloft_policy::stream_versions::{VersionTag, stream_key};
 use http::Response;
@@ -35,6 +35,7 @@
 use crate::responses::{ResponseBody, relayed_response, whole_body};
 use crate::retries::RetryBudgets;
 use crate::roster::{Server, StreamGuard};
+use crate::stream_log::StreamLog;
 use crate::stream_versions::StreamVersions;
 use crate::view::View;
 
@@ -61,6 +62,8 @@
     pub loads: Arc<EngineLoads>,
     /// The versions at which streams began.
     pub streams: Arc<StreamVersions>,
+    /// Those that have been written down.
+    pub log: Arc<StreamLog>,
     /// The crashes of engines and what they speak for.
     pub crashes: Arc<Crashes>,
     /// The host's metrics.
@@ -138,7 +141,7 @@
         let up_to_date = self.peers.is_up_to_date();
         let version = match self.streams.version(service, key, up_to_date) {
             Some(version) => Some(version),
-            None => self.peers.ask_stream_version(service, key).await.map_err(|e| {
+            None => self.find_stream_version(service, key).await.map_err(|e| {
                 let message =
                     format!("cannot find the version at which stream {first} began: {}", e.message);
                 Error::new(ErrorCode::NoBackend, message).retry_after(ENGINE_RETRY_AFTER)
@@ -157,6 +160,19 @@
         Ok(Some(version))
     }
 
+    /// Finds out from other hosts at which version a stream began, or from the key-value
+    /// service if none answers.
+    async fn find_stream_version(
+        &self,
+        service: &Name,
+        key: u64,
+    ) -> Result<Option<VersionTag>, Error> {
+        match self.peers.ask_stream_version(service, key).await {
+            Ok(version) => Ok(version),
+            Err(_) => self.log.find(service, key).await,
+        }
+    }
+
     /// Places the request on engines. The permit for the decode engine comes before the
     /// prefill, whose result would be lost without it.
     async fn place(
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod server_limits;
 pub mod settings;
 pub mod shutdown;
+pub mod stream_log;
 pub mod stream_versions;
 pub mod sync;
 pub mod view;
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -29,6 +29,7 @@
 use crate::loads::QueueDigest;
 use crate::permits::{PermitReply, PermitRequest, Permits};
 use crate::reach::{ReachProbe, Reachability};
+use crate::stream_log::StreamLog;
 
 /// The minimum time between two digests, so that requests that start together share
 /// one.
@@ -56,8 +57,9 @@
 /// The timeout of a request for a permit: some round trips between data centres.
 const PERMIT_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// The timeout of the question at which version a stream began.
-const STREAM_VERSION_TIMEOUT: Duration = Duration::from_millis(300);
+/// The timeout of the question at which version a stream began, for which another host may
+/// read the key-value service.
+const STREAM_VERSION_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// The timeout of the question whether a server can be reached: that of the probe and some
 /// round trips between data centres.
@@ -439,6 +441,8 @@
     pub permits: Arc<Permits>,
     /// Finds out which servers this host reaches.
     pub reach: Arc<ReachProbe>,
+    /// The versions of streams that have been written down.
+    pub log: Arc<StreamLog>,
     /// Serves the requests that other hosts forward.
     pub forwarded: Arc<dyn ForwardHandler>,
 }
@@ -454,7 +458,11 @@
             PeerCall::ViewSince(v) => return self.peers.encode_view(Some(v)),
             PeerCall::StreamVersion(service, key) => {
                 let up_to_date = self.peers.is_up_to_date();
-                let version = self.peers.state.streams.version(&service, key, up_to_date);
+                let known = self.peers.state.streams.version(&service, key, up_to_date);
+                let version = match known {
+                    Some(version) => Some(version),
+                    None => self.log.find(&service, key).await?,
+                };
                 frames::encode(&version, &mut buf)?;
             }
             PeerCall::Permit(req) => frames::encode(&self.permits.serve(&req), &mut buf)?,
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -211,6 +211,11 @@
         &self.local
     }
 
+    /// Returns when this process started, in milliseconds since the Unix epoch.
+    pub fn born_ms(&self) -> u64 {
+        self.born_ms
+    }
+
     /// Returns the group of this host within its data centre.
     pub fn group(&self) -> HostGroup {
         self.group_among(&self.peers.lock())
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -39,6 +39,7 @@
 use crate::server_limits::ServerLimits;
 use crate::settings::Settings;
 use crate::shutdown::Shutdown;
+use crate::stream_log::StreamLog;
 use crate::stream_versions::StreamVersions;
 use crate::sync::{StoreSync, SyncOptions, SyncState};
 use crate::view::View;
@@ -166,6 +167,9 @@
         metrics.clone(),
         settings.mechanisms,
     );
+    let log =
+        StreamLog::new(kv.clone(), peers.clone(), streams.clone(), shutdown.clone(), clock.clone());
+    task::spawn(log.clone().run());
     let orders = Orders {
         host: settings.host.clone(),
         kv,
@@ -196,6 +200,7 @@
         peers: peers.clone(),
         loads,
         streams,
+        log: log.clone(),
         crashes: crashes.clone(),
         metrics: metrics.clone(),
         path: path.clone(),
@@ -236,7 +241,7 @@
         metrics,
         clock: clock.clone(),
     });
-    let server = PeerServer { peers, permits, reach, forwarded: front.clone() };
+    let server = PeerServer { peers, permits, reach, log, forwarded: front.clone() };
     task::spawn(mesh::serve(mesh, Arc::new(server)));
     task::spawn(front.serve(callers));
     log::info!(event = "started", host = &*settings.host, data_centre = &*settings.data_centre; "");
--- a/crates/gateway/src/stream_versions.rs
+++ b/crates/gateway/src/stream_versions.rs
@@ -2,7 +2,7 @@
 //! stream began that a caller takes up, perhaps through another host.
 
 use std::collections::{BTreeSet, HashMap};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use aspenloft_core::clock::unix_millis;
 use aspenloft_core::prelude::{Arc, Name, SharedClock};
@@ -63,29 +63,48 @@
     /// single version for longer than its streams last.
     pub fn version(&self, service: &str, key: u64, up_to_date: bool) -> Option<VersionTag> {
         self.observe();
-        if let Some(version) = self.table.lock().version(key) {
-            return Some(version);
-        }
-        if !up_to_date {
-            return None;
-        }
+        self.recorded(key).or_else(|| up_to_date.then(|| self.only_version(service)).flatten())
+    }
+
+    /// Returns the version that the record of the stream with `key` names.
+    pub fn recorded(&self, key: u64) -> Option<VersionTag> {
+        self.table.lock().version(key)
+    }
+
+    /// Returns the records that were made after `after` and the time of the newest.
+    pub fn recorded_since(&self, after: Instant) -> (Vec<StreamRecord>, Option<Instant>) {
+        self.table.lock().recorded_since(after)
+    }
+
+    /// Returns the version of `service` if it has had no other for longer than its streams
+    /// last.
+    pub fn only_version(&self, service: &str) -> Option<VersionTag> {
         let lifetime = self.lifetime(service);
-        let only = self.history.lock().history.only_version(service, lifetime, self.clock.now());
-        only.or_else(|| self.settled_version(service, lifetime))
+        self.history.lock().history.only_version(service, lifetime, self.clock.now())
+    }
+
+    /// Returns the services that have had several versions within the time that their streams
+    /// last.
+    pub fn mixed_services(&self) -> Vec<Name> {
+        self.observe();
+        let state = self.history.lock();
+        state.history.mixed(|service| self.lifetime(service), self.clock.now())
     }
 
     /// Returns how long streams of `service` last: callers keep to one no longer than the
     /// timeout of its route.
-    fn lifetime(&self, service: &str) -> Duration {
+    pub fn lifetime(&self, service: &str) -> Duration {
         let Some(configuration) = self.view.configuration() else { return DEFAULT_LIFETIME };
         let routes = configuration.routes.iter();
         let serving = routes.filter(|r| r.services.iter().any(|(name, _)| &**name == service));
         serving.map(|route| route.timeout).max().unwrap_or(DEFAULT_LIFETIME)
     }
 
-    /// Returns the only version of `service` if a server of it started more than `lifetime`
-    /// ago. It serves hosts that have no history, as after all hosts have restarted.
-    fn settled_version(&self, service: &str, lifetime: Duration) -> Option<VersionTag> {
+    /// Returns the only version of `service` if a server of it started longer ago than its
+    /// streams last. It serves hosts that have no history, as after all hosts have restarted,
+    /// and holds only if the service has not been marked as mixed.
+    pub fn settled_version(&self, service: &str) -> Option<VersionTag> {
+        let lifetime = self.lifetime(service);
         let roster = self.view.roster();
         let servers: Vec<_> = roster.all().filter(|s| &*s.entry.service == service).collect();
         let version = servers.first()?.version;
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -232,6 +232,17 @@
         Arc::new(MemoryStore { state: self.state.clone(), ..MemoryStore::default() })
     }
 
+    /// Returns another service with the same items, but for those whose keys start with
+    /// `prefix`.
+    pub fn without(&self, prefix: &str) -> Arc<MemoryStore> {
+        let other = MemoryStore::default();
+        let items = self.state.lock().items.clone();
+        for (key, item) in items.iter().filter(|(key, _)| !key.starts_with(prefix)) {
+            other.write_text(key, &item.value);
+        }
+        Arc::new(other)
+    }
+
     /// Leaves the watches of this host without a response until the client gives up, or
     /// ends that.
     pub fn set_silent(&self, silent: bool) {
--- a/crates/gateway/tests/stream_versions.rs
+++ b/crates/gateway/tests/stream_versions.rs
@@ -301,3 +301,52 @@
     let response = hosts[0].send(&take_up("b", "other", 2));
     assert_eq!(status(&response), "503", "{response}");
 }
+
+/// Returns hosts that know nothing and follow a service with what `store` has, but without the
+/// hosts that served before.
+fn restart_all(store: &MemoryStore, names: &[&str]) -> (Arc<MemoryStore>, Vec<TestHost>) {
+    let store = store.without("aspenloft/hosts/");
+    let start = |name: &&str| TestHost::start(name, store.for_another_host());
+    let hosts: Vec<TestHost> = names.iter().map(start).collect();
+    hosts.iter().for_each(TestHost::wait_ready);
+    (store, hosts)
+}
+
+/// How long it takes until the version of a stream that has begun is written down.
+const WRITE_TIME: Duration = Duration::from_millis(1_300);
+
+// After all hosts had restarted, streams were refused though engines of their version served.
+#[test]
+fn streams_are_taken_up_after_all_hosts_have_restarted_among_several_versions() {
+    let (old, new) = (engine("v1"), engine("v2"));
+    let (store, _hosts) = begin_before_a_release(&["h1", "h2"], &old, &new);
+    std::thread::sleep(WRITE_TIME);
+    let (_store, hosts) = restart_all(&store, &["n1", "n2", "n3"]);
+    for number in 0..BEGUN {
+        let req = take_up(&format!("b{number}"), &format!("a{number}"), 2);
+        let response = hosts[number % 3].send(&req);
+        assert_eq!((status(&response).as_str(), versions(&response)), ("200", vec!["v1".into()]));
+    }
+    let response = hosts[0].send(&take_up("c", "never-begun", 2));
+    assert_eq!(status(&response), "503", "{response}");
+}
+
+// A service whose other version had just left passed for one that had never had another.
+#[test]
+fn a_stream_is_not_joined_when_all_hosts_restart_after_its_version_has_left() {
+    let (old, new) = (engine("v1"), engine("v2"));
+    let (store, _hosts) = begin_before_a_release(&["h1", "h2"], &old, &new);
+    std::thread::sleep(WRITE_TIME);
+    store.remove("servers/d1");
+    std::thread::sleep(Duration::from_millis(200));
+    let (store, hosts) = restart_all(&store, &["n1", "n2"]);
+    for first in ["a0", "a1", "never-begun"] {
+        let response = hosts[0].send(&take_up(&format!("b-{first}"), first, 2));
+        assert_eq!(status(&response), "503", "{response}");
+    }
+    wait_for("the mark of several versions to end", || {
+        store.value("aspenloft/streams/mixed/model").is_none()
+    });
+    let response = hosts[0].send(&take_up("c", "of a single version", 2));
+    assert_eq!(versions(&response), ["v2"], "{response}");
+}
--- a/crates/policy/src/stream_versions.rs
+++ b/crates/policy/src/stream_versions.rs
@@ -142,6 +142,15 @@
         taken
     }
 
+    /// Returns the records that were made or renewed after `after`, the newest first, and the
+    /// time of the newest.
+    pub fn recorded_since(&self, after: Instant) -> (Vec<StreamRecord>, Option<Instant>) {
+        let recent = self.order.iter().rev().take_while(|(at, _)| *at > after);
+        let records = recent
+            .filter_map(|(_, key)| Some(StreamRecord { key: *key, version: self.version(*key)? }));
+        (records.collect(), self.order.back().map(|(at, _)| *at).filter(|at| *at > after))
+    }
+
     fn evict(&mut self, now: Instant) {
         while let Some((at, key)) = self.order.front().copied() {
             let expired = now.saturating_duration_since(at) > RETENTION;
@@ -161,7 +170,16 @@
 /// Where that is longer than any stream lasts, all streams began at that version.
 #[derive(Debug, Default)]
 pub struct VersionHistory {
-    services: HashMap<Name, (BTreeSet<VersionTag>, Instant)>,
+    services: HashMap<Name, ServiceVersions>,
+}
+
+/// The versions of the servers of one service.
+#[derive(Debug)]
+struct ServiceVersions {
+    versions: BTreeSet<VersionTag>,
+    since: Instant,
+    /// Whether there were others before.
+    has_changed: bool,
 }
 
 impl VersionHistory {
@@ -169,13 +187,28 @@
     pub fn observe(&mut self, listed: HashMap<Name, BTreeSet<VersionTag>>, now: Instant) {
         self.services.retain(|service, _| listed.contains_key(service));
         for (service, versions) in listed {
-            let known = self.services.entry(service).or_insert_with(|| (versions.clone(), now));
-            if known.0 != versions {
-                *known = (versions, now);
+            let known = self.services.entry(service).or_insert_with(|| ServiceVersions {
+                versions: versions.clone(),
+                since: now,
+                has_changed: false,
+            });
+            if known.versions != versions {
+                *known = ServiceVersions { versions, since: now, has_changed: true };
             }
         }
     }
 
+    /// Returns the services that have servers of several versions or had them within the
+    /// period that `period` gives for a service.
+    pub fn mixed(&self, period: impl Fn(&Name) -> Duration, now: Instant) -> Vec<Name> {
+        let is_mixed = |name: &Name, known: &ServiceVersions| {
+            let recent = now.saturating_duration_since(known.since) < period(name);
+            known.versions.len() > 1 || (known.has_changed && recent)
+        };
+        let mixed = self.services.iter().filter(|(name, known)| is_mixed(name, known));
+        mixed.map(|(name, _)| name.clone()).collect()
+    }
+
     /// Returns the version of `service` if it has had no other for `period`.
     pub fn only_version(
         &self,
@@ -183,9 +216,9 @@
         period: Duration,
         now: Instant,
     ) -> Option<VersionTag> {
-        let (versions, since) = self.services.get(service)?;
-        let only = versions.first().filter(|_| versions.len() == 1)?;
-        let long = now.saturating_duration_since(*since) >= period;
+        let known = self.services.get(service)?;
+        let only = known.versions.first().filter(|_| known.versions.len() == 1)?;
+        let long = now.saturating_duration_since(known.since) >= period;
         (long && *only != VersionTag::UNKNOWN).then_some(*only)
     }
 }
