--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -15,6 +15,7 @@
 
 use aspenloft_core::prelude::{Arc, Era, Host, Name, Position, SharedClock};
 use aspenloft_policy::host_groups::HostGroup;
+use aspenloft_policy::stream_versions::Origin;
 use aspenloft_transport::mesh::{MeshOptions, PeerLink};
 use parking_lot::Mutex;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -242,6 +243,17 @@
         live.filter(|p| p.host.name < self.local.name).count()
     }
 
+    /// Returns whether this host precedes all other live hosts of its data centre by name. It
+    /// does work that one host does for the data centre.
+    pub fn is_first_of_data_centre(&self) -> bool {
+        let now = self.clock.now();
+        let peers = self.peers.lock();
+        let mut near = peers.values().filter(|p| {
+            p.host.data_centre == self.local.data_centre && is_recent(p, now, LIVENESS_TIMEOUT)
+        });
+        near.all(|p| p.host.name > self.local.name)
+    }
+
     /// Returns the number of servers that this host cannot reach, and the keys of up to
     /// `max` of them, others each time.
     fn unreachable(&self, max: usize) -> (usize, Vec<u64>) {
@@ -507,14 +519,18 @@
     /// Applies the supplement of a digest of the host `name`.
     fn apply_supplement(&self, name: &str, supplement: &DigestSupplement) {
         let now = self.clock.now();
+        let mut origin = Origin::Far;
         if let Some(peer) = self.peers.lock().get_mut(name) {
+            if peer.host.data_centre == self.local.data_centre {
+                origin = Origin::Near;
+            }
             (peer.answers_calls, peer.leaving) = (true, supplement.leaving);
             peer.configuration = supplement.configuration;
             (peer.calls, peer.is_cut) = (supplement.calls, supplement.is_cut);
             peer.record_unreachable(supplement.unreachable, now);
         }
         if !supplement.streams.is_empty() {
-            self.state.streams.record_peer(&supplement.streams);
+            self.state.streams.record_peer(&supplement.streams, origin);
         }
         if !supplement.limits.is_empty() {
             let roster = self.state.view.roster();
--- a/crates/gateway/src/stream_log.rs
+++ b/crates/gateway/src/stream_log.rs
@@ -2,8 +2,8 @@
 //! while a service has engines of several versions, so that streams can be taken up after all
 //! hosts have restarted at once.
 //!
-//! One host writes what the digests of all hosts tell it. Hosts that have forgotten
-//! everything read the log when a caller takes a stream up. `docs/design/stream-versions.md`
+//! One host of each data centre writes what the digests of the others there tell it. Hosts that
+//! have forgotten everything read the log when a caller takes a stream up. `docs/design/stream-versions.md`
 //! gives the costs and bounds.
 
 use std::collections::{HashMap, HashSet};
@@ -11,7 +11,7 @@
 
 use aspenloft_core::errors::{Result, internal, invalid, unavailable};
 use aspenloft_core::prelude::{Arc, Era, Name, SharedClock};
-use aspenloft_policy::stream_versions::{StreamRecord, VersionTag};
+use aspenloft_policy::stream_versions::{Origin, StreamRecord, VersionTag};
 use aspenloft_protocol::platform::{KeyValue, LeaseId, Put, Swap, Version};
 use async_std::future::timeout;
 use async_std::sync::Mutex as AsyncMutex;
@@ -33,17 +33,17 @@
 const MIXED_PREFIX: &str = "aspenloft/streams/mixed/";
 
 /// How often new records are written.
-const WRITE_INTERVAL: Duration = Duration::from_millis(500);
+const WRITE_INTERVAL: Duration = Duration::from_millis(250);
 
 /// The maximum number of segments of one host, which are overwritten in turn.
-const MAX_SEGMENTS: usize = 128;
+const MAX_SEGMENTS: usize = 256;
 
 /// The number of segments beyond those that are written while a stream lasts.
 const SPARE_SEGMENTS: usize = 8;
 
 /// The number of intervals for which a host must be the one that writes before it reads the
 /// log without need, to end marks that a previous one has left.
-const MIN_WRITER_INTERVALS: u32 = 10;
+const MIN_WRITER_INTERVALS: u32 = 20;
 
 /// The maximum number of records in one segment.
 const MAX_SEGMENT_RECORDS: usize = 4_096;
@@ -145,7 +145,7 @@
                 }
             }
         }
-        self.streams.record_peer(&records);
+        self.streams.record_peer(&records, Origin::Far);
         let (services, records) = (mixed.len(), records.len());
         log::info!(event = "stream_log_read", mixed = services, records; "");
         *self.mixed.lock() = mixed;
@@ -159,7 +159,7 @@
         loop {
             task::sleep(WRITE_INTERVAL).await;
             let services = self.streams.mixed_services();
-            if self.peers.rank() > 0 || self.shutdown.is_leaving() {
+            if !self.peers.is_first_of_data_centre() || self.shutdown.is_leaving() {
                 (writer, intervals) = (None, 0);
                 continue;
             }
@@ -256,7 +256,8 @@
         if (expect > 0) != is_mixed {
             let value = is_mixed.then(|| "{}".to_string());
             if let Swap::Conflict(_) = self.kv.put(Put { key, expect, value, lease: None }).await? {
-                return Err(unavailable("a mark was written at the same time"));
+                // The host of another data centre has written it, which the next try finds.
+                return Ok(());
             }
         }
         log::info!(event = "service_mixed", service = &**service, mixed = is_mixed; "");
--- a/crates/gateway/src/stream_versions.rs
+++ b/crates/gateway/src/stream_versions.rs
@@ -7,7 +7,7 @@
 use aspenloft_core::clock::unix_millis;
 use aspenloft_core::prelude::{Arc, Name, SharedClock};
 use aspenloft_policy::stream_versions::{
-    Scope, StreamRecord, StreamTable, VersionHistory, VersionTag, stream_key,
+    Origin, Scope, StreamRecord, StreamTable, VersionHistory, VersionTag, stream_key,
 };
 use parking_lot::Mutex;
 
@@ -44,12 +44,12 @@
         self.table.lock().record_own(record, self.clock.now());
     }
 
-    /// Records what another host relays.
-    pub fn record_peer(&self, records: &[StreamRecord]) {
+    /// Records what hosts at `origin` relay.
+    pub fn record_peer(&self, records: &[StreamRecord], origin: Origin) {
         let now = self.clock.now();
         let mut table = self.table.lock();
         for record in records {
-            table.record(*record, now);
+            table.record(*record, origin, now);
         }
     }
 
@@ -71,7 +71,8 @@
         self.table.lock().version(key)
     }
 
-    /// Returns the records that were made after `after` and the time of the newest.
+    /// Returns the records that were made after `after` in this host's data centre, and the time
+    /// of the newest record.
     pub fn recorded_since(&self, after: Instant) -> (Vec<StreamRecord>, Option<Instant>) {
         self.table.lock().recorded_since(after)
     }
--- a/crates/policy/src/stream_versions.rs
+++ b/crates/policy/src/stream_versions.rs
@@ -78,19 +78,36 @@
     all: u8,
 }
 
+/// When and where a record was made.
+#[derive(Debug, Clone, Copy)]
+struct Recorded {
+    at: Instant,
+    key: u64,
+    origin: Origin,
+}
+
+/// `Origin` is where a record was made.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Origin {
+    /// In this host's data centre.
+    Near,
+    /// In another data centre, or before this host started.
+    Far,
+}
+
 /// `StreamTable` holds the records of the streams that any host began.
 #[derive(Debug, Default)]
 pub struct StreamTable {
     versions: HashMap<u64, (VersionTag, Instant)>,
     /// The keys in the order of their times. A key that was recorded again comes twice.
-    order: VecDeque<(Instant, u64)>,
+    order: VecDeque<Recorded>,
     unsent: VecDeque<Unsent>,
 }
 
 impl StreamTable {
     /// Records a stream that this host began or took up, to be sent to the others.
     pub fn record_own(&mut self, record: StreamRecord, now: Instant) {
-        if self.record(record, now) {
+        if self.record(record, Origin::Near, now) {
             if self.unsent.len() >= MAX_UNSENT {
                 self.unsent.pop_front();
             }
@@ -100,7 +117,7 @@
 
     /// Records a stream and returns whether the record is valid. The first record of a
     /// stream stays, so that another request with the same id cannot change it.
-    pub fn record(&mut self, record: StreamRecord, now: Instant) -> bool {
+    pub fn record(&mut self, record: StreamRecord, origin: Origin, now: Instant) -> bool {
         if record.version == VersionTag::UNKNOWN {
             return false;
         }
@@ -110,7 +127,7 @@
             return false;
         }
         known.1 = now;
-        self.order.push_back((now, record.key));
+        self.order.push_back(Recorded { at: now, key: record.key, origin });
         true
     }
 
@@ -142,17 +159,19 @@
         taken
     }
 
-    /// Returns the records that were made or renewed after `after`, the newest first, and the
-    /// time of the newest.
+    /// Returns the records that were made or renewed after `after` in this host's data centre,
+    /// the newest first, and the time of the newest record.
     pub fn recorded_since(&self, after: Instant) -> (Vec<StreamRecord>, Option<Instant>) {
-        let recent = self.order.iter().rev().take_while(|(at, _)| *at > after);
-        let records = recent
-            .filter_map(|(_, key)| Some(StreamRecord { key: *key, version: self.version(*key)? }));
-        (records.collect(), self.order.back().map(|(at, _)| *at).filter(|at| *at > after))
+        let recent = self.order.iter().rev().take_while(|recorded| recorded.at > after);
+        let near = recent.filter(|recorded| recorded.origin == Origin::Near);
+        let records = near.filter_map(|Recorded { key, .. }| {
+            Some(StreamRecord { key: *key, version: self.version(*key)? })
+        });
+        (records.collect(), self.order.back().map(|newest| newest.at).filter(|at| *at > after))
     }
 
     fn evict(&mut self, now: Instant) {
-        while let Some((at, key)) = self.order.front().copied() {
+        while let Some(Recorded { at, key, .. }) = self.order.front().copied() {
             let expired = now.saturating_duration_since(at) > RETENTION;
             if !expired && self.order.len() < MAX_RECORDS {
                 return;
