--- a/crates/gateway/src/sync/mod.rs
+++ b/crates/gateway/src/sync/mod.rs
@@ -423,9 +423,16 @@
     key.starts_with(HOSTS_PREFIX) || !key.starts_with(ROUTER_PREFIX)
 }
 
-/// Decodes the entry of a host; `None` if it is invalid.
+/// Decodes the entry of a host; `None` if it is invalid or that of a host with another name.
 fn read_host(item: &Versioned) -> Option<Host> {
-    serde_json::from_str(&item.value).inspect_err(|e| log_unreadable(item, e)).ok()
+    let read = serde_json::from_str(&item.value).inspect_err(|e| log_unreadable(item, e));
+    let host: Host = read.ok()?;
+    let is_named = item.key.strip_prefix(HOSTS_PREFIX) == Some(&*host.name);
+    if !is_named || host.addr.port() == 0 {
+        log_unreadable(item, &format!("host {} at {}", host.name, host.addr));
+        return None;
+    }
+    Some(host)
 }
 
 fn log_unreadable(item: &Versioned, error: &dyn std::fmt::Display) {
--- a/crates/gateway/tests/host_view.rs
+++ b/crates/gateway/tests/host_view.rs
@@ -12,11 +12,13 @@
 use aspenloft_core::prelude::SharedClock;
 use aspenloft_gateway::body_budget::BodyBudget;
 use aspenloft_gateway::configuration::Configuration;
+use aspenloft_gateway::peers::PeerCall;
 use aspenloft_gateway::roster::ServerEntry;
 use aspenloft_gateway::roster::ServerRole::Plain;
 use aspenloft_gateway::settings::{Settings, ShutdownSettings};
 use aspenloft_gateway::shutdown::WorkKind;
 use async_std::task;
+use common::peer::fetch_view;
 use common::{
     MemoryStore, READ_TIMEOUT, Scripted, TestHost, configuration, digest, entry, header,
     read_message, sealed, status, wait_for,
@@ -63,6 +65,32 @@
     assert_eq!(status(&host.send(&get("a"))), "200");
 }
 
+// Odd entries of another writer kept hosts from following the others.
+#[test]
+fn thousands_of_odd_entries_keep_no_host_from_following_the_others() {
+    let server = good();
+    let host = TestHost::with_servers(&[entry("s1", server.addr, Plain)]);
+    let deep = "[".repeat(100_000);
+    for n in 0..3_000 {
+        host.store.write_text(&format!("servers/odd-{n}"), &deep[..n]);
+        host.store.write_text(&format!("aspenloft/hosts/odd-{n}"), "{\"name\": 7}");
+    }
+    host.store.write_text("servers/deep", &deep);
+    let renamed = serde_json::json!({"name": "h2", "addr": "10.0.0.1:0", "data_centre": "dc-a"});
+    host.store.write("aspenloft/hosts/other", &renamed);
+    assert_eq!(status(&host.send(&get("a"))), "200");
+    // The entry of a sound server turns odd and back.
+    host.store.write_text("servers/s1", "{\"service\": ");
+    wait_for("the server to be left out", || status(&host.send(&get("b"))) == "503");
+    host.store.write("servers/s1", &entry("s1", server.addr, Plain));
+    wait_for("the server to be back", || status(&host.send(&get("c"))) == "200");
+    let second = host.start_without_store();
+    assert_eq!(status(&second.send(&get("d"))), "200", "by the view of the first host");
+    let known = fetch_view(&host, &PeerCall::View).hosts;
+    assert!(known.iter().all(|known| ["h1", "h2"].contains(&&*known.name)), "{known:?}");
+    assert!(known.iter().all(|known| known.addr.port() != 0), "{known:?}");
+}
+
 #[test]
 fn a_leaving_server_gets_no_new_work_even_if_its_entry_is_ready_again() {
     let (leaving, staying) = (good(), good());
