Do not rely on a missing mark where this host has seen several versions

The host that marks a service may not have done so yet, or not be able to. A host that has seen another version itself takes no stream up at a single one for as long as streams last.

--- a/crates/gateway/src/stream_log.rs
+++ b/crates/gateway/src/stream_log.rs
@@ -3,8 +3,8 @@
 //! hosts have restarted at once.
 //!
 //! One host of each data centre writes what the digests of the others there tell it. Hosts that
-//! have forgotten everything read the log when a caller takes a stream up. `docs/design/stream-versions.md`
-//! gives the costs and bounds.
+//! have forgotten everything read the log when a caller takes a stream up.
+//! `docs/design/stream-versions.md` gives the costs and bounds.
 
 use std::collections::{HashMap, HashSet};
 use std::time::{Duration, Instant};
@@ -112,7 +112,9 @@
         if let Some(version) = self.streams.recorded(key) {
             return Ok(Some(version));
         }
-        let is_mixed = self.mixed.lock().contains(service);
+        // A service that this host has seen mixed may not be marked yet.
+        let is_mixed =
+            self.mixed.lock().contains(service) || self.streams.mixed_services().contains(service);
         let is_certain = !is_mixed && self.peers.is_up_to_date();
         Ok(is_certain.then(|| self.streams.settled_version(service)).flatten())
     }
--- a/crates/gateway/tests/stream_versions.rs
+++ b/crates/gateway/tests/stream_versions.rs
@@ -350,3 +350,15 @@
     let response = hosts[0].send(&take_up("c", "of a single version", 2));
     assert_eq!(versions(&response), ["v2"], "{response}");
 }
+
+// A host relied on the missing mark of a service of which it had seen another version itself.
+#[test]
+fn a_stream_is_not_joined_before_its_service_has_been_marked() {
+    let (old, new) = (engine("v1"), engine("v2"));
+    let (store, hosts) = start_hosts(&["h1"], &[at_version("d1", &old, "v1")]);
+    store.write("servers/d2", &at_version("d2", &new, "v2"));
+    store.remove("servers/d1");
+    std::thread::sleep(Duration::from_millis(60));
+    let response = hosts[0].send(&take_up("a", "unknown", 2));
+    assert_eq!(status(&response), "503", "{response}");
+}
