--- a/crates/gateway/src/sync/learn.rs
+++ b/crates/gateway/src/sync/learn.rs
@@ -70,7 +70,9 @@
             if let Some(host) = next {
                 state.record_call(now);
                 open.push(host.name.clone());
-                asked.push(host.name.clone());
+                if !asked.contains(&host.name) {
+                    asked.push(host.name.clone());
+                }
                 calls.push(self.clone().call_for_view(host, now).boxed());
             }
         }
