--- a/crates/gateway/src/http/client.rs
+++ b/crates/gateway/src/http/client.rs
@@ -286,8 +286,9 @@
 /// repeat an earlier response on a connection that is `reused`. A refusal without an id is
 /// that of a server which did not read the request, and is believed on a new connection only.
 fn belongs_to(metadata: &ResponseMetadata, id: Option<&Name>, reused: bool) -> bool {
-    match &metadata.id {
-        Some(named) => Some(named) == id,
-        None => id.is_none() || (metadata.refused() && !reused),
+    match (id, &metadata.id) {
+        (None, _) => !reused,
+        (Some(id), Some(named)) => named == id,
+        (Some(_), None) => metadata.refused() && !reused,
     }
 }
