Have connections between hosts go silent in the soak

Hosts open connections to each other through a connector, as those to servers, so that the soak can put a network between them.

--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -173,7 +173,7 @@
         let mut links = self.links.lock();
         let link = links.get(&host.name).filter(|link| link.addr() == host.addr).cloned();
         link.unwrap_or_else(|| {
-            let link = PeerLink::new(host.addr, self.options.clone());
+            let link = PeerLink::over(self.connector.clone(), host.addr, self.options.clone());
             links.insert(host.name.clone(), link.clone());
             link
         })
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -16,6 +16,7 @@
 use aspenloft_core::prelude::{Arc, Era, Host, Name, Position, SharedClock};
 use aspenloft_policy::host_groups::HostGroup;
 use aspenloft_policy::stream_versions::Origin;
+use aspenloft_transport::connector::Connector;
 use aspenloft_transport::mesh::{MeshOptions, PeerLink};
 use parking_lot::Mutex;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -164,6 +165,7 @@
     seeds: Vec<SocketAddr>,
     peers: Mutex<HashMap<Name, Peer>>,
     links: Mutex<HashMap<Name, Arc<PeerLink>>>,
+    connector: Arc<dyn Connector>,
     options: Arc<MeshOptions>,
     /// How many unreachable servers have been named in digests that did not hold all.
     unreachable_from: AtomicUsize,
@@ -177,12 +179,13 @@
 
 impl Peers {
     /// Creates the peers of the host `local`, with no other hosts yet. The first digests
-    /// are sent to `seeds`.
+    /// are sent to `seeds`; `connector` opens connections to other hosts.
     pub fn new(
         local: Host,
         clock: SharedClock,
         state: LocalState,
         seeds: Vec<SocketAddr>,
+        connector: Arc<dyn Connector>,
     ) -> Arc<Peers> {
         let born_ms = aspenloft_core::clock::unix_millis(clock.system_time());
         Arc::new(Peers {
@@ -196,6 +199,7 @@
             seeds,
             peers: Mutex::default(),
             links: Mutex::default(),
+            connector,
             options: Arc::new(MeshOptions {
                 idle_timeout: IDLE_LINK_TIMEOUT,
                 ..MeshOptions::default()
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -57,6 +57,8 @@
     pub dialect: Arc<dyn Dialect>,
     /// Opens connections to backend servers.
     pub connector: Arc<dyn Connector>,
+    /// Opens connections to other hosts.
+    pub peer_connector: Arc<dyn Connector>,
 }
 
 /// Runs a host until SIGTERM or SIGINT stops it; returns the number of requests that
@@ -111,7 +113,7 @@
         path: path.clone(),
         shutdown: shutdown.clone(),
     };
-    let peers = Peers::new(host, clock.clone(), local_state, seeds);
+    let peers = Peers::new(host, clock.clone(), local_state, seeds, platform.peer_connector);
     let permits = Permits::new(limits.clone(), peers.clone(), view.clone(), clock.clone());
 
     let socket = Arc::new(UdpSocket::bind(settings.listen.peers).await.map_err(bind_failed)?);
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -36,6 +36,7 @@
     Change, ChangeFeed, Changes, KeyValue, LeaseId, Put, Snapshot, Swap, Version, Versioned,
 };
 use aspenloft_standin::network::FaultyNetwork;
+use aspenloft_transport::connector::TcpConnector;
 use aspenloft_transport::frames;
 use async_std::task;
 use async_trait::async_trait;
@@ -458,8 +459,9 @@
         );
         let settings = Settings::from_json(&settings).expect("settings");
         let (dialect, network) = (Arc::new(TestDialect), Arc::<FaultyNetwork>::default());
-        let connector = network.clone();
-        let platform = Platform { feed: store.clone(), kv: store.clone(), dialect, connector };
+        let (connector, peer_connector) = (network.clone(), Arc::<TcpConnector>::default());
+        let (feed, kv) = (store.clone(), store.clone());
+        let platform = Platform { feed, kv, dialect, connector, peer_connector };
         let metrics = Metrics::new(name).expect("metrics");
         let clock = Arc::new(SystemClock);
         let shutdown = task::block_on(start(&settings, platform, metrics, clock)).expect("start");
--- a/crates/standin/src/network.rs
+++ b/crates/standin/src/network.rs
@@ -1,10 +1,11 @@
 //! The `network` module is a test double of the network between one host and the backend
-//! servers. A test can cut it, for that host alone.
+//! servers, or the other hosts. A test can cut it, for that host alone, and have the
+//! connections that are open go silent.
 
 use std::io::{Error, ErrorKind, Result};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
 
 use aspenloft_transport::connector::{Connector, TcpConnector};
@@ -28,6 +29,9 @@
     Hanging,
 }
 
+/// How long a silent connection is kept.
+const SILENT_TIME: Duration = Duration::from_secs(60);
+
 /// How often an open connection looks for a cut.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -39,6 +43,8 @@
     pub cut: Option<Cut>,
     /// The servers that are still reached.
     pub spared: Vec<SocketAddr>,
+    /// How often the open connections to other hosts have gone silent for good.
+    pub peer_silences: u64,
 }
 
 impl NetworkFaults {
@@ -55,6 +61,8 @@
     /// Whether connections go through a relay, so that a cut concerns open ones too.
     relayed: AtomicBool,
     attempts: AtomicUsize,
+    /// How often the open connections have gone silent for good.
+    silences: Arc<AtomicU64>,
     system: TcpConnector,
 }
 
@@ -71,7 +79,11 @@
 
     /// Cuts the host off from all servers but `spared`.
     pub fn cut(&self, cut: Cut, spared: &[SocketAddr]) {
-        self.set_faults(NetworkFaults { cut: Some(cut), spared: spared.to_vec() });
+        self.set_faults(NetworkFaults {
+            cut: Some(cut),
+            spared: spared.to_vec(),
+            ..NetworkFaults::default()
+        });
     }
 
     /// Ends the cut.
@@ -79,6 +91,12 @@
         self.set_faults(NetworkFaults::default());
     }
 
+    /// Has the relayed connections that are open go silent for good, the `count`th time. New
+    /// ones work.
+    pub fn silence_open(&self, count: u64) {
+        self.silences.store(count, Ordering::SeqCst);
+    }
+
     /// Returns how many connections the host has tried to open.
     pub fn attempts(&self) -> usize {
         self.attempts.load(Ordering::SeqCst)
@@ -93,12 +111,28 @@
     }
 }
 
-/// Copies bytes until the connection ends or is reset by a cut.
-async fn copy(faults: Arc<Mutex<NetworkFaults>>, addr: SocketAddr, from: TcpStream, to: TcpStream) {
+/// What a relayed connection is subject to.
+#[derive(Clone)]
+struct RelayState {
+    faults: Arc<Mutex<NetworkFaults>>,
+    addr: SocketAddr,
+    silences: Arc<AtomicU64>,
+    /// How often connections had gone silent when this one was opened.
+    opened_after: u64,
+}
+
+/// Copies bytes until the connection ends, is reset by a cut or goes silent.
+async fn copy(relay: RelayState, from: TcpStream, to: TcpStream) {
+    let RelayState { faults, addr, silences, opened_after } = relay;
     let (mut reader, mut writer) = (from.clone(), to.clone());
     let mut buf = vec![0; 16 * 1024];
     loop {
         let read = async_std::future::timeout(POLL_INTERVAL, reader.read(&mut buf)).await;
+        if silences.load(Ordering::SeqCst) > opened_after {
+            // Neither end hears that the other one closes the connection.
+            task::sleep(SILENT_TIME).await;
+            return;
+        }
         let mut cut = faults.lock().cut_of(addr);
         if cut == Some(Cut::Reset) {
             reset(&[from, to]);
@@ -149,8 +183,14 @@
         let host = TcpStream::connect(listener.local_addr()?).await?;
         let (relay, _) = listener.accept().await?;
         let _ = (host.set_nodelay(true), relay.set_nodelay(true));
-        task::spawn(copy(self.faults.clone(), addr, relay.clone(), server.clone()));
-        task::spawn(copy(self.faults.clone(), addr, server, relay));
+        let state = RelayState {
+            faults: self.faults.clone(),
+            addr,
+            silences: self.silences.clone(),
+            opened_after: self.silences.load(Ordering::SeqCst),
+        };
+        task::spawn(copy(state.clone(), relay.clone(), server.clone()));
+        task::spawn(copy(state, server, relay));
         Ok(host)
     }
 }
--- a/crates/transport/src/connector.rs
+++ b/crates/transport/src/connector.rs
@@ -1,4 +1,4 @@
-//! The `connector` module opens connections to backend servers.
+//! The `connector` module opens connections to backend servers and to other hosts.
 
 use std::io::Result;
 use std::net::SocketAddr;
@@ -9,7 +9,7 @@
 
 use crate::socket::{self, KeepaliveOptions};
 
-/// `Connector` opens connections to backend servers over the host's network.
+/// `Connector` opens connections over the host's network.
 #[async_trait]
 pub trait Connector: Send + Sync {
     /// Opens a connection to `addr` within `limit`. If it fails, nothing was sent.
--- a/crates/transport/src/mesh/connection.rs
+++ b/crates/transport/src/mesh/connection.rs
@@ -19,7 +19,7 @@
 use super::options::MeshOptions;
 use super::streams::{SendSide, connection_error, next_frame, send_all};
 use super::{CONNECTION_WINDOW_BYTES, STREAM_WINDOW_BYTES};
-use crate::http;
+use crate::connector::{Connector, TcpConnector};
 
 /// `PeerConnection` is one `h2` connection to another host, shared by its clones.
 #[derive(Debug, Clone)]
@@ -33,7 +33,16 @@
     /// Connects to the host at `addr` and waits for the answer to a first ping, because
     /// the kernel of a host whose process hangs still accepts connections.
     pub async fn open(addr: SocketAddr, options: &Arc<MeshOptions>) -> Result<PeerConnection> {
-        let opening = PeerConnection::open_without_timeout(addr, options.clone());
+        PeerConnection::open_over(&TcpConnector::default(), addr, options).await
+    }
+
+    /// Connects like [`PeerConnection::open`], over a connection that `connector` opens.
+    pub async fn open_over(
+        connector: &dyn Connector,
+        addr: SocketAddr,
+        options: &Arc<MeshOptions>,
+    ) -> Result<PeerConnection> {
+        let opening = PeerConnection::open_without_timeout(connector, addr, options.clone());
         let opened = timeout(options.connect_timeout, opening).await;
         // Nothing of a call has been sent yet.
         opened
@@ -42,10 +51,13 @@
     }
 
     async fn open_without_timeout(
+        connector: &dyn Connector,
         addr: SocketAddr,
         options: Arc<MeshOptions>,
     ) -> Result<PeerConnection> {
-        let stream = http::connect(addr).await?;
+        let connected = connector.connect(addr, options.connect_timeout).await;
+        let stream =
+            connected.map_err(|e| unavailable(format!("cannot connect to {addr}: {e}")))?;
         let mut builder = h2::client::Builder::new();
         builder
             .initial_window_size(STREAM_WINDOW_BYTES)
--- a/crates/transport/src/mesh/link.rs
+++ b/crates/transport/src/mesh/link.rs
@@ -16,11 +16,12 @@
 
 use super::connection::PeerConnection;
 use super::options::MeshOptions;
+use crate::connector::{Connector, TcpConnector};
 
 /// `PeerLink` opens and keeps the connection to one host.
-#[derive(Debug)]
 pub struct PeerLink {
     addr: SocketAddr,
+    connector: Arc<dyn Connector>,
     options: Arc<MeshOptions>,
     state: Mutex<LinkState>,
     // Held while a connection is opened, so that concurrent calls wait for its outcome.
@@ -37,8 +38,18 @@
 impl PeerLink {
     /// Creates a link to the host at `addr`. The connection is opened on first use.
     pub fn new(addr: SocketAddr, options: Arc<MeshOptions>) -> Arc<PeerLink> {
+        PeerLink::over(Arc::<TcpConnector>::default(), addr, options)
+    }
+
+    /// Creates a link to the host at `addr`, whose connections `connector` opens.
+    pub fn over(
+        connector: Arc<dyn Connector>,
+        addr: SocketAddr,
+        options: Arc<MeshOptions>,
+    ) -> Arc<PeerLink> {
         Arc::new_cyclic(|weak_self| PeerLink {
             addr,
+            connector,
             options,
             state: Mutex::default(),
             opening: AsyncMutex::new(()),
@@ -64,7 +75,7 @@
         if let Some(failure) = self.recent_failure() {
             return Err(failure);
         }
-        let opened = PeerConnection::open(self.addr, &self.options).await;
+        let opened = PeerConnection::open_over(&*self.connector, self.addr, &self.options).await;
         let mut state = self.state.lock();
         match opened {
             Ok(connection) => {
