Go on writing the versions of streams after a failed write

After any failed call the host began the log anew and expected its segments not to exist, so each write was refused and no record was written for as long as it was the one that writes.

--- a/crates/gateway/src/stream_log.rs
+++ b/crates/gateway/src/stream_log.rs
@@ -177,25 +177,15 @@
         }
     }
 
-    /// Marks `services`, ends marks that are not needed any more and writes new records.
+    /// Brings the marks up to date and writes new records.
     async fn write(&self, writer: &mut Option<Writer>, services: &[Name]) -> Result<()> {
-        let era = self.kv.era();
-        let now = self.clock.now();
+        let (era, now) = (self.kv.era(), self.clock.now());
         let current = match writer.take().filter(|w| w.era == era) {
             Some(current) => current,
             None => self.begin(era, services, now).await?,
         };
         let current = writer.insert(current);
-        for service in services {
-            if !self.mixed.lock().contains(service) {
-                self.set_mark(service, true).await?;
-            }
-        }
-        let marked: Vec<Name> = self.mixed.lock().iter().cloned().collect();
-        for service in marked.iter().filter(|service| self.streams.only_version(service).is_some())
-        {
-            self.set_mark(service, false).await?;
-        }
+        self.update_marks(services).await?;
         if now.saturating_duration_since(current.renewed_at) >= RENEWAL_INTERVAL {
             if !self.kv.renew(current.lease).await? {
                 return Err(unavailable("the lease on the log of streams has ended"));
@@ -210,6 +200,20 @@
         Ok(())
     }
 
+    /// Marks `services`, and ends the marks of services that have had a single version for
+    /// long enough.
+    async fn update_marks(&self, services: &[Name]) -> Result<()> {
+        let marked = self.mixed.lock().clone();
+        for service in services.iter().filter(|service| !marked.contains(*service)) {
+            self.set_mark(service, true).await?;
+        }
+        for service in marked.iter().filter(|service| self.streams.only_version(service).is_some())
+        {
+            self.set_mark(service, false).await?;
+        }
+        Ok(())
+    }
+
     /// Begins to write the log, with all records of streams that may still be taken up.
     async fn begin(&self, era: Era, services: &[Name], now: Instant) -> Result<Writer> {
         self.read().await?;
@@ -233,18 +237,22 @@
 
     async fn write_segment(&self, writer: &mut Writer, records: &[StreamRecord]) -> Result<()> {
         let number = writer.next_segment;
-        let put = Put {
+        let mut put = Put {
             key: format!("{}{number}", self.segment_prefix),
             expect: writer.versions.get(&number).copied().unwrap_or_default(),
             value: Some(encode_segment(records)?),
             lease: Some(writer.lease),
         };
-        match self.kv.put(put).await? {
+        let mut swap = self.kv.put(put.clone()).await?;
+        // This process has written the segment before, perhaps by a call without a response.
+        if let Swap::Conflict(version) = swap {
+            put.expect = version;
+            swap = self.kv.put(put).await?;
+        }
+        match swap {
             Swap::Done(version) => writer.versions.insert(number, version),
-            // A write whose response was lost may have taken effect.
-            Swap::Conflict(version) => {
-                writer.versions.insert(number, version);
-                return Err(unavailable("a segment was written at the same time"));
+            Swap::Conflict(_) => {
+                return Err(unavailable(format!("segment {number} was written at the same time")));
             }
         };
         writer.next_segment = (number + 1) % writer.segments;
--- a/crates/gateway/tests/stream_versions.rs
+++ b/crates/gateway/tests/stream_versions.rs
@@ -362,3 +362,22 @@
     let response = hosts[0].send(&take_up("a", "unknown", 2));
     assert_eq!(status(&response), "503", "{response}");
 }
+
+// After one failed write, the host expected its segments not to exist and wrote none any more.
+#[test]
+fn streams_are_written_down_after_the_store_was_away() {
+    let (old, new) = (engine("v1"), engine("v2"));
+    let (store, hosts) = begin_before_a_release(&["h1"], &old, &new);
+    std::thread::sleep(WRITE_TIME);
+    store.set_down(true);
+    read_events(&hosts[0], &request("meanwhile"), 2);
+    std::thread::sleep(WRITE_TIME);
+    store.set_down(false);
+    std::thread::sleep(WRITE_TIME);
+    let begun = read_events(&hosts[0], &request("late"), 2);
+    assert_eq!(versions(&begun), ["v2"]);
+    std::thread::sleep(WRITE_TIME);
+    let (_store, hosts) = restart_all(&store, &["n1"]);
+    let response = hosts[0].send(&take_up("b", "late", 2));
+    assert_eq!((status(&response).as_str(), versions(&response)), ("200", vec!["v2".into()]));
+}
