review: a stopping host closes connections of calls that it has just passed on

Tried: SIGTERM of the two hosts of a zone, 1 s apart, with clients that the balancer still sends there, streams that keep the hosts until the end, and a sound replica that is silent for 1.4 s. The path is `Frontend::check_leaving`, `ShutdownSettings::may_start` and `Shutdown::drain`: calls begin until 1.2 s before the process ends, however long they may take, and the process ends with calls in flight.

--- a/review/standin/deployment.rs
+++ b/review/standin/deployment.rs
@@ -18,7 +18,7 @@
 const PROGRAM: &str = "target/release/aspenloft-node";
 
 /// How often a replica writes its entry.
-const HEARTBEAT: Duration = Duration::from_millis(1_200);
+pub const HEARTBEAT: Duration = Duration::from_millis(1_200);
 
 /// What was sent, answered and run, with the milliseconds since the start.
 #[derive(Clone)]
@@ -79,6 +79,19 @@
         }
     }
 
+    /// Asks the process to stop.
+    pub fn terminate(&self) {
+        if let Some(child) = &self.child {
+            let command = format!("kill -TERM {}", child.id());
+            let _ = Command::new("sh").args(["-c", &command]).status();
+        }
+    }
+
+    /// Tells whether the process has ended by itself.
+    pub fn has_ended(&mut self) -> bool {
+        self.child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(Some(_))))
+    }
+
     /// Returns the resident memory of the process in KiB.
     pub fn memory_kib(&self) -> u64 {
         let Some(child) = &self.child else { return 0 };
@@ -128,22 +141,24 @@
 }
 
 impl Deployment {
-    /// Prepares `count` hosts with the settings that the template of the deploy file gives.
-    pub fn new(count: usize, memory_mb: u64, record: &Path) -> Deployment {
+    /// Prepares a host for each of `zones`, with the settings that the template of the deploy
+    /// file gives.
+    pub fn new(zones: &[&str], memory_mb: u64, record: &Path) -> Deployment {
         let record = Record::create(record);
         let pid = std::process::id();
         let prefix = format!("127.{}.{}", 20 + pid % 200, pid / 200 % 250);
         let dir = std::env::temp_dir().join(format!("aspenloft-review-{pid}"));
         std::fs::create_dir_all(&dir).expect("a temporary folder");
         let store = Store::start(&format!("{prefix}.250"));
-        let ips: Vec<String> = (1..=count).map(|i| format!("{prefix}.{i}")).collect();
+        let ips: Vec<String> = (1..=zones.len()).map(|i| format!("{prefix}.{i}")).collect();
         let ports = free_ports(&ips[0], 4);
         let [callers, readiness, peers, metrics] = [ports[0], ports[1], ports[2], ports[3]];
         let seeds: Vec<String> =
             ips.iter().take(3).map(|ip| format!("\"{ip}:{}\"", peers)).collect();
         let hosts = ips.iter().enumerate().map(|(i, ip)| {
-            let zone = ["zone-a", "zone-b", "zone-c"][i % 3];
-            let name = format!("frontend-{zone}-{}", i / 3 + 1);
+            let zone = zones[i];
+            let number = zones[..=i].iter().filter(|other| **other == zone).count();
+            let name = format!("frontend-{zone}-{number}");
             let settings = dir.join(format!("{name}.json"));
             let text = format!(
                 r#"{{
@@ -217,6 +232,9 @@
 /// What replicas have run, by the id of the request.
 pub type Runs = Arc<Mutex<BTreeMap<String, Vec<String>>>>;
 
+/// Until when a replica sends nothing, if it is silent.
+pub type Silence = Arc<Mutex<Option<Instant>>>;
+
 /// Starts a sound replica of a plain service, which works on each request for `work`, and
 /// writes its entry to the store.
 pub fn start_plain_replica(
@@ -225,7 +243,7 @@
     service: &str,
     work: Duration,
     runs: &Runs,
-) {
+) -> Silence {
     let ip = deployment.replica_ip(number);
     let listener = TcpListener::bind((ip.as_str(), 0)).expect("a free port");
     let addr = listener.local_addr().expect("an address");
@@ -243,6 +261,8 @@
         }
     });
     let (runs, record) = (runs.clone(), deployment.record.clone());
+    let silence = Silence::default();
+    let silent = silence.clone();
     serve(listener, move |request| {
         let attempt = request.header("x-aspenloft-attempt-id").unwrap_or("-").to_string();
         if request.header("x-aspenloft-expect-instance").is_some_and(|expected| expected != id) {
@@ -251,8 +271,14 @@
         runs.lock().unwrap().entry(attempt.clone()).or_default().push(id.clone());
         record.note(&format!("{id} runs {attempt} ({} bytes)", request.body.len()));
         thread::sleep(work);
+        while let Some(until) = *silent.lock().unwrap()
+            && Instant::now() < until
+        {
+            thread::sleep(Duration::from_millis(5));
+        }
         let headers =
             [("X-Aspenloft-Attempt-Id", attempt.as_str()), ("X-Aspenloft-Server-Seal", "seal.1")];
         Some(answer(200, &headers, format!("answer to {attempt}").as_bytes()))
     });
+    silence
 }
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -5,9 +5,11 @@
 //! not run. With `TROUBLE=0` it leaves the disruption out.
 
 mod deployment;
+mod engine;
 mod http;
 mod json;
 mod odd_key;
+mod stop;
 mod store;
 
 use std::path::PathBuf;
@@ -25,6 +27,7 @@
     deployment::start_watchdog(Duration::from_secs(110));
     let played = std::panic::catch_unwind(|| match case.as_str() {
         "odd-key" => odd_key::run(&record, trouble),
+        "stop" => stop::run(&record, trouble),
         _ => 2,
     });
     exit(played.unwrap_or(2));
--- a/review/standin/odd_key.rs
+++ b/review/standin/odd_key.rs
@@ -31,7 +31,7 @@
 
 /// Plays the case. Returns 1 if the rule was broken, 0 if it held, 2 if it could not run.
 pub fn run(record: &Path, trouble: bool) -> i32 {
-    let mut deployment = Deployment::new(3, 110, record);
+    let mut deployment = Deployment::new(&["zone-a", "zone-b", "zone-c"], 110, record);
     let record = deployment.record.clone();
     deployment.store.write("op/config", CONFIG.as_bytes());
     let runs = Runs::default();
