review: bodies in chunks exceed the memory of a host, and calls in flight are lost

Tried: 17 users in place of 8 at each of two hosts upload 4 MiB in chunks over 3 s, for 4 s, beside bookings on kept connections; a stand-in of the platform kills a process whose resident memory exceeds its settings. The path is `Frontend::reserve_body`, `read_body` and `BodyBudget::reserve`: a body without a length is counted as 64 KiB, whatever it grows to.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -11,6 +11,7 @@
 mod odd_key;
 mod stop;
 mod store;
+mod uploads;
 
 use std::path::PathBuf;
 use std::process::exit;
@@ -28,6 +29,7 @@
     let played = std::panic::catch_unwind(|| match case.as_str() {
         "odd-key" => odd_key::run(&record, trouble),
         "stop" => stop::run(&record, trouble),
+        "uploads" => uploads::run(&record, trouble),
         _ => 2,
     });
     exit(played.unwrap_or(2));
