review: a part that crashes replicas is never found in a long prompt

Tried: ten requests over 20 s whose prompts share one part, the 67th of 70, which crashes each replica that begins to answer them, from all hosts in turn, beside sound streams. The path is `parse_prompt_parts` and `CrashTracker`: parts after the 64th are dropped, so nothing connects the crashes.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -4,6 +4,7 @@
 //! It exits with 1 if the rule was broken, with 0 if it held, and with 2 if the case could
 //! not run. With `TROUBLE=0` it leaves the disruption out.
 
+mod deadly_part;
 mod deployment;
 mod engine;
 mod http;
@@ -27,6 +28,7 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     deployment::start_watchdog(Duration::from_secs(110));
     let played = std::panic::catch_unwind(|| match case.as_str() {
+        "deadly-part" => deadly_part::run(&record, trouble),
         "odd-key" => odd_key::run(&record, trouble),
         "stop" => stop::run(&record, trouble),
         "uploads" => uploads::run(&record, trouble),
