review: streams go on at another software version while the store is down

Tried: the store answers 503 for 8 s; two of eight replicas at a time crash, three times, and start again under their ids with newer software; clients take broken streams up at another host. The path is `EventRelay::resume`, `Dispatcher::choose_decode_engine` and `GenerationHandler::stream_version`: the version of a replica is that of its last entry, also after its process has been seen to end.

--- a/review/standin/engine.rs
+++ b/review/standin/engine.rs
@@ -57,6 +57,8 @@
     busy: Arc<AtomicBool>,
     orders: Arc<AtomicU64>,
     born: Arc<AtomicU64>,
+    /// The version of the software, and the one with which the replica starts again.
+    version: Arc<Mutex<(&'static str, &'static str)>>,
     is_down: Arc<AtomicBool>,
     connections: Arc<Mutex<Vec<TcpStream>>>,
 }
@@ -70,7 +72,7 @@
         stage: &'static str,
         behaviour: Behaviour,
         seen: &Arc<Mutex<Seen>>,
-    ) {
+    ) -> Engine {
         let ip = deployment.replica_ip(number);
         let listener = TcpListener::bind((ip.as_str(), 0)).expect("a free port");
         let engine = Engine {
@@ -86,6 +88,7 @@
             busy: Arc::default(),
             orders: Arc::default(),
             born: Arc::new(AtomicU64::new(now_ms())),
+            version: Arc::new(Mutex::new(("v1", "v1"))),
             is_down: Arc::default(),
             connections: Arc::default(),
         };
@@ -98,14 +101,29 @@
                 thread::sleep(HEARTBEAT);
             }
         });
-        thread::spawn(move || engine.run(listener));
+        let running = engine.clone();
+        thread::spawn(move || running.run(listener));
+        engine
+    }
+
+    /// Returns the stage of the replica.
+    pub fn stage(&self) -> &'static str {
+        *self.stage.lock().unwrap()
+    }
+
+    /// Crashes the replica, which starts again under its id with the software `version`.
+    pub fn crash(&self, version: &'static str) {
+        self.record.note(&format!("{} crashes", self.id));
+        self.version.lock().unwrap().1 = version;
+        self.is_down.store(true, Ordering::SeqCst);
     }
 
     fn write_entry(&self, sequence: u64) {
         let (service, addr, zone) = (&self.service, self.addr, self.zone);
+        let version = self.version.lock().unwrap().0;
         let (stage, born) = (*self.stage.lock().unwrap(), self.born.load(Ordering::SeqCst));
         let entry = format!(
-            r#"{{"service":"{service}","address":"{addr}","zone":"{zone}","version":"v1","slots":12,"state":"ready","cold_remaining_ms":0,"stage":"{stage}","models":[{{"name":"m","version":1,"adapters":[]}}],"sequence":{sequence},"born":{born}}}"#
+            r#"{{"service":"{service}","address":"{addr}","zone":"{zone}","version":"{version}","slots":12,"state":"ready","cold_remaining_ms":0,"stage":"{stage}","models":[{{"name":"m","version":1,"adapters":[]}}],"sequence":{sequence},"born":{born}}}"#
         );
         self.store.write(&format!("servers/{}", self.id), entry.as_bytes());
     }
@@ -146,8 +164,13 @@
             thread::sleep(DOWN);
             self.orders.store(0, Ordering::SeqCst);
             self.born.store(now_ms(), Ordering::SeqCst);
+            let version = {
+                let mut version = self.version.lock().unwrap();
+                version.0 = version.1;
+                version.0
+            };
+            self.record.note(&format!("{} is back with the software {version}", self.id));
             self.is_down.store(false, Ordering::SeqCst);
-            self.record.note(&format!("{} is back", self.id));
             self.write_entry(1);
         }
     }
@@ -246,9 +269,15 @@
             "HTTP/1.1 200 OK\r\nX-Aspenloft-Attempt-Id: {attempt}\r\nX-Aspenloft-Server-Seal: seal.1\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
         );
         writer.write_all(head.as_bytes()).ok()?;
-        for number in 1..=EVENTS {
+        let version = self.version.lock().unwrap().0;
+        let last = request.header("last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0);
+        if last > 0 {
+            self.record
+                .note(&format!("{attempt} goes on at {} {version} after event {last}", self.id));
+        }
+        for number in last + 1..=EVENTS {
             thread::sleep(self.behaviour.event_interval);
-            let event = format!("id: {number}\ndata: {attempt}\n\n");
+            let event = format!("id: {number}\ndata: {attempt} {version}\n\n");
             let chunk = format!("{:x}\r\n{event}\r\n", event.len());
             writer.write_all(chunk.as_bytes()).ok()?;
         }
--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -1,7 +1,7 @@
 //! HTTP/1.1 over blocking sockets: a server with a thread for each connection, and what a
 //! client needs to send requests and read answers.
 
-use std::io::{BufRead, BufReader, Error, ErrorKind, Result, Write};
+use std::io::{BufRead, BufReader, Error, ErrorKind, Read, Result, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::thread;
@@ -176,4 +176,35 @@
         self.writer.set_read_timeout(Some(limit.max(std::time::Duration::from_millis(1))))?;
         read_message(&mut self.reader)
     }
+
+    /// Reads a streamed answer for up to `limit`. Returns its status, what came of its body, and
+    /// whether it is complete.
+    pub fn read_stream(&mut self, limit: std::time::Duration) -> Result<(u16, Vec<u8>, bool)> {
+        self.writer.set_read_timeout(Some(limit))?;
+        let line = read_line(&mut self.reader)?;
+        let status = line.split(' ').nth(1).and_then(|status| status.parse().ok()).unwrap_or(0);
+        let mut is_chunked = false;
+        loop {
+            let line = read_line(&mut self.reader)?.to_lowercase();
+            is_chunked |= line.starts_with("transfer-encoding:") && line.contains("chunked");
+            if line.is_empty() {
+                break;
+            }
+        }
+        let mut body = Vec::new();
+        while is_chunked {
+            let size = read_line(&mut self.reader);
+            let size = size.ok().and_then(|size| usize::from_str_radix(size.trim(), 16).ok());
+            let Some(size) = size else { return Ok((status, body, false)) };
+            let mut chunk = vec![0; size + 2];
+            if self.reader.read_exact(&mut chunk).is_err() {
+                return Ok((status, body, false));
+            }
+            if size == 0 {
+                return Ok((status, body, true));
+            }
+            body.extend_from_slice(&chunk[..size]);
+        }
+        Ok((status, body, true))
+    }
 }
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -8,8 +8,10 @@
 mod deployment;
 mod engine;
 mod http;
+mod joined;
 mod json;
 mod odd_key;
+mod odd_values;
 mod stop;
 mod store;
 mod uploads;
@@ -29,7 +31,9 @@
     deployment::start_watchdog(Duration::from_secs(110));
     let played = std::panic::catch_unwind(|| match case.as_str() {
         "deadly-part" => deadly_part::run(&record, trouble),
+        "joined" => joined::run(&record, trouble),
         "odd-key" => odd_key::run(&record, trouble),
+        "odd-values" => odd_values::run(&record, trouble),
         "stop" => stop::run(&record, trouble),
         "uploads" => uploads::run(&record, trouble),
         _ => 2,
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -38,6 +38,14 @@
     history: VecDeque<(u64, String, Option<Item>)>,
     leases: BTreeMap<u64, Lease>,
     next_lease: u64,
+    /// Until when the store answers 503 to all calls.
+    busy_until: Option<Instant>,
+}
+
+impl State {
+    fn is_busy(&self) -> bool {
+        self.busy_until.is_some_and(|until| Instant::now() < until)
+    }
 }
 
 /// The store. Clones share the state.
@@ -66,9 +74,18 @@
         store
     }
 
-    /// Writes a key as the operator, a replica or another writer does.
+    /// Has the store answer 503 to all calls for `span`.
+    pub fn set_busy(&self, span: Duration) {
+        self.shared.0.lock().unwrap().busy_until = Some(Instant::now() + span);
+        self.shared.1.notify_all();
+    }
+
+    /// Writes a key as the operator, a replica or another writer does, unless the store is busy.
     pub fn write(&self, key: &str, value: &[u8]) {
         let mut state = self.shared.0.lock().unwrap();
+        if state.is_busy() {
+            return;
+        }
         state.revision += 1;
         state.write(key, value.to_vec(), 0);
         self.shared.1.notify_all();
@@ -101,6 +118,9 @@
         };
         let number = |name: &str| field(name).and_then(|value| value.parse().ok()).unwrap_or(0u64);
         let prefix = field("path_prefix").unwrap_or_default();
+        if self.shared.0.lock().unwrap().is_busy() {
+            return reply(503, "{}");
+        }
         match (request.method(), path.as_str()) {
             ("GET", "/api/kv-key") => self.get(&field("key").unwrap_or_default()),
             ("GET", "/api/kv-range") => self.range(&prefix, field("after")),
@@ -159,6 +179,9 @@
         let until = Instant::now() + Duration::from_millis(wait_ms.min(30_000));
         let mut state = self.shared.0.lock().unwrap();
         loop {
+            if state.is_busy() {
+                return reply(503, "{}");
+            }
             let kept_from = state.history.front().map_or(0, |(revision, ..)| *revision);
             if after + 1 < kept_from || after > state.revision {
                 return reply(410, "{}");
--- a/review/standin/uploads.rs
+++ b/review/standin/uploads.rs
@@ -43,16 +43,17 @@
 "services":[{"name":"rdv-app","health_path":"/health","max_connections":110,"protocol":"h1","tls":false}],
 "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}}"#;
 
-struct Outcomes {
+#[derive(Default)]
+pub struct Outcomes {
     /// The bookings on kept connections whose connections closed without an answer.
-    closed: Mutex<Vec<String>>,
-    statuses: Mutex<BTreeMap<String, usize>>,
-    stop: AtomicBool,
+    pub closed: Mutex<Vec<String>>,
+    pub statuses: Mutex<BTreeMap<String, usize>>,
+    pub stop: AtomicBool,
     next_id: AtomicU64,
 }
 
 impl Outcomes {
-    fn count(&self, what: &str) {
+    pub fn count(&self, what: &str) {
         *self.statuses.lock().unwrap().entry(what.to_string()).or_default() += 1;
     }
 
@@ -77,12 +78,7 @@
         record.note("the hosts did not become ready");
         return 2;
     }
-    let outcomes = Arc::new(Outcomes {
-        closed: Mutex::default(),
-        statuses: Mutex::default(),
-        stop: AtomicBool::new(false),
-        next_id: AtomicU64::new(0),
-    });
+    let outcomes = Arc::<Outcomes>::default();
     let mut users = Vec::new();
     for host in &deployment.hosts {
         let addr = host.callers;
@@ -158,7 +154,7 @@
 }
 
 /// Books one slot after the other on a kept connection.
-fn book(addr: SocketAddr, outcomes: &Outcomes, record: &Record) {
+pub fn book(addr: SocketAddr, outcomes: &Outcomes, record: &Record) {
     while !outcomes.stop.load(Ordering::SeqCst) {
         let Ok(mut connection) = Connection::open(addr) else {
             thread::sleep(Duration::from_millis(200));
