--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -4,4 +4,4 @@
 set -u
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/release/aspenloft-node ] && [ -x target/review/standin ] || exit 2
-exec target/review/standin joined review/5/record.txt
+exec target/review/standin deadly-part review/5/record.txt
