--- a/crates/gateway/src/http/mod.rs
+++ b/crates/gateway/src/http/mod.rs
@@ -6,6 +6,7 @@
 pub mod json;
 pub mod metered;
 pub mod pool;
+pub mod target;
 
 pub use client::{BackendClient, BackendResponse, FailureCause, SendFailure, WholeBody};
 pub use pool::{Pool, PoolOptions};
