gateway: refuse a send whose headers cannot be expressed

What callers would see: a stream breaks off after an event whose id holds a control character, and the next engine sends it from its beginning, so that all events come twice; ids that are no UTF-8 were replaced by others. A request for an instance whose name no header can hold named none, so that whoever had the address ran it. A KV cache whose handle no header can hold was paid for and not used.

Cause: `insert_header` of the platform's dialect left out what is no header value, with the remark that the server would reject the request; servers take a request without these headers as another one. `EventSplitter` kept ids as lossy text.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -238,8 +238,10 @@
             timeout: remaining,
             phase: Phase::Whole,
         };
-        let req = inbound.outbound(&*self.dialect, &metadata);
-        let sent = self.send_and_read(inbound, server, permit, req, limit).await;
+        let sent = match inbound.outbound(&*self.dialect, &metadata) {
+            Ok(req) => self.send_and_read(inbound, server, permit, req, limit).await,
+            Err(failure) => SendOutcome::Failed(failure),
+        };
         self.record_outcome(inbound, server, &sent);
         sent
     }
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -54,7 +54,7 @@
         /// The KV cache of the prompt.
         kv_cache: Option<KvCacheRef>,
         /// The id of the last event that was relayed.
-        last_event: Option<String>,
+        last_event: Option<Bytes>,
     },
 }
 
@@ -159,8 +159,9 @@
     /// Parses the head of a caller's request.
     fn read_request(&self, head: &request::Parts) -> Result<RequestMetadata>;
 
-    /// Returns the end-to-end headers for a send, from the caller's `headers`.
-    fn write_request(&self, headers: &HeaderMap, metadata: &SendMetadata) -> HeaderMap;
+    /// Returns the end-to-end headers for a send, from the caller's `headers`. Fails if a value
+    /// of `metadata` cannot be expressed, since without it the server would run something else.
+    fn write_request(&self, headers: &HeaderMap, metadata: &SendMetadata) -> Result<HeaderMap>;
 
     /// Parses the head of a backend server's response.
     fn read_response(&self, head: &response::Parts) -> ResponseMetadata;
@@ -168,7 +169,8 @@
     /// Adds the attempt `id` to the headers of a response that the router generates.
     fn write_router_response(&self, id: &Name, headers: &mut HeaderMap);
 
-    /// Parses the KV cache handle from the body of the response to a prefill.
+    /// Parses the KV cache handle from the body of the response to a prefill. Fails if a request
+    /// cannot refer to it.
     fn read_prefill_response(&self, body: &[u8]) -> Result<String>;
 
     /// Returns the call that frees the KV cache `handle` at the engine that keeps it.
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -15,7 +15,7 @@
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     buf: BytesMut,
-    last_id: Option<String>,
+    last_id: Option<Bytes>,
     events: u64,
 }
 
@@ -45,9 +45,9 @@
         self.buf.clear();
     }
 
-    /// Returns the id of the last complete event.
-    pub fn last_id(&self) -> Option<&str> {
-        self.last_id.as_deref()
+    /// Returns the id of the last complete event that has one.
+    pub fn last_id(&self) -> Option<&Bytes> {
+        self.last_id.as_ref()
     }
 
     /// Returns the number of complete events with an id.
@@ -55,14 +55,12 @@
         self.events
     }
 
-    fn record_ids(&mut self, events: &[u8]) {
+    fn record_ids(&mut self, events: &Bytes) {
         for line in events.split(|b| *b == b'\n') {
-            if line.is_empty() {
-                continue;
-            }
             if let Some(id) = line.strip_prefix(b"id:") {
                 self.events += 1;
-                self.last_id = Some(String::from_utf8_lossy(id).trim().to_string());
+                let id = id.trim_ascii();
+                self.last_id = Some(Bytes::copy_from_slice(id));
             }
         }
     }
--- a/crates/gateway/src/generation/memory.rs
+++ b/crates/gateway/src/generation/memory.rs
@@ -119,8 +119,8 @@
 pub fn engine_request(call: EngineCall) -> Request<Full<bytes::Bytes>> {
     let mut req = Request::new(Full::new(call.body));
     *req.method_mut() = call.method;
-    // An invalid path is a bug of the dialect. It becomes "/", to which the engine
-    // responds with 404.
+    // An invalid path is a bug of the dialect, which encodes what others have chosen. It
+    // becomes "/", to which the engine responds with 404.
     *req.uri_mut() = call.path.parse().unwrap_or_default();
     *req.headers_mut() = call.headers;
     req
--- a/crates/gateway/src/generation/mod.rs
+++ b/crates/gateway/src/generation/mod.rs
@@ -249,7 +249,7 @@
         let remaining = inbound.remaining(self.clock.now());
         let metadata =
             SendMetadata { instance: server.entry.instance.clone(), timeout: remaining, phase };
-        let req = inbound.outbound(&*self.dialect, &metadata);
+        let req = inbound.outbound(&*self.dialect, &metadata)?;
         self.client.send(server, permit, inbound.metadata.id.as_ref(), req, limit).await
     }
 
--- a/crates/gateway/src/generation/relay.rs
+++ b/crates/gateway/src/generation/relay.rs
@@ -289,7 +289,7 @@
         let Some((server, permit)) = engine.await else { return false };
         let now = generations.clock.now();
         self.run.reassign(server.key);
-        let last_event = self.splitter.last_id().map(str::to_string);
+        let last_event = self.splitter.last_id().cloned();
         let phase = Phase::Decode { kv_cache: None, last_event };
         let remaining = self.inbound.remaining(now);
         match generations.send(&self.inbound, &server, permit, phase, remaining).await {
--- a/crates/gateway/src/http/client.rs
+++ b/crates/gateway/src/http/client.rs
@@ -36,6 +36,9 @@
     /// The response did not belong to this request or is not acceptable.
     #[display("wrong_answer")]
     WrongResponse,
+    /// The request cannot be expressed in the platform's headers.
+    #[display("unsendable")]
+    Unsendable,
     /// The body of the response ended early or was too large.
     #[display("cut")]
     Cut,
@@ -51,7 +54,7 @@
 }
 
 impl SendFailure {
-    fn not_run(cause: FailureCause) -> SendFailure {
+    pub(crate) fn not_run(cause: FailureCause) -> SendFailure {
         SendFailure { execution: Execution::NotRun, cause }
     }
 
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -16,6 +16,7 @@
 use crate::configuration::Route;
 use crate::crashes::request_causes;
 use crate::dialect::{Dialect, RequestMetadata, SendMetadata};
+use crate::http::{FailureCause, SendFailure};
 
 /// The maximum jitter that is added to `Retry-After`, as a share of it.
 const RETRY_AFTER_JITTER: f64 = 0.5;
@@ -177,12 +178,24 @@
         after.mul_f64(1.0 + self.fingerprint().0 as f64 / u64::MAX as f64 * RETRY_AFTER_JITTER)
     }
 
-    /// Builds the request to a backend server with the values of `metadata`.
-    pub fn outbound(&self, dialect: &dyn Dialect, metadata: &SendMetadata) -> Request<Full<Bytes>> {
+    /// Builds the request to a backend server with the values of `metadata`. Fails if they
+    /// cannot be expressed.
+    pub fn outbound(
+        &self,
+        dialect: &dyn Dialect,
+        metadata: &SendMetadata,
+    ) -> Result<Request<Full<Bytes>>, SendFailure> {
+        let headers = dialect.write_request(&self.head.headers, metadata).map_err(|e| {
+            log::warn!(
+                event = "unsendable", request = self.log_id(), server = &*metadata.instance,
+                error = e.message.as_str(); ""
+            );
+            SendFailure::not_run(FailureCause::Unsendable)
+        })?;
         let mut req = Request::new(Full::new(self.body.clone()));
         *req.method_mut() = self.head.method.clone();
         *req.uri_mut() = self.head.uri.clone();
-        *req.headers_mut() = dialect.write_request(&self.head.headers, metadata);
-        req
+        *req.headers_mut() = headers;
+        Ok(req)
     }
 }
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -24,7 +24,7 @@
     Dialect, EngineCall, EngineReport, GenerationSize, Phase, RateLimit, RemovedItem,
     RequestMetadata, ResponseMetadata, RoleOrder, SendMetadata, StoreItem,
 };
-use aspenloft_gateway::http::headers::end_to_end;
+use aspenloft_gateway::http::headers::{end_to_end, header_value};
 use aspenloft_gateway::loads::LoadDigest;
 use aspenloft_gateway::metrics::Metrics;
 use aspenloft_gateway::peers::Digest;
@@ -80,26 +80,26 @@
         })
     }
 
-    fn write_request(&self, headers: &HeaderMap, metadata: &SendMetadata) -> HeaderMap {
+    fn write_request(&self, headers: &HeaderMap, metadata: &SendMetadata) -> Result<HeaderMap> {
         let mut out = end_to_end(headers);
-        let mut set = |name: &'static str, value: &str| {
-            out.insert(name, HeaderValue::from_str(value).expect("value"));
+        let mut set = |name: &'static str, value: &[u8]| {
+            header_value(name, value).map(|value| drop(out.insert(name, value)))
         };
-        set("for", &metadata.instance);
-        set("wait-ms", &metadata.timeout.as_millis().to_string());
+        set("for", metadata.instance.as_bytes())?;
+        set("wait-ms", metadata.timeout.as_millis().to_string().as_bytes())?;
         match &metadata.phase {
             Phase::Whole => {}
-            Phase::Prefill => set("phase", "prefill"),
+            Phase::Prefill => set("phase", b"prefill")?,
             Phase::Decode { kv_cache, last_event } => {
                 if let Some(kv_cache) = kv_cache {
-                    set("memory", &kv_cache.handle);
+                    set("memory", kv_cache.handle.as_bytes())?;
                 }
                 if let Some(last_event) = last_event {
-                    set("after", last_event);
+                    set("after", last_event)?;
                 }
             }
         }
-        out
+        Ok(out)
     }
 
     fn read_response(&self, head: &response::Parts) -> ResponseMetadata {
