gateway: do not resume a stream whose events have no ids

A stream whose events bear no id, or an empty one, broke off, and the next engine got no `Last-Event-Id` and sent it from its beginning: events came twice. `EventSplitter` now tells whether something has been relayed that no id names; comments do not count.

On both cases of `a_stream_begins_anew_after_an_id_that_no_header_can_hold` without an id failed: the response held "data: first" and then "data: rest" of the second engine, and looked complete.

--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -17,6 +17,7 @@
     buf: BytesMut,
     last_id: Option<Bytes>,
     events: u64,
+    has_content: bool,
 }
 
 impl EventSplitter {
@@ -50,6 +51,12 @@
         self.last_id.as_ref()
     }
 
+    /// Returns whether the stream can go on after the complete events: there are none, or the
+    /// last id tells which they are.
+    pub fn is_resumable(&self) -> bool {
+        !self.has_content || self.last_id.is_some()
+    }
+
     /// Returns the number of complete events with an id.
     pub fn events(&self) -> u64 {
         self.events
@@ -57,10 +64,12 @@
 
     fn record_ids(&mut self, events: &Bytes) {
         for line in events.split(|b| *b == b'\n') {
+            // Lines that begin with a colon are comments.
+            self.has_content |= !line.is_empty() && !line.starts_with(b":");
             if let Some(id) = line.strip_prefix(b"id:") {
                 self.events += 1;
                 let id = id.trim_ascii();
-                self.last_id = Some(Bytes::copy_from_slice(id));
+                self.last_id = (!id.is_empty()).then(|| Bytes::copy_from_slice(id));
             }
         }
     }
--- a/crates/gateway/src/generation/relay.rs
+++ b/crates/gateway/src/generation/relay.rs
@@ -270,6 +270,7 @@
         let route = &self.inbound.route;
         let allowed = generations.mechanisms.resumption
             && route.repeat == RepeatPolicy::ResumableStream
+            && self.splitter.is_resumable()
             && runs < route.max_attempts
             && (has_begun || !generations.crashes.is_suspect(&self.inbound));
         self.log_broken(&server, allowed);
--- a/crates/gateway/tests/odd_event_ids.rs
+++ b/crates/gateway/tests/odd_event_ids.rs
@@ -84,7 +84,7 @@
 // The id was left out, and the next engine sent the stream from its beginning.
 #[test]
 fn a_stream_begins_anew_after_an_id_that_no_header_can_hold() {
-    for begun in [&b"id: a\x01b\ndata: first\n\n"[..]]
+    for begun in [&b"id: a\x01b\ndata: first\n\n"[..], b"data: first\n\n", b"id:\ndata: first\n\n"]
     {
         let (response, after) = relay(begun);
         assert_eq!(count(&response, b"data: first"), 1, "{}", response.escape_ascii());
@@ -92,3 +92,10 @@
         assert!(!is_whole(&response) && after.is_empty(), "{}", response.escape_ascii());
     }
 }
+
+#[test]
+fn a_stream_of_which_only_comments_have_come_begins_anew() {
+    let (response, after) = relay(b": ready\n\n");
+    assert!(is_whole(&response), "{}", response.escape_ascii());
+    assert_eq!(after, [b"none"]);
+}
