gateway: tell crashes with many parts in pieces

Cause: notices of crashes have 400 bytes in a digest. A crash with more than about 38 parts of 9 bytes did not fit and was left out, so each host knew only of the crashes it had seen itself, and none knew of three. Several crashes at once had the same fate: `take_crashes` counted those as told that `shorten` then dropped, so the oldest one filled each notice. Convictions that were dropped counted as told as well.

Change: notices are made to fit. A crash with many parts is told in pieces, to the hosts of the group and to all hosts each at their own pace, and as long as that takes; a host that hears a piece adds its parts to the crash. The stored crashes have 65,536 parts at most. Answers to causes of stored crashes are kept, so that long prompts do not push them out. A request that is answered is assessed once, not once a part. Logs say how many parts of a prompt they leave out.

Of the old tests only the calls of `take_crashes` changed.

--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -13,6 +13,7 @@
 use aspenloft_policy::crash_tracker::{
     Cause, Change, Conviction, Crash, CrashTracker, RequestCauses, Standing,
 };
+use aspenloft_policy::stream_versions::Scope;
 use async_std::task;
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
@@ -29,9 +30,17 @@
 /// sent.
 const TRIAL_RETRY_AFTER: Duration = Duration::from_secs(1);
 
-/// The maximum number of entries of each kind in one digest.
+/// The maximum number of entries of each kind but crashes in one digest.
 const MAX_NOTICES: usize = 8;
 
+/// The largest sizes that parts of notices have in a digest, in bytes.
+const MAX_PART_BYTES: usize = 9;
+const MAX_CLEARED_BYTES: usize = 28;
+const MAX_CONVICTION_BYTES: usize = 33;
+
+/// The size of notices without entries, in bytes.
+const EMPTY_NOTICES_BYTES: usize = 8;
+
 /// `CrashNotices` is what a host tells others of crashes in a digest.
 #[serde_as]
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
@@ -47,16 +56,6 @@
     pub convictions: Vec<(Conviction, Duration)>,
 }
 
-impl CrashNotices {
-    /// Leaves out the last crash, or else the last conviction or cleared cause; false if there
-    /// is none.
-    pub fn shorten(&mut self) -> bool {
-        self.crashes.pop().is_some()
-            || self.convictions.pop().is_some()
-            || self.cleared.pop().is_some()
-    }
-}
-
 /// `Crashes` keeps the crashes that this host knows of.
 pub struct Crashes {
     tracker: Mutex<CrashTracker>,
@@ -190,16 +189,28 @@
         tracker.try_trial(conviction.cause, now)
     }
 
-    /// Returns what other hosts are to be told.
-    pub fn notices(&self) -> CrashNotices {
+    /// Returns what the hosts in `scope` are to be told next, in up to `max_bytes` bytes.
+    /// Crashes get at least half of them.
+    pub fn notices(&self, scope: Scope, max_bytes: usize) -> CrashNotices {
         let now = self.clock.now();
         let mut tracker = self.tracker.lock();
-        let from = self.told.fetch_add(MAX_NOTICES, Ordering::SeqCst);
-        CrashNotices {
-            crashes: tracker.take_crashes(now, MAX_NOTICES),
-            cleared: tracker.recently_cleared(now, MAX_NOTICES),
-            convictions: tracker.convictions(now, from, MAX_NOTICES),
-        }
+        let mut room = max_bytes.saturating_sub(EMPTY_NOTICES_BYTES);
+        let for_crashes = if tracker.has_crashes_to_tell(now, scope) { room / 2 } else { 0 };
+        let max_cleared = ((room - for_crashes) / 2 / MAX_CLEARED_BYTES).min(MAX_NOTICES);
+        let cleared = tracker.recently_cleared(now, max_cleared);
+        room -= cleared.len() * MAX_CLEARED_BYTES;
+        let max_convictions = ((room - for_crashes) / MAX_CONVICTION_BYTES).min(MAX_NOTICES);
+        let from = self.told.load(Ordering::SeqCst);
+        let convictions = tracker.convictions(now, from, max_convictions);
+        self.told.fetch_add(convictions.len(), Ordering::SeqCst);
+        room -= convictions.len() * MAX_CONVICTION_BYTES;
+        let crashes = tracker.take_crashes(now, scope, room / MAX_PART_BYTES);
+        CrashNotices { crashes, cleared, convictions }
+    }
+
+    /// Returns whether the hosts in `scope` have not been told all of some crash.
+    pub fn is_telling(&self, scope: Scope) -> bool {
+        self.tracker.lock().is_telling(self.clock.now(), scope)
     }
 
     /// Returns recent crashes for hosts of the previous build, which count whole requests.
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -204,6 +204,10 @@
                     }
                 }
             }
+            // What did not fit follows at once.
+            if self.state.crashes.is_telling(Scope::Group) {
+                self.state.loads.notify();
+            }
             task::sleep(pause).await;
         }
     }
@@ -229,7 +233,9 @@
         let (unreachable_count, unreachable) = self.unreachable(MAX_UNREACHABLE);
         let position = self.state.view.changed_at();
         let mut supplement = self.encode_supplement(scope, unreachable_count, position.era)?;
-        supplement.extend_from_slice(&self.encode_crash_notices()?);
+        let notices = self.state.crashes.notices(scope, MAX_CRASH_BYTES);
+        // Hosts of previous builds do not read this frame.
+        frames::encode(&notices, &mut supplement)?;
         // Hosts of previous builds do not read this frame.
         frames::encode(&self.state.loads.queues(), &mut supplement)?;
         let mut digest = Digest {
@@ -295,19 +301,6 @@
         }
     }
 
-    /// Encodes what others are to be told of crashes, without the last entries if it is too
-    /// large. It is a frame of its own, which hosts of the previous build do not read.
-    fn encode_crash_notices(&self) -> Result<BytesMut> {
-        let mut notices = self.state.crashes.notices();
-        loop {
-            let mut buf = BytesMut::new();
-            frames::encode(&notices, &mut buf)?;
-            if buf.len() <= MAX_CRASH_BYTES || !notices.shorten() {
-                return Ok(buf);
-            }
-        }
-    }
-
     /// Receives digests; does not return.
     pub async fn receive_digests(self: Arc<Self>, socket: Arc<UdpSocket>) {
         let mut buf = vec![0; 64 * 1024];
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -132,15 +132,15 @@
         self.metadata.id.as_deref().unwrap_or("-")
     }
 
-    /// Returns the parts of the prompt that others may share, for log lines.
+    /// Returns the parts of the prompt that others may share, for log lines: the first ones,
+    /// and how many more there are.
     pub fn log_parts(&self) -> String {
-        let parts: Vec<String> = self
-            .metadata
-            .prompt_parts
-            .iter()
-            .take(MAX_LOGGED_PARTS)
-            .map(|p| p.to_string())
-            .collect();
+        let all = &self.metadata.prompt_parts;
+        let mut parts: Vec<String> =
+            all.iter().take(MAX_LOGGED_PARTS).map(|p| p.to_string()).collect();
+        if all.len() > MAX_LOGGED_PARTS {
+            parts.push(format!("+{}", all.len() - MAX_LOGGED_PARTS));
+        }
         if parts.is_empty() { "-".to_string() } else { parts.join(",") }
     }
 
--- a/crates/gateway/tests/crashing_parts.rs
+++ b/crates/gateway/tests/crashing_parts.rs
@@ -10,6 +10,7 @@
 use aspenloft_gateway::roster::ServerRole::{Decode, Plain, Prefill};
 use common::crashing::{CrashingEngine, EngineLog};
 use common::{MemoryStore, Scripted, TestHost, configuration, entry, sealed, status};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// How long hosts may take to learn of the crashes.
 const STABLE_WINDOW: Duration = Duration::from_secs(3);
@@ -52,9 +53,11 @@
     }
 
     /// Sends request `number` with these parts in its prompt, and one of its own, to a host.
-    /// Returns its status, or an empty text if its stream broke.
+    /// `*N` stands for N more parts of its own. Returns its status, or an empty text if its
+    /// stream broke.
     fn send(&self, number: usize, parts: &str) -> String {
         let host = &self.hosts[number % self.hosts.len()];
+        let parts = with_own_parts(number, parts);
         let body = format!("{parts} {number}");
         let response = host.send(&format!(
             "POST /resume/ HTTP/1.1\r\nhost: app.test\r\nid: r{number}\r\ntokens: 100,50\r\n\
@@ -90,6 +93,17 @@
     }
 }
 
+/// Replaces each `*N` in `parts` by N parts that no other request has.
+fn with_own_parts(number: usize, parts: &str) -> String {
+    let mut own =
+        (0u64..).map(|n| format!("{:016x}", xxh3_64_with_seed(&[1], n ^ (number as u64) << 32)));
+    let expanded = parts.split(',').flat_map(|part| match part.strip_prefix('*') {
+        Some(count) => own.by_ref().take(count.parse().expect("a number")).collect(),
+        None => vec![part.to_string()],
+    });
+    expanded.collect::<Vec<_>>().join(",")
+}
+
 fn elapsed(duration: Duration) -> impl Fn(&Deployment) -> bool {
     let began = Instant::now();
     move |_| began.elapsed() >= duration
@@ -128,6 +142,30 @@
     check_held_back(2, "aa,cc,bad,dd");
 }
 
+#[test]
+fn a_crashing_part_is_found_in_long_prompts() {
+    check_held_back(3, "aa,*65,bad,*3");
+}
+
+// A crash with many parts did not fit into a digest, and was told to no other host.
+#[test]
+fn crashes_by_long_prompts_at_different_hosts_do_not_add_up() {
+    let deployment = Deployment::start(4, 6, &["bad"]);
+    for number in 0..4 {
+        deployment.send(number, "aa,*65,bad,*3");
+        deployment.send(100 + number, "aa,5e");
+        std::thread::sleep(Duration::from_millis(600));
+    }
+    assert!(deployment.crashes() >= 3, "one at each of three hosts");
+    std::thread::sleep(Duration::from_millis(1_500));
+    let before = deployment.arrivals();
+    for number in 4..8 {
+        deployment.send(number, "aa,*65,bad,*3");
+    }
+    let arrivals = deployment.arrivals() - before;
+    assert!(arrivals <= 1, "{arrivals} requests reached engines, one trial is allowed");
+}
+
 // The other hosts knew of the crashes, but the new one had to see its own.
 #[test]
 fn a_host_that_starts_later_holds_back_requests_with_the_part() {
--- a/crates/policy/src/crash_tracker.rs
+++ b/crates/policy/src/crash_tracker.rs
@@ -14,6 +14,8 @@
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
+use crate::stream_versions::Scope;
+
 /// The number of servers that must crash before a part is convicted.
 const MIN_PART_CRASHES: usize = 3;
 
@@ -58,17 +60,24 @@
 /// The maximum number of crashes that are stored; the oldest are evicted first.
 const MAX_CRASHES: usize = 256;
 
+/// The maximum number of parts that the stored crashes have together; the oldest crashes are
+/// evicted first. Prompts are only limited by the size of a request's head.
+const MAX_CRASH_PARTS: usize = 65_536;
+
 /// The maximum number of convictions; those with the fewest crashes are evicted first.
 const MAX_CONVICTIONS: usize = 256;
 
 /// The maximum number of causes of each of two generations under which servers have begun
-/// an answer.
+/// an answer, beside those that stored crashes may speak for.
 const MAX_ANSWERED: usize = 8_192;
 
 /// How long other hosts are told of a crash or of a cause that is cleared: long enough for
-/// several digests, so that a lost one does not matter.
+/// several digests, so that a lost one does not matter. A crash with many parts may take longer.
 const NOTICE_PERIOD: Duration = Duration::from_secs(3);
 
+/// The space that a crash takes in a notice beside that of its parts, in parts.
+pub const CRASH_OVERHEAD_PARTS: usize = 5;
+
 /// `Cause` is what may crash the servers of a service.
 #[derive(
     Debug, Display, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
@@ -88,6 +97,14 @@
 }
 
 impl Cause {
+    /// Returns the number of servers that must crash before the cause is convicted.
+    fn min_crashes(self) -> usize {
+        match self {
+            Cause::Request(_) => MIN_REQUEST_CRASHES,
+            Cause::Part { .. } => MIN_PART_CRASHES,
+        }
+    }
+
     /// Returns the number of crashes from which the conviction is firm.
     fn firm_crashes(self) -> usize {
         match self {
@@ -160,8 +177,55 @@
 struct RecordedCrash {
     crash: Crash,
     at: Instant,
-    /// How often other hosts have been told; `None` for a crash that another host has seen.
-    told: Option<u32>,
+    /// What other hosts have been told; `None` for a crash that another host has seen.
+    told: Option<Told>,
+}
+
+impl RecordedCrash {
+    /// Returns how much the hosts in `scope` have been told if they are to be told more.
+    fn due(&self, scope: Scope, now: Instant) -> Option<Telling> {
+        let telling = self.told.as_ref()?.to(scope);
+        let age = now.saturating_duration_since(self.at);
+        let is_due = age < NOTICE_PERIOD || !telling.is_whole() && age < CRASH_TTL;
+        is_due.then_some(telling)
+    }
+}
+
+/// How much of a crash each scope has been told.
+#[derive(Debug, Default)]
+struct Told {
+    group: Telling,
+    all: Telling,
+}
+
+impl Told {
+    fn to(&self, scope: Scope) -> Telling {
+        match scope {
+            Scope::Group => self.group,
+            Scope::All => self.all,
+        }
+    }
+
+    fn set(&mut self, scope: Scope, telling: Telling) {
+        match scope {
+            Scope::Group => self.group = telling,
+            Scope::All => self.all = telling,
+        }
+    }
+}
+
+/// How often all parts of a crash have been told, and how many of them once more.
+#[derive(Debug, Default, Clone, Copy)]
+struct Telling {
+    times: u32,
+    parts: usize,
+}
+
+impl Telling {
+    /// Returns whether all parts have been told, and none of them is being told again.
+    fn is_whole(self) -> bool {
+        self.times > 0 && self.parts == 0
+    }
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -230,25 +294,56 @@
 const MAX_CHANGES: usize = 64;
 
 impl CrashTracker {
-    /// Records a crash that this host has seen at `at`, or another one. Returns whether it is
-    /// new.
+    /// Records a crash that this host has seen at `at`, or another one, which may tell of it
+    /// in several pieces with some of the parts each. Returns whether anything of it is new.
     pub fn record_crash(&mut self, crash: Crash, at: Instant, seen_here: bool) -> bool {
         let same = |known: &RecordedCrash| {
             known.crash.server == crash.server && known.crash.causes.request == crash.causes.request
         };
-        if self.crashes.iter().any(same) {
+        match self.crashes.iter().position(same) {
+            Some(index) => {
+                if !self.add_parts(index, crash, at) {
+                    return false;
+                }
+            }
+            None => {
+                self.count_held(&crash, at);
+                let told = seen_here.then(Told::default);
+                self.crashes.push(RecordedCrash { crash, at, told });
+            }
+        }
+        self.evict_crashes();
+        self.reassess(at);
+        true
+    }
+
+    /// Adds the parts of `piece` to the crash at `index` that it is a piece of. Returns whether
+    /// any of them is new.
+    fn add_parts(&mut self, index: usize, mut piece: Crash, at: Instant) -> bool {
+        let causes = &self.crashes[index].crash.causes;
+        let known: HashSet<PromptPart> = causes.parts.iter().copied().collect();
+        piece.causes.parts.retain(|part| !known.contains(part));
+        if piece.causes.parts.is_empty() {
             return false;
         }
-        if self.crashes.len() >= MAX_CRASHES {
-            let oldest = (0..self.crashes.len()).min_by_key(|index| self.crashes[*index].at);
-            oldest.map(|index| self.crashes.swap_remove(index));
+        // A crash counts for one cause only, whichever piece has it.
+        if !causes.causes().any(|cause| self.held.contains_key(&cause)) {
+            self.count_held(&piece, at);
         }
-        self.count_held(&crash, at);
-        self.crashes.push(RecordedCrash { crash, at, told: seen_here.then_some(0) });
-        self.reassess(at);
+        self.crashes[index].crash.causes.parts.append(&mut piece.causes.parts);
         true
     }
 
+    /// Evicts the oldest crashes while there are too many, or too many parts.
+    fn evict_crashes(&mut self) {
+        let mut parts: usize = self.crashes.iter().map(|c| c.crash.causes.parts.len()).sum();
+        while self.crashes.len() > MAX_CRASHES || parts > MAX_CRASH_PARTS {
+            let oldest = (0..self.crashes.len()).min_by_key(|index| self.crashes[*index].at);
+            let Some(oldest) = oldest else { return };
+            parts -= self.crashes.swap_remove(oldest).crash.causes.parts.len();
+        }
+    }
+
     /// Counts a crash for the cause that is held back already and explains it best. Earlier
     /// crashes may no longer be stored. A request that was in flight when it was held back
     /// counts no further crash.
@@ -271,18 +366,36 @@
     /// Records that a server began to answer a request at `at`: none of its causes crashes
     /// servers. Returns the causes that are cleared by it.
     pub fn record_answer(&mut self, causes: &RequestCauses, at: Instant) -> Vec<Cause> {
-        causes.causes().filter(|cause| self.clear(*cause, at)).collect()
+        let cleared: Vec<Cause> =
+            causes.causes().filter(|cause| self.record_answered(*cause, at)).collect();
+        if !cleared.is_empty() {
+            self.reassess(at);
+        }
+        cleared
     }
 
     /// Records that a server began an answer under `cause`. Returns whether crashes spoke for
     /// the cause.
     pub fn clear(&mut self, cause: Cause, at: Instant) -> bool {
+        let is_cleared = self.record_answered(cause, at);
+        if is_cleared {
+            self.reassess(at);
+        }
+        is_cleared
+    }
+
+    fn record_answered(&mut self, cause: Cause, at: Instant) -> bool {
         let answered_before = self.answered_at(cause);
         if answered_before.is_some_and(|known| known >= at) {
             return false;
         }
         if self.answered.len() >= MAX_ANSWERED {
-            self.answered_before = std::mem::take(&mut self.answered);
+            let newer = std::mem::take(&mut self.answered);
+            let older = std::mem::replace(&mut self.answered_before, newer);
+            // Without them, crashes would speak again for causes that were answered since.
+            for (cause, at) in older.into_iter().filter(|(c, _)| self.suspected.contains(c)) {
+                self.answered_before.entry(cause).or_insert(at);
+            }
         }
         self.answered.insert(cause, at);
         let was_held = self.held.get(&cause).is_some_and(|held| held.last_crash < at);
@@ -297,7 +410,6 @@
         }
         if was_held || was_suspect {
             self.cleared.insert(cause, at);
-            self.reassess(at);
         }
         was_held || was_suspect
     }
@@ -391,22 +503,51 @@
         is_due
     }
 
-    /// Returns up to `max` crashes that this host has seen lately, those first that other
-    /// hosts have been told of least, with their ages.
-    pub fn take_crashes(&mut self, now: Instant, max: usize) -> Vec<(Crash, Duration)> {
-        let age = |at: Instant| now.saturating_duration_since(at);
-        let mut recent: Vec<&mut RecordedCrash> = self
-            .crashes
-            .iter_mut()
-            .filter(|c| c.told.is_some() && age(c.at) < NOTICE_PERIOD)
-            .collect();
-        recent.sort_by_key(|c| (c.told, c.at));
-        recent.truncate(max);
-        let told = recent.into_iter().map(|c| {
-            c.told = c.told.map(|told| told + 1);
-            (c.crash.clone(), age(c.at))
-        });
-        told.collect()
+    /// Returns crashes that this host has seen lately and that the hosts in `scope` are told
+    /// next, those first that they have been told of least, with their ages. They have up to
+    /// `max_parts` parts, where each crash counts as [`CRASH_OVERHEAD_PARTS`] more; the last
+    /// one may be a piece that the next call goes on with.
+    pub fn take_crashes(
+        &mut self,
+        now: Instant,
+        scope: Scope,
+        max_parts: usize,
+    ) -> Vec<(Crash, Duration)> {
+        let due = self.crashes.iter_mut().filter_map(|c| Some((c.due(scope, now)?, c)));
+        let mut due: Vec<(Telling, &mut RecordedCrash)> = due.collect();
+        due.sort_by_key(|(telling, c)| (telling.times, c.at));
+        let mut room = max_parts;
+        let mut pieces = Vec::new();
+        for (mut telling, recorded) in due {
+            if room <= CRASH_OVERHEAD_PARTS {
+                break;
+            }
+            let RequestCauses { service, request, ref parts } = recorded.crash.causes;
+            let untold = parts.get(telling.parts..).unwrap_or_default();
+            let piece = &untold[..untold.len().min(room - CRASH_OVERHEAD_PARTS)];
+            room -= CRASH_OVERHEAD_PARTS + piece.len();
+            telling.parts += piece.len();
+            if telling.parts >= parts.len() {
+                telling = Telling { times: telling.times + 1, parts: 0 };
+            }
+            let causes = RequestCauses { service, request, parts: piece.to_vec() };
+            let crash = Crash { server: recorded.crash.server, causes };
+            pieces.push((crash, now.saturating_duration_since(recorded.at)));
+            if let Some(told) = &mut recorded.told {
+                told.set(scope, telling);
+            }
+        }
+        pieces
+    }
+
+    /// Returns whether the hosts in `scope` are to be told of crashes.
+    pub fn has_crashes_to_tell(&self, now: Instant, scope: Scope) -> bool {
+        self.crashes.iter().any(|c| c.due(scope, now).is_some())
+    }
+
+    /// Returns whether the hosts in `scope` have not been told all of some crash.
+    pub fn is_telling(&self, now: Instant, scope: Scope) -> bool {
+        self.crashes.iter().any(|c| c.due(scope, now).is_some_and(|told| told.times == 0))
     }
 
     /// Returns up to `max` causes that were cleared lately, with the time since then.
@@ -520,10 +661,18 @@
     /// explains more crashes than each of them. Then comes the cause for which most crashes
     /// speak, then the later part, which fewer requests share.
     fn best_cause(&self, unexplained: &[usize]) -> Option<(Cause, Evidence)> {
+        let mut crashes: HashMap<Cause, usize> = HashMap::new();
+        for recorded in unexplained.iter().map(|index| &self.crashes[*index]) {
+            for cause in recorded.crash.causes.causes() {
+                *crashes.entry(cause).or_default() += 1;
+            }
+        }
+        // Most parts of a long prompt belong to one request.
+        crashes.retain(|cause, crashes| *crashes >= cause.min_crashes());
         let mut tally: HashMap<Cause, Evidence> = HashMap::new();
         for recorded in unexplained.iter().map(|index| &self.crashes[*index]) {
             for (depth, cause) in recorded.crash.causes.causes().enumerate() {
-                if !self.speaks_for(recorded, cause) {
+                if !crashes.contains_key(&cause) || !self.speaks_for(recorded, cause) {
                     continue;
                 }
                 let evidence = tally.entry(cause).or_default();
@@ -556,13 +705,9 @@
     }
 
     fn suffices(&self, cause: Cause) -> bool {
-        match cause {
-            Cause::Request(_) => self.servers.len() >= MIN_REQUEST_CRASHES,
-            Cause::Part { .. } => {
-                let several = self.requests.len() >= MIN_REQUESTS && self.span() >= MIN_SPAN;
-                self.servers.len() >= MIN_PART_CRASHES && several
-            }
-        }
+        let is_request = matches!(cause, Cause::Request(_));
+        let several = self.requests.len() >= MIN_REQUESTS && self.span() >= MIN_SPAN;
+        self.servers.len() >= cause.min_crashes() && (is_request || several)
     }
 
     /// Returns the number of crashes that count for `cause`.
--- a/crates/policy/tests/crash_tracker.rs
+++ b/crates/policy/tests/crash_tracker.rs
@@ -3,7 +3,10 @@
 use std::time::{Duration, Instant};
 
 use aspenloft_core::suspects::{Fingerprint, PromptPart};
-use aspenloft_policy::crash_tracker::{Cause, Crash, CrashTracker, RequestCauses, Standing};
+use aspenloft_policy::crash_tracker::{
+    CRASH_OVERHEAD_PARTS, Cause, Crash, CrashTracker, RequestCauses, Standing,
+};
+use aspenloft_policy::stream_versions::Scope;
 
 const SERVICE: u64 = 7;
 const POISON: u64 = 1;
@@ -106,12 +109,12 @@
     here.record_crash(crash(1, POISON, &[]), now, true);
     there.record_crash(crash(2, POISON, &[]), now, true);
     there.record_crash(crash(3, POISON, &[]), now, true);
-    for (crash, age) in there.take_crashes(now, 16) {
+    for (crash, age) in there.take_crashes(now, Scope::All, 16) {
         here.record_crash(crash, now - age, false);
     }
     assert!(held_by(&mut here, POISON, &[], now).is_some());
-    assert_eq!(here.take_crashes(now, 16).len(), 1, "only what a host has seen itself");
-    assert!(there.take_crashes(now + seconds(4.0), 16).is_empty());
+    assert_eq!(here.take_crashes(now, Scope::All, 16).len(), 1, "only what a host has seen itself");
+    assert!(there.take_crashes(now + seconds(4.0), Scope::All, 16).is_empty());
 }
 
 #[test]
@@ -130,6 +133,107 @@
     assert!(crashes <= 256 && convictions <= 256 && answered <= 2 * 8_192 + 65);
 }
 
+/// Returns a prompt whose parts are those of request `number` alone, but for the 67th.
+fn long_prompt(number: u64) -> Vec<u64> {
+    let own = (0..70).map(|place| number * 1_000 + place);
+    own.map(|part| if part % 1_000 == 66 { POISON } else { part }).collect()
+}
+
+// A crash with many parts was told to no other host.
+#[test]
+fn crashes_that_do_not_fit_into_a_notice_do_not_add_up() {
+    let start = Instant::now();
+    let mut here = CrashTracker::default();
+    let mut there: Vec<CrashTracker> = (0..3).map(|_| CrashTracker::default()).collect();
+    for (number, tracker) in there.iter_mut().enumerate() {
+        let number = number as u64 + 1;
+        let at = start + seconds(number as f64);
+        tracker.record_crash(crash(number, number, &long_prompt(number)), at, true);
+    }
+    let now = start + seconds(3.5);
+    for _ in 0..10 {
+        for tracker in &mut there {
+            let pieces = tracker.take_crashes(now, Scope::All, 12);
+            let parts = |c: &Crash| c.causes.parts.len() + CRASH_OVERHEAD_PARTS;
+            assert!(pieces.iter().map(|(crash, _)| parts(crash)).sum::<usize>() <= 12);
+            for (crash, age) in pieces {
+                here.record_crash(crash, now - age, false);
+            }
+        }
+    }
+    assert_eq!(held_by(&mut here, 9, &long_prompt(9), now), Some((part(POISON), false)));
+    assert!(there.iter().all(|tracker| !tracker.is_telling(now, Scope::All)));
+}
+
+// The oldest crash filled each notice, and the others were never told.
+#[test]
+fn of_several_crashes_that_do_not_fit_only_the_oldest_is_told() {
+    let now = Instant::now();
+    let mut tracker = CrashTracker::default();
+    for number in 1..=8 {
+        tracker.record_crash(crash(number, number, &[number, 100 + number]), now, true);
+    }
+    for scope in [Scope::Group, Scope::All] {
+        let mut told: Vec<u64> = (0..8)
+            .flat_map(|_| tracker.take_crashes(now, scope, 2 + CRASH_OVERHEAD_PARTS))
+            .map(|(crash, _)| crash.server)
+            .collect();
+        told.sort_unstable();
+        assert_eq!(told, (1..=8).collect::<Vec<u64>>(), "{scope:?}");
+    }
+}
+
+// A piece that came after the conviction would have counted its crash again.
+#[test]
+fn each_piece_of_a_crash_counts_as_a_crash() {
+    let start = Instant::now();
+    let mut tracker = CrashTracker::default();
+    for number in 1..=3 {
+        let at = start + seconds(number as f64);
+        tracker.record_crash(crash(number, 100 + number, &[POISON]), at, false);
+    }
+    let at = start + seconds(4.0);
+    for piece in [&[POISON, 7][..], &[8, 9], &[10]] {
+        tracker.record_crash(crash(4, 104, piece), at, false);
+    }
+    let (conviction, _) = tracker.conviction(part(POISON), at).expect("a conviction");
+    assert_eq!(conviction.crashes, 4);
+    assert!(!tracker.record_crash(crash(4, 104, &[9, 10]), at, false), "nothing new");
+}
+
+// The answers to many other requests made a sound part seem to have had none.
+#[test]
+fn a_part_that_was_answered_after_crashes_is_held_back() {
+    let start = Instant::now();
+    let mut tracker = CrashTracker::default();
+    let sound = 3;
+    for number in 1..=2 {
+        let at = start + seconds(number as f64);
+        tracker.record_crash(crash(number, 100 + number, &[POISON, sound]), at, true);
+    }
+    tracker.record_answer(&causes(200, &[sound]), start + seconds(3.0));
+    for number in 0..40_000u64 {
+        tracker.record_answer(&causes(1_000_000 + number, &[]), start + seconds(4.0));
+    }
+    tracker.record_crash(crash(3, 103, &[POISON, sound]), start + seconds(5.0), true);
+    assert_eq!(held_by(&mut tracker, 9, &[sound], start + seconds(5.0)), None);
+    let held = held_by(&mut tracker, 9, &[POISON], start + seconds(5.0));
+    assert_eq!(held, Some((part(POISON), false)));
+}
+
+#[test]
+fn parts_of_crashes_use_up_the_memory() {
+    let start = Instant::now();
+    let mut tracker = CrashTracker::default();
+    for number in 0..40 {
+        let parts: Vec<u64> = (0..4_000).map(|place| number * 4_000 + place).collect();
+        let at = start + Duration::from_millis(number);
+        tracker.record_crash(crash(number, number, &parts), at, true);
+    }
+    let (crashes, ..) = tracker.sizes();
+    assert_eq!(crashes, 65_536 / 4_000);
+}
+
 /// Records a crash each half second by requests of their own with these parts.
 fn crash_by(
     tracker: &mut CrashTracker,
