gateway: mark only services of the configuration as mixed

While a service has engines of several versions, the versions at which its streams began are kept in the store, so that they can be taken up after all hosts have started anew. Two entries of another writer under one service name of over 176 bytes, with different versions, stopped that for all services: the key of the mark exceeds the 200 bytes of a key, the store refuses it, and `StreamLog::write` begins anew each time.

Marks and the log now concern services of the configuration only.

--- a/crates/gateway/src/stream_versions.rs
+++ b/crates/gateway/src/stream_versions.rs
@@ -84,12 +84,17 @@
         self.history.lock().history.only_version(service, lifetime, self.clock.now())
     }
 
-    /// Returns the services that have had several versions within the time that their streams
-    /// last.
+    /// Returns the services of the configuration that have had several versions within the time
+    /// that their streams last. Entries of other writers may name any service.
     pub fn mixed_services(&self) -> Vec<Name> {
         self.observe();
+        let configuration = self.view.configuration();
+        let is_known =
+            |name: &Name| configuration.as_ref().is_none_or(|c| c.services.contains_key(name));
         let state = self.history.lock();
-        state.history.mixed(|service| self.lifetime(service), self.clock.now())
+        let mut mixed = state.history.mixed(|service| self.lifetime(service), self.clock.now());
+        mixed.retain(is_known);
+        mixed
     }
 
     /// Returns how long streams of `service` last: callers keep to one no longer than the
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -164,6 +164,9 @@
     }
 }
 
+/// The length of the longest key that the service takes.
+const MAX_KEY_BYTES: usize = 200;
+
 /// A key-value service in memory that can be made to fail.
 #[derive(Default)]
 pub struct MemoryStore {
@@ -369,6 +372,9 @@
 
     async fn put(&self, put: Put) -> Result<Swap> {
         self.check()?;
+        if put.key.len() > MAX_KEY_BYTES {
+            return Err(invalid(format!("a key of {} bytes", put.key.len())));
+        }
         let current = self.state.lock().items.get(&put.key).map_or(0, |item| item.version);
         if current != put.expect {
             return Ok(Swap::Conflict(current));
--- a/crates/gateway/tests/stream_versions.rs
+++ b/crates/gateway/tests/stream_versions.rs
@@ -381,3 +381,23 @@
     let response = hosts[0].send(&take_up("b", "late", 2));
     assert_eq!((status(&response).as_str(), versions(&response)), ("200", vec!["v2".into()]));
 }
+
+// The mark of a service that only entries of another writer name could not be written, and
+// nothing else was.
+#[test]
+fn streams_are_not_written_down_beside_entries_with_a_long_service_name() {
+    let (old, new) = (engine("v1"), engine("v2"));
+    let (store, hosts) = begin_before_a_release(&["h1"], &old, &new);
+    for version in ["v1", "v2"] {
+        let odd =
+            ServerEntry { service: "s".repeat(190).into(), ..at_version(version, &old, version) };
+        store.write(&format!("servers/odd-{version}"), &odd);
+    }
+    std::thread::sleep(WRITE_TIME);
+    let begun = read_events(&hosts[0], &request("late"), 2);
+    assert_eq!(versions(&begun), ["v2"]);
+    std::thread::sleep(WRITE_TIME);
+    let (_store, hosts) = restart_all(&store, &["n1"]);
+    let response = hosts[0].send(&take_up("b", "late", 2));
+    assert_eq!((status(&response).as_str(), versions(&response)), ("200", vec!["v2".into()]));
+}
