gateway: take streams up only at a version that is certain now

What callers saw: a stream that had begun at engines of a new version, through other hosts, broke, was taken up at a host that was cut off from the others or stood still, and went on at an engine of another version (ORDER).

Cause: a host without a record of the stream took the only version that it knew, if it counted as up to date: one answer of the store in the last 1.75 s, or a digest of any host in the last 0.8 s, and nobody known to be ahead. Hosts that are cut off together hear each other, so all of them counted as up to date for the whole cut; a host that stood still stamps what had waited for it with the time of reading; and whoever was asked answered in the same way.

Change: nothing that arrived before the request counts. A host without a record asks the store for the changes since its view, and for the mark of services with several versions, in calls that begin after the request (`ViewConfirmer`, `StreamLog::only_version`). If nobody can know, the answer is a 503 with `Retry-After`. A mark is ended only after the view has been confirmed.

Evidence: on `hosts_that_are_cut_off_together_take_up_streams_of_another_version`, `a_host_that_has_just_lost_the_store_takes_up_a_stream_of_another_version` and `a_stream_is_joined_whose_version_left_before_the_host_was_back_in_touch` failed (200 at v1). They pass now.

--- a/crates/gateway/src/generation/mod.rs
+++ b/crates/gateway/src/generation/mod.rs
@@ -8,14 +8,14 @@
 mod memory;
 mod prefill;
 mod relay;
+mod version;
 
 use std::time::{Duration, Instant};
 
 use aspenloft_core::errors::{Error, ErrorCode};
 use aspenloft_core::execution::Execution;
-use aspenloft_core::prelude::{Arc, Name, SharedClock};
+use aspenloft_core::prelude::{Arc, SharedClock};
 use aspenloft_policy::mechanisms::Mechanisms;
-use aspenloft_policy::stream_versions::{VersionTag, stream_key};
 use http::Response;
 use http_body_util::{BodyExt, StreamBody};
 
@@ -130,49 +130,6 @@
         Ok(relayed_response(&head, StreamBody::new(relay.into_stream()).boxed_unsync()))
     }
 
-    /// Returns the version at which the stream began that the request takes up, or `None`
-    /// if it takes up none. Returns an error if the stream cannot go on: its version is
-    /// not known, or no engine of that version is left.
-    async fn stream_version(&self, inbound: &InboundRequest) -> Result<Option<VersionTag>, Error> {
-        let Some(first) = &inbound.metadata.resumes else { return Ok(None) };
-        log::info!(event = "taken_up", request = inbound.log_id(), first = &**first; "");
-        let service = &inbound.service;
-        let key = stream_key(service, first);
-        let up_to_date = self.peers.is_up_to_date();
-        let version = match self.streams.version(service, key, up_to_date) {
-            Some(version) => Some(version),
-            None => self.find_stream_version(service, key).await.map_err(|e| {
-                let message =
-                    format!("cannot find the version at which stream {first} began: {}", e.message);
-                Error::new(ErrorCode::NoBackend, message).retry_after(ENGINE_RETRY_AFTER)
-            })?,
-        };
-        let Some(version) = version else {
-            let message = format!("no host knows the version at which stream {first} began");
-            return Err(Error::new(ErrorCode::NoBackend, message));
-        };
-        if !self.dispatcher.has_version(service, version) {
-            let message = format!(
-                "service {service} has no engine of the version at which stream {first} began"
-            );
-            return Err(Error::new(ErrorCode::NoBackend, message));
-        }
-        Ok(Some(version))
-    }
-
-    /// Finds out from other hosts at which version a stream began, or from the key-value
-    /// service if none answers.
-    async fn find_stream_version(
-        &self,
-        service: &Name,
-        key: u64,
-    ) -> Result<Option<VersionTag>, Error> {
-        match self.peers.ask_stream_version(service, key).await {
-            Ok(version) => Ok(version),
-            Err(_) => self.log.find(service, key).await,
-        }
-    }
-
     /// Places the request on engines. The permit for the decode engine comes before the
     /// prefill, whose result would be lost without it.
     async fn place(
--- a/crates/gateway/src/peers/digest.rs
+++ b/crates/gateway/src/peers/digest.rs
@@ -95,8 +95,11 @@
     pub is_cut: bool,
 }
 
-/// The version of the calls that this build answers beside those of the previous one.
-pub const CALLS_VERSION: u32 = 1;
+/// The version of the calls that this build answers beside those of previous ones.
+pub const CALLS_VERSION: u32 = 2;
+
+/// The version from which hosts answer for the version of a stream only if they are certain.
+pub(super) const CERTAIN_VERSIONS: u32 = 2;
 
 /// The supplement of the previous build.
 #[derive(Debug, Deserialize)]
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -132,7 +132,8 @@
     }
 
     /// Asks other hosts at which version the stream of `service` with `key` began. Returns
-    /// an error if none answers.
+    /// an error if none answers. Hosts of the previous build are not asked: they answer by what
+    /// they know, however old it is.
     pub async fn ask_stream_version(&self, service: &Name, key: u64) -> Result<Option<VersionTag>> {
         let _open = self.questions.clone();
         if Arc::strong_count(&self.questions) > MAX_QUESTIONS + 1 {
@@ -450,9 +451,7 @@
             PeerCall::View => return self.peers.encode_view(None),
             PeerCall::ViewSince(v) => return self.peers.encode_view(Some(v)),
             PeerCall::StreamVersion(service, key) => {
-                let up_to_date = self.peers.is_up_to_date();
-                let known = self.peers.state.streams.version(&service, key, up_to_date);
-                let version = match known {
+                let version = match self.peers.state.streams.recorded(key) {
                     Some(version) => Some(version),
                     None => self.log.find(&service, key).await?,
                 };
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -36,7 +36,7 @@
 };
 pub use exchange::PeerServer;
 
-use digest::peer_position;
+use digest::{CERTAIN_VERSIONS, peer_position};
 
 /// How long a host counts as live after its last digest.
 const LIVENESS_TIMEOUT: Duration = Duration::from_secs(3);
@@ -52,10 +52,6 @@
 /// others rely: three digests of an idle host.
 const FOLLOWER_TIMEOUT: Duration = Duration::from_millis(800);
 
-/// The maximum age of the last response to this host's own watch for its view to count as up to
-/// date: a little longer than a watch waits.
-const FOLLOWED_MAX_AGE: Duration = Duration::from_millis(1_750);
-
 /// The maximum age of the last digest of a host to which a request is forwarded: that of the
 /// digests between data centres, and a lost one.
 const FORWARDING_MAX_AGE: Duration = Duration::from_millis(2_000);
@@ -159,8 +155,6 @@
     clock: SharedClock,
     state: LocalState,
     follows: AtomicBool,
-    /// When the key-value service last responded to this host's watch.
-    followed_at: Mutex<Option<Instant>>,
     seq: AtomicU64,
     seeds: Vec<SocketAddr>,
     peers: Mutex<HashMap<Name, Peer>>,
@@ -194,7 +188,6 @@
             clock,
             state,
             follows: AtomicBool::new(false),
-            followed_at: Mutex::default(),
             seq: AtomicU64::new(0),
             seeds,
             peers: Mutex::default(),
@@ -367,23 +360,6 @@
     /// it.
     pub fn set_following(&self, follows: bool) {
         self.follows.store(follows, Ordering::SeqCst);
-        if follows {
-            *self.followed_at.lock() = Some(self.clock.now());
-        }
-    }
-
-    /// Returns whether this host has lately heard of the newest state and has it. A process
-    /// that was paused has not: it goes on with what it knew before.
-    pub fn is_up_to_date(&self) -> bool {
-        let now = self.clock.now();
-        let followed = *self.followed_at.lock();
-        let follows =
-            followed.is_some_and(|at| now.saturating_duration_since(at) < FOLLOWED_MAX_AGE);
-        let hears = {
-            let peers = self.peers.lock();
-            peers.is_empty() || peers.values().any(|p| is_recent(p, now, FOLLOWER_TIMEOUT))
-        };
-        (follows || hears) && !self.is_behind()
     }
 
     /// Returns the number of hosts in this host's group that precede it by name, watch
@@ -636,12 +612,12 @@
         spread.into_iter().take(max).map(|(_, host)| host.clone()).collect()
     }
 
-    /// Returns up to `max` live hosts that answer calls, those that have run longest first:
-    /// they know most of what happened before this host started.
+    /// Returns up to `max` live hosts that know the versions of streams for certain, those that
+    /// have run longest first: they know most of what happened before this host started.
     fn longest_running(&self, max: usize) -> Vec<Host> {
         let now = self.clock.now();
         let peers = self.peers.lock();
-        let able = |p: &&Peer| p.answers_calls && is_recent(p, now, LIVENESS_TIMEOUT);
+        let able = |p: &&Peer| p.calls >= CERTAIN_VERSIONS && is_recent(p, now, LIVENESS_TIMEOUT);
         let mut able: Vec<&Peer> = peers.values().filter(able).collect();
         able.sort_by(|a, b| (a.born_ms, &a.host.name).cmp(&(b.born_ms, &b.host.name)));
         able.iter().take(max).map(|p| p.host.clone()).collect()
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -9,6 +9,7 @@
 use aspenloft_transport::connector::Connector;
 use aspenloft_transport::mesh;
 use async_std::net::{TcpListener, UdpSocket};
+use async_std::sync::Mutex as AsyncMutex;
 use async_std::task;
 use futures::StreamExt;
 use parking_lot::Mutex;
@@ -133,6 +134,7 @@
         clock: clock.clone(),
         options: SyncOptions::default(),
         state: Mutex::new(SyncState::default()),
+        confirmed_from: AsyncMutex::default(),
     });
     task::spawn(sync.clone().run());
     task::spawn(sync.clone().catch_up_from_peers());
@@ -169,8 +171,14 @@
         metrics.clone(),
         settings.mechanisms,
     );
-    let log =
-        StreamLog::new(kv.clone(), peers.clone(), streams.clone(), shutdown.clone(), clock.clone());
+    let log = StreamLog::new(
+        kv.clone(),
+        sync,
+        peers.clone(),
+        streams.clone(),
+        shutdown.clone(),
+        clock.clone(),
+    );
     task::spawn(log.clone().run());
     let orders = Orders {
         host: settings.host.clone(),
--- a/crates/gateway/src/stream_log.rs
+++ b/crates/gateway/src/stream_log.rs
@@ -7,7 +7,7 @@
 //! `docs/design/stream-versions.md` gives the costs and bounds.
 
 use std::collections::{HashMap, HashSet};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
 use aspenloft_core::errors::{Result, internal, invalid, unavailable};
 use aspenloft_core::prelude::{Arc, Era, Name, SharedClock};
@@ -16,11 +16,13 @@
 use async_std::future::timeout;
 use async_std::sync::Mutex as AsyncMutex;
 use async_std::task;
+use futures::future::join;
 use parking_lot::Mutex;
 
 use crate::peers::Peers;
 use crate::shutdown::Shutdown;
 use crate::stream_versions::StreamVersions;
+use crate::sync::ViewConfirmer;
 
 /// The key prefix of the log.
 const LOG_PREFIX: &str = "aspenloft/streams/";
@@ -63,6 +65,7 @@
 /// `StreamLog` writes and reads the log.
 pub struct StreamLog {
     kv: Arc<dyn KeyValue>,
+    confirmer: Arc<dyn ViewConfirmer>,
     peers: Arc<Peers>,
     streams: Arc<StreamVersions>,
     shutdown: Arc<Shutdown>,
@@ -72,7 +75,27 @@
     /// The services that were marked when the log was last read or written.
     mixed: Mutex<HashSet<Name>>,
     /// When the log was last read. It is held while the log is being read.
-    read_at: AsyncMutex<Option<Instant>>,
+    read_at: AsyncMutex<Option<ReadTime>>,
+}
+
+/// When the log was read, by two clocks: the steady one does not count the time for which the
+/// host is suspended.
+#[derive(Debug, Clone, Copy)]
+struct ReadTime {
+    steady: Instant,
+    wall: SystemTime,
+}
+
+impl ReadTime {
+    fn now(clock: &SharedClock) -> ReadTime {
+        ReadTime { steady: clock.now(), wall: clock.system_time() }
+    }
+
+    /// Returns whether less than `period` has passed until `now`, by both clocks.
+    fn is_within(self, period: Duration, now: ReadTime) -> bool {
+        now.steady.saturating_duration_since(self.steady) < period
+            && now.wall.duration_since(self.wall).is_ok_and(|passed| passed < period)
+    }
 }
 
 /// The state of the host that writes the log.
@@ -93,6 +116,7 @@
     /// Creates the log as the host of `peers` writes and reads it.
     pub fn new(
         kv: Arc<dyn KeyValue>,
+        confirmer: Arc<dyn ViewConfirmer>,
         peers: Arc<Peers>,
         streams: Arc<StreamVersions>,
         shutdown: Arc<Shutdown>,
@@ -101,31 +125,65 @@
         let (host, born_ms) = (&peers.local_host().name, peers.born_ms());
         let segment_prefix = format!("{SEGMENT_PREFIX}{host}-{born_ms}/");
         let (mixed, read_at) = Default::default();
-        Arc::new(StreamLog { kv, peers, streams, shutdown, clock, segment_prefix, mixed, read_at })
+        Arc::new(StreamLog {
+            kv,
+            confirmer,
+            peers,
+            streams,
+            shutdown,
+            clock,
+            segment_prefix,
+            mixed,
+            read_at,
+        })
     }
 
     /// Returns the version at which the stream of `service` with `key` began: what a host of
-    /// this deployment has written, or the only version of a service that is not marked.
+    /// this deployment has written, or the only version of the service.
     pub async fn find(&self, service: &Name, key: u64) -> Result<Option<VersionTag>> {
         let read = timeout(READ_TIMEOUT, self.read_again()).await;
         read.map_err(|_| unavailable("the log of streams was not read in time"))??;
-        if let Some(version) = self.streams.recorded(key) {
-            return Ok(Some(version));
+        match self.streams.recorded(key) {
+            Some(version) => Ok(Some(version)),
+            None => self.only_version(service).await,
         }
-        // A service that this host has seen mixed may not be marked yet.
-        let is_mixed =
-            self.mixed.lock().contains(service) || self.streams.mixed_services().contains(service);
-        let is_certain = !is_mixed && self.peers.is_up_to_date();
-        Ok(is_certain.then(|| self.streams.settled_version(service)).flatten())
+    }
+
+    /// Returns the version of `service` if all streams that callers may take up now began at
+    /// it: the service has no other now, and neither this host nor a mark in the key-value
+    /// service knows of another one lately. Both are looked up after the call, since this host
+    /// may have been out of touch before.
+    pub async fn only_version(&self, service: &Name) -> Result<Option<VersionTag>> {
+        if self.is_mixed(service) {
+            return Ok(None);
+        }
+        let key = mark_key(service);
+        let looked_up = join(self.confirmer.confirm(self.clock.now()), self.kv.get(&key));
+        let (confirmed, mark) = timeout(READ_TIMEOUT, looked_up)
+            .await
+            .map_err(|_| unavailable("the versions of a service were not read in time"))?;
+        confirmed?;
+        // A host that is ahead knows of changes that this one does not know yet.
+        if mark?.is_some() || self.is_mixed(service) || self.peers.is_behind() {
+            return Ok(None);
+        }
+        let streams = &self.streams;
+        Ok(streams.only_version(service).or_else(|| streams.settled_version(service)))
+    }
+
+    /// Returns whether this host knows of several versions of `service`. A service may not be
+    /// marked yet.
+    fn is_mixed(&self, service: &Name) -> bool {
+        self.mixed.lock().contains(service) || self.streams.mixed_services().contains(service)
     }
 
     /// Reads the log unless that was done a moment ago.
     async fn read_again(&self) -> Result<()> {
         let mut read_at = self.read_at.lock().await;
-        let now = self.clock.now();
-        if read_at.is_none_or(|at| now.saturating_duration_since(at) >= READ_INTERVAL) {
+        let now = ReadTime::now(&self.clock);
+        if read_at.is_none_or(|at| !at.is_within(READ_INTERVAL, now)) {
             self.read().await?;
-            *read_at = Some(self.clock.now());
+            *read_at = Some(now);
         }
         Ok(())
     }
@@ -207,6 +265,11 @@
         for service in services.iter().filter(|service| !marked.contains(*service)) {
             self.set_mark(service, true).await?;
         }
+        if marked.iter().any(|service| self.streams.only_version(service).is_some()) {
+            // Another version may have come while this host was out of touch.
+            self.confirmer.confirm(self.clock.now()).await?;
+            self.streams.observe();
+        }
         for service in marked.iter().filter(|service| self.streams.only_version(service).is_some())
         {
             self.set_mark(service, false).await?;
@@ -261,7 +324,7 @@
 
     /// Marks `service` as having several versions, or ends that.
     async fn set_mark(&self, service: &Name, is_mixed: bool) -> Result<()> {
-        let key = format!("{MIXED_PREFIX}{service}");
+        let key = mark_key(service);
         let expect = self.kv.get(&key).await?.map_or(0, |item| item.version);
         if (expect > 0) != is_mixed {
             let value = is_mixed.then(|| "{}".to_string());
@@ -279,6 +342,11 @@
     }
 }
 
+/// Returns the key of the mark of `service`.
+fn mark_key(service: &Name) -> String {
+    format!("{MIXED_PREFIX}{service}")
+}
+
 fn encode_segment(records: &[StreamRecord]) -> Result<String> {
     let pairs: Vec<(u64, VersionTag)> = records.iter().map(|r| (r.key, r.version)).collect();
     serde_json::to_string(&pairs).map_err(|e| internal(e.to_string()))
--- a/crates/gateway/src/stream_versions.rs
+++ b/crates/gateway/src/stream_versions.rs
@@ -58,14 +58,6 @@
         self.table.lock().take_unsent(scope, max)
     }
 
-    /// Returns the version at which the stream of `service` with `key` began, if this host
-    /// knows it: from a record, or, if its view is `up_to_date`, because the service has had a
-    /// single version for longer than its streams last.
-    pub fn version(&self, service: &str, key: u64, up_to_date: bool) -> Option<VersionTag> {
-        self.observe();
-        self.recorded(key).or_else(|| up_to_date.then(|| self.only_version(service)).flatten())
-    }
-
     /// Returns the version that the record of the stream with `key` names.
     pub fn recorded(&self, key: u64) -> Option<VersionTag> {
         self.table.lock().version(key)
@@ -77,8 +69,8 @@
         self.table.lock().recorded_since(after)
     }
 
-    /// Returns the version of `service` if it has had no other for longer than its streams
-    /// last.
+    /// Returns the version of `service` if this host has seen no other for longer than its
+    /// streams last. Others may have come and left while the host was out of touch.
     pub fn only_version(&self, service: &str) -> Option<VersionTag> {
         let lifetime = self.lifetime(service);
         self.history.lock().history.only_version(service, lifetime, self.clock.now())
--- a/crates/gateway/src/sync/mod.rs
+++ b/crates/gateway/src/sync/mod.rs
@@ -4,6 +4,7 @@
 //! While the service cannot be reached, the host fetches this state from other hosts;
 //! see `docs/design/platform.md`.
 
+mod confirm;
 mod entry;
 mod learn;
 
@@ -14,6 +15,7 @@
 use aspenloft_policy::catch_up::CatchUpOptions;
 use aspenloft_protocol::platform::{Change, ChangeFeed, Changes, KeyValue, Versioned};
 use async_std::future::timeout;
+use async_std::sync::Mutex as AsyncMutex;
 use async_std::task;
 use futures::future::select_ok;
 use parking_lot::Mutex;
@@ -25,6 +27,8 @@
 use crate::peers::Peers;
 use crate::view::{Keep, ServerChange, UpdateSource, View};
 
+pub use confirm::ViewConfirmer;
+
 /// The key prefix of all keys of the router.
 const ROUTER_PREFIX: &str = "aspenloft/";
 
@@ -114,6 +118,8 @@
     pub options: SyncOptions,
     /// The state of the connection to the service.
     pub state: Mutex<SyncState>,
+    /// When the last call began that confirmed the view. It is held during a call.
+    pub confirmed_from: AsyncMutex<Option<Instant>>,
 }
 
 /// Why a host stopped watching the service without a failure.
--- a/crates/gateway/tests/stream_versions.rs
+++ b/crates/gateway/tests/stream_versions.rs
@@ -8,8 +8,14 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime};
 
+use aspenloft_gateway::peers::PeerCall;
 use aspenloft_gateway::roster::ServerEntry;
 use aspenloft_gateway::roster::ServerRole::{Decode, Prefill};
+use aspenloft_policy::stream_versions::{VersionTag, stream_key};
+use aspenloft_transport::frames;
+use aspenloft_transport::mesh::PeerLink;
+use async_std::task;
+use bytes::BytesMut;
 use common::peer::ScriptedPeer;
 use common::{
     MemoryStore, Scripted, TestHost, body, configuration, entry, header, not_run, sealed, status,
@@ -401,3 +407,77 @@
     let response = hosts[0].send(&take_up("b", "late", 2));
     assert_eq!((status(&response).as_str(), versions(&response)), ("200", vec!["v2".into()]));
 }
+
+/// Asks `host`, as other hosts do, at which version the stream `first` of the model began.
+fn ask_version(host: &TestHost, first: &str) -> Option<VersionTag> {
+    let call = PeerCall::StreamVersion("model".into(), stream_key("model", first));
+    let mut buf = BytesMut::new();
+    frames::encode(&call, &mut buf).expect("a call");
+    let link = PeerLink::new(host.settings.listen.peers, Arc::default());
+    let body = task::block_on(link.ask(buf.freeze())).ok()?;
+    frames::decode(&body).expect("a reply")
+}
+
+// Each of the hosts heard the other, so both counted as up to date.
+#[test]
+fn hosts_that_are_cut_off_together_take_up_streams_of_another_version() {
+    let (old, new) = (engine("v1"), engine("v2"));
+    let (store, hosts) = start_hosts(&["h1", "h2"], &[at_version("d1", &old, "v1")]);
+    hosts.iter().for_each(|host| host.store.set_silent(true));
+    store.write("servers/d2", &at_version("d2", &new, "v2"));
+    for wait_ms in [0, 1_000, 2_000] {
+        std::thread::sleep(Duration::from_millis(wait_ms));
+        for (index, host) in hosts.iter().enumerate() {
+            let response = host.send(&take_up(&format!("b{wait_ms}-{index}"), "begun at v2", 2));
+            assert_eq!(status(&response), "503", "after {wait_ms} ms more: {response}");
+            assert!(header(&response, "retry-after").is_some(), "{response}");
+            assert_eq!(ask_version(host, "begun at v2"), None);
+        }
+    }
+    hosts.iter().for_each(|host| host.store.set_silent(false));
+    let response = hosts[0].send(&take_up("c", "begun at v2", 2));
+    assert_eq!((status(&response).as_str(), old.count()), ("503", 0), "{response}");
+}
+
+// The last response of the store was recent, and the new engine had joined since.
+#[test]
+fn a_host_that_has_just_lost_the_store_takes_up_a_stream_of_another_version() {
+    let (old, new) = (engine("v1"), engine("v2"));
+    let (store, hosts) = start_hosts(&["h1"], &[at_version("d1", &old, "v1")]);
+    hosts[0].store.set_silent(true);
+    store.write("servers/d2", &at_version("d2", &new, "v2"));
+    let response = hosts[0].send(&take_up("b", "begun at v2", 2));
+    assert_eq!((status(&response).as_str(), old.count()), ("503", 0), "{response}");
+    store.set_down(true);
+    let response = hosts[0].send(&take_up("c", "begun at v2", 2));
+    assert_eq!((status(&response).as_str(), old.count()), ("503", 0), "{response}");
+}
+
+// The host had never seen the other version, which came and left while it was out of touch.
+#[test]
+fn a_stream_is_joined_whose_version_left_before_the_host_was_back_in_touch() {
+    let (old, new) = (engine("v1"), engine("v2"));
+    let (store, hosts) = start_hosts(&["h1"], &[at_version("d1", &old, "v1")]);
+    let response = hosts[0].send(&take_up("a", "begun at v1", 2));
+    assert_eq!(versions(&response), ["v1"], "in touch, and there is no other version");
+    hosts[0].store.set_silent(true);
+    store.write("servers/d2", &at_version("d2", &new, "v2"));
+    store.write("aspenloft/streams/mixed/model", &serde_json::json!({}));
+    store.remove("servers/d2");
+    hosts[0].store.set_silent(false);
+    let response = hosts[0].send(&take_up("b", "begun at v2", 2));
+    assert_eq!(status(&response), "503", "{response}");
+}
+
+// A host that is in touch but knows no stream yet must not refuse the streams of a service that
+// has always had a single version.
+#[test]
+fn streams_of_a_single_version_are_refused_by_hosts_in_touch() {
+    let only = engine("v1");
+    let (_store, hosts) = start_hosts(&["h1", "h2"], &[at_version("d1", &only, "v1")]);
+    for (index, host) in hosts.iter().enumerate() {
+        let response = host.send(&take_up(&format!("b{index}"), "unknown", 2));
+        assert_eq!(versions(&response), ["v1"], "{response}");
+        assert!(ask_version(host, "unknown").is_some());
+    }
+}
