gateway: relay only events that go on with a stream

A refusal or an error status of the next engine was handled: the stream ends as broken. Shown to happen here are four other ways, found with stand-ins:

- 200 with a seal and the text of an error with an empty line in it: `EventSplitter` passed on whatever comes before an empty line, and the stream ended as complete;
- a second response behind events without a length or chunks: the same, with its head;
- events that begin elsewhere than after the last one: nobody compared the ids;
- an empty answer with a length or chunks: it passed for the rest of the stream.

Change: `EventSequence` checks each event before it is relayed: its lines are fields or comments, ids that are numbers rise, at another engine by no more than they did before, and no event lacks an id once others had one. What fails that is not relayed, the stream counts as broken off there, and may go on at another engine. An engine that is asked to go on and sends no event at all has not completed the stream. A caller that takes a stream up names its last event, after which the answer must go on as well.

Evidence: on six of the seven tests in broken_streams that need no new type failed, with the text of the error between the events and the last chunk after it; the seventh is of a sound resumption.

--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -25,6 +25,8 @@
     /// The attempt that brought the first event of the stream that this request takes up;
     /// `None` if it takes up no stream.
     pub resumes: Option<Name>,
+    /// The id of the last event that the caller has of that stream, if it names one.
+    pub last_event: Option<Bytes>,
     /// The parts of the prompt that other requests may share, in their order.
     pub prompt_parts: Vec<PromptPart>,
 }
--- a/crates/gateway/src/generation/relay.rs
+++ b/crates/gateway/src/generation/relay.rs
@@ -17,7 +17,7 @@
 use crate::configuration::RepeatPolicy;
 use crate::dialect::Phase;
 use crate::dispatch::RunNeeds;
-use crate::events::EventSplitter;
+use crate::events::{EventSequence, EventSplitter};
 use crate::http::BackendResponse;
 use crate::loads::{RunGuard, RunSize};
 use crate::permits::SendPermit;
@@ -88,8 +88,13 @@
     needs: RunNeeds,
     tokens_per_event: u64,
     splitter: EventSplitter,
+    sequence: EventSequence,
+    /// Whether the engine has sent something that is not the next event.
+    is_malformed: bool,
     /// The number of events before the first one of the current engine.
     events_before: u64,
+    /// Whether another engine began the stream.
+    is_resumed: bool,
     started_at: Instant,
     last_frame_at: Instant,
     longest_pause: Duration,
@@ -116,7 +121,7 @@
         needs: RunNeeds,
         tokens_per_event: u64,
     ) -> EventRelay {
-        let splitter = EventSplitter::default();
+        let sequence = EventSequence::after(inbound.metadata.last_event.clone());
         let max_bytes = max_stream_bytes(needs.size);
         upstream.response.connection.reads.set(max_bytes);
         let upstream = Some(upstream);
@@ -130,8 +135,11 @@
             upstream,
             needs,
             tokens_per_event,
-            splitter,
+            splitter: EventSplitter::default(),
+            sequence,
+            is_malformed: false,
             events_before: 0,
+            is_resumed: false,
             started_at,
             last_frame_at: started_at,
             longest_pause: Duration::ZERO,
@@ -195,7 +203,9 @@
 
     /// Reads the next frame from the engine and returns the events that it completes.
     async fn read(&mut self) -> Result<Bytes, StreamEnd> {
-        let Some(upstream) = self.upstream.as_mut() else { return Err(StreamEnd::Broken) };
+        let Some(upstream) = self.upstream.as_mut().filter(|_| !self.is_malformed) else {
+            return Err(StreamEnd::Broken);
+        };
         let frame = upstream.response.body.frame();
         let interrupt = select(&mut self.deadline, &mut self.silence_check);
         let frame = match select(pin!(frame), interrupt).await {
@@ -214,24 +224,32 @@
                 self.longest_pause = self.longest_pause.max(pause);
                 self.stalls += u32::from(pause >= STALL);
                 self.last_frame_at = now;
-                let known = self.splitter.events();
-                let events = frame.data_ref().map(|data| self.splitter.push(data));
-                if known == self.events_before && self.splitter.events() > known {
+                let known = self.sequence.events();
+                let data = frame.into_data().unwrap_or_default();
+                let mut events = self.splitter.push(&data);
+                let accepted = self.sequence.accept(&events);
+                if accepted < events.len() {
+                    self.is_malformed = true;
+                    log_malformed(&self.inbound, &upstream.server, &events[accepted..]);
+                    events.truncate(accepted);
+                }
+                if known == self.events_before && self.sequence.events() > known {
                     self.generations.crashes.record_answer(&self.inbound);
                 }
-                self.run.record_progress(self.splitter.events() * self.tokens_per_event);
+                self.run.record_progress(self.sequence.events() * self.tokens_per_event);
                 // Each event has at least one token.
                 let too_many =
-                    self.splitter.events() > self.needs.size.max_output + MAX_EXTRA_EVENTS;
+                    self.sequence.events() > self.needs.size.max_output + MAX_EXTRA_EVENTS;
                 if self.splitter.is_overlong() || too_many {
                     return Err(StreamEnd::Broken);
                 }
-                Ok(events.unwrap_or_default())
+                Ok(events)
             }
             Some(Err(_)) => Err(StreamEnd::Broken),
             None if self.splitter.is_inside_event() => Err(StreamEnd::Broken),
-            None if self.splitter.events() == self.events_before
-                && !upstream.response.is_framed() =>
+            // An empty body is whole only as the answer of the engine that was asked first.
+            None if self.sequence.events() == self.events_before
+                && (self.is_resumed || !upstream.response.is_framed()) =>
             {
                 Err(StreamEnd::Broken)
             }
@@ -263,14 +281,14 @@
         let generations = self.generations.clone();
         let now = generations.clock.now();
         server.state.health(|h| h.record_failure(now));
-        let has_begun = self.splitter.events() > self.events_before;
-        if !has_begun {
+        let has_begun = self.sequence.events() > self.events_before;
+        if !has_begun && !self.is_malformed {
             generations.crashes.report(&self.inbound, &server, &generations.peers);
         }
         let route = &self.inbound.route;
         let allowed = generations.mechanisms.resumption
             && route.repeat == RepeatPolicy::ResumableStream
-            && self.splitter.is_resumable()
+            && self.sequence.is_resumable()
             && runs < route.max_attempts
             && (has_begun || !generations.crashes.is_suspect(&self.inbound));
         self.log_broken(&server, allowed);
@@ -290,17 +308,19 @@
         let Some((server, permit)) = engine.await else { return false };
         let now = generations.clock.now();
         self.run.reassign(server.key);
-        let last_event = self.splitter.last_id().cloned();
+        let last_event = self.sequence.last_id().cloned();
         let phase = Phase::Decode { kv_cache: None, last_event };
         let remaining = self.inbound.remaining(now);
         match generations.send(&self.inbound, &server, permit, phase, remaining).await {
             Ok(response) if response.head.status.is_success() && response.metadata.sealed => {
                 response.connection.reads.set(max_stream_bytes(self.needs.size));
                 let instance = &*server.entry.instance;
-                log::info!(event = "resumed", request = self.inbound.log_id(), server = instance, version = &*server.entry.version, after = self.splitter.events(); "");
+                log::info!(event = "resumed", request = self.inbound.log_id(), server = instance, version = &*server.entry.version, after = self.sequence.events(); "");
                 let _stream_count = StreamGuard::begin(&server, generations.clock.now());
                 self.upstream = Some(Upstream { response, server, runs: runs + 1, _stream_count });
-                self.events_before = self.splitter.events();
+                self.events_before = self.sequence.events();
+                self.sequence.begin_run();
+                (self.is_resumed, self.is_malformed) = (true, false);
                 true
             }
             _ => false,
@@ -312,7 +332,7 @@
         let Some(upstream) = self.upstream.take() else { return };
         if end == StreamEnd::Complete {
             let now = self.generations.clock.now();
-            let tokens = self.splitter.events() * self.tokens_per_event;
+            let tokens = self.sequence.events() * self.tokens_per_event;
             self.run.record_pace(tokens, now.saturating_duration_since(self.started_at));
             let BackendResponse { connection, metadata, .. } = upstream.response;
             self.generations.client.release(connection, &metadata);
@@ -336,7 +356,7 @@
         let parts = self.inbound.log_parts();
         log::info!(
             event = "stream_broken", request = self.inbound.log_id(),
-            server = &*server.entry.instance, events = self.splitter.events(), resumable,
+            server = &*server.entry.instance, events = self.sequence.events(), resumable,
             parts = parts.as_str(); ""
         );
     }
@@ -355,11 +375,20 @@
         }
         let metrics = &self.generations.metrics;
         metrics.stream_ended(outcome, self.longest_pause);
-        let (events, pause_ms) = (self.splitter.events(), self.longest_pause.as_millis() as u64);
+        let (events, pause_ms) = (self.sequence.events(), self.longest_pause.as_millis() as u64);
         log::info!(event = "stream_ended", request = self.inbound.log_id(), outcome, events, pause_ms, stalls = self.stalls; "");
     }
 }
 
+/// The number of bytes that are logged of what is no event.
+const MAX_LOGGED_BYTES: usize = 80;
+
+fn log_malformed(inbound: &InboundRequest, server: &Server, sent: &[u8]) {
+    let text = sent[..sent.len().min(MAX_LOGGED_BYTES)].escape_ascii().to_string();
+    let (instance, bytes) = (&*server.entry.instance, sent.len());
+    log::warn!(event = "stream_malformed", request = inbound.log_id(), server = instance, bytes, text = text.as_str(); "");
+}
+
 /// Returns an engine on which a stream may go on, with a permit for it.
 async fn permitted_engine(
     generations: &GenerationHandler,
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -74,6 +74,7 @@
             timeout: timeout_ms.map(Duration::from_millis),
             generation,
             resumes: text(&head.headers, "resumes").map(Name::from),
+            last_event: text(&head.headers, "after").map(Into::into),
             prompt_parts: text(&head.headers, "parts")
                 .map(|parts| parts.split(',').map(PromptPart::named).collect())
                 .unwrap_or_default(),
