--- a/crates/gateway/src/generation/decode.rs
+++ b/crates/gateway/src/generation/decode.rs
@@ -44,6 +44,8 @@
     tried: Vec<Name>,
     /// How many engines may have run the request.
     runs: u32,
+    /// The last failure of a send after which the request may have run.
+    failure: Option<SendFailure>,
 }
 
 /// The outcome of one send.
@@ -74,6 +76,7 @@
             unconfirmed: None,
             tried: Vec::new(),
             runs: inbound.progress.runs(),
+            failure: None,
         };
         for _ in 0..MAX_SENDS {
             let now = self.clock.now();
@@ -135,7 +138,7 @@
             }
         }
         let execution = if search.runs > 0 { Execution::Unknown } else { Execution::NotRun };
-        Err(sends_exhausted().execution(execution))
+        Err(search.failure.map_or_else(sends_exhausted, send_error).execution(execution))
     }
 
     /// Returns the permit for the engine of `search`, a new one if it has expired during the
@@ -219,6 +222,7 @@
         }
         inbound.progress.record_run();
         search.runs += 1;
+        search.failure = Some(failure);
         if failure.cause == FailureCause::Broken {
             self.crashes.report(inbound, &search.server, &self.peers);
         }
