transport: fail on a body that ends before its length

JSON answers between its own parts failed all the same, as half of one cannot be decoded.

`http::send` now returns a body that fails with the number of missing bytes, and fails for an answer without a length and chunks, with unknown execution. Before, `the_bytes_of_a_body_that_ends_early_are_not_the_whole_body` failed (Ok([]) for a body of 12 bytes); it passes now. A head cut anywhere was an error before as well (`a_response_that_is_cut_anywhere_is_no_success`).

--- a/crates/transport/src/http.rs
+++ b/crates/transport/src/http.rs
@@ -3,14 +3,19 @@
 //! Each error states whether the server may have run the request, because this decides
 //! whether a call that is not idempotent may be retried; see `docs/PROMISES.md`.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use aspenloft_core::errors::{Error, ErrorCode, Result, internal};
 use aspenloft_core::execution::Execution;
 use async_std::future::timeout;
+use async_std::io::{BufRead, Read};
 use async_std::net::TcpStream;
-use http_types::{Method, Request, Response, Url};
+use http_types::headers::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use http_types::{Body, Method, Request, Response, StatusCode, Url};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
@@ -47,13 +52,77 @@
     // Boxed, so that its large buffers do not become part of the futures of all callers.
     let exchange = Box::pin(async_h1::connect(stream, req));
     match timeout(limit, exchange).await {
-        Ok(Ok(response)) => Ok(response),
+        Ok(Ok(response)) => with_whole_body(response)
+            .map_err(|e| unavailable(addr, &e.to_string(), Execution::Unknown)),
         Ok(Err(e)) => Err(unavailable(addr, &e.to_string(), Execution::Unknown)),
         Err(_) => Err(Error::new(ErrorCode::Timeout, format!("no response from {addr} in time"))
             .execution(Execution::Unknown)),
     }
 }
 
+/// Returns `response` with a body that fails if it ends before its length, which `async-h1` takes
+/// for its end. It takes a body without a length and chunks for an empty one, which fails here.
+fn with_whole_body(mut response: Response) -> std::io::Result<Response> {
+    let is_framed =
+        [CONTENT_LENGTH, TRANSFER_ENCODING].iter().any(|h| response.header(h).is_some());
+    let has_no_body = matches!(response.status(), StatusCode::NoContent | StatusCode::NotModified);
+    if !is_framed && !has_no_body {
+        let message = "the response has neither a length nor chunks";
+        return Err(std::io::Error::new(ErrorKind::InvalidData, message));
+    }
+    if let Some(length) = response.len().filter(|length| *length > 0) {
+        let (mime, body) = (response.content_type(), response.take_body());
+        let remaining = u64::try_from(length).unwrap_or(u64::MAX);
+        response.set_body(Body::from_reader(SizedBody { body, remaining }, Some(length)));
+        if let Some(mime) = mime {
+            response.set_content_type(mime);
+        }
+    }
+    Ok(response)
+}
+
+/// A body of which a known number of bytes is still to come.
+#[derive(Debug)]
+struct SizedBody {
+    body: Body,
+    remaining: u64,
+}
+
+impl Read for SizedBody {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut [u8],
+    ) -> Poll<std::io::Result<usize>> {
+        let read = ready!(Pin::new(&mut self.body).poll_read(cx, buf))?;
+        if read == 0 && self.remaining > 0 && !buf.is_empty() {
+            return Poll::Ready(Err(ended_early(self.remaining)));
+        }
+        self.remaining = self.remaining.saturating_sub(u64::try_from(read).unwrap_or(u64::MAX));
+        Poll::Ready(Ok(read))
+    }
+}
+
+impl BufRead for SizedBody {
+    fn poll_fill_buf(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<&[u8]>> {
+        let SizedBody { body, remaining } = self.get_mut();
+        let data = ready!(Pin::new(body).poll_fill_buf(cx))?;
+        if data.is_empty() && *remaining > 0 {
+            return Poll::Ready(Err(ended_early(*remaining)));
+        }
+        Poll::Ready(Ok(data))
+    }
+
+    fn consume(mut self: Pin<&mut Self>, read: usize) {
+        Pin::new(&mut self.body).consume(read);
+        self.remaining = self.remaining.saturating_sub(u64::try_from(read).unwrap_or(u64::MAX));
+    }
+}
+
+fn ended_early(remaining: u64) -> std::io::Error {
+    std::io::Error::new(ErrorKind::UnexpectedEof, format!("the body ends {remaining} bytes early"))
+}
+
 /// Builds a request to `addr` with `body`, declared as JSON.
 pub fn request(method: Method, addr: SocketAddr, path: &str, body: Vec<u8>) -> Result<Request> {
     let url = Url::parse(&format!("http://{addr}{path}")).map_err(|e| internal(e.to_string()))?;
