--- a/crates/gateway/tests/broken_streams.rs
+++ b/crates/gateway/tests/broken_streams.rs
@@ -9,7 +9,7 @@
 
 use aspenloft_gateway::events::EventSequence;
 use aspenloft_gateway::roster::ServerRole::{Decode, Prefill};
-use common::{Scripted, TestHost, body, entry, header, sealed, status};
+use common::{Scripted, TestHost, chunks, entry, header, sealed, status};
 
 fn events(from: u32, to: u32) -> String {
     (from..=to).map(|number| format!("id: {number}\ndata: token {number}\n\n")).collect()
@@ -19,21 +19,6 @@
     format!("{:x}\r\n{data}\r\n", data.len())
 }
 
-/// Returns the data of the chunks of a response, and whether its last chunk has come.
-fn chunks(response: &str) -> (String, bool) {
-    let mut rest = body(response);
-    let mut data = String::new();
-    while let Some((size, after)) = rest.split_once("\r\n") {
-        let size = usize::from_str_radix(size, 16).unwrap_or_default();
-        if size == 0 {
-            return (data, true);
-        }
-        data.push_str(after.get(..size).unwrap_or(after));
-        rest = after.get(size + 2..).unwrap_or_default();
-    }
-    (data, false)
-}
-
 /// Returns the head of a response to `req` with `lines` in it.
 fn head(req: &str, status: &str, lines: &str) -> String {
     let id = header(req, "id").unwrap_or_default();
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -707,6 +707,21 @@
     response.split_once("\r\n\r\n").map_or("", |(_, body)| body)
 }
 
+/// Returns the data of the chunks of a response, and whether its last chunk has come.
+pub fn chunks(response: &str) -> (String, bool) {
+    let mut rest = body(response);
+    let mut data = String::new();
+    while let Some((size, after)) = rest.split_once("\r\n") {
+        let size = usize::from_str_radix(size, 16).unwrap_or_default();
+        if size == 0 {
+            return (data, true);
+        }
+        data.push_str(after.get(..size).unwrap_or(after));
+        rest = after.get(size + 2..).unwrap_or_default();
+    }
+    (data, false)
+}
+
 /// Sends `req` to `addr` and reads one response, or the part of it that arrived.
 pub fn exchange(addr: SocketAddr, req: &[u8]) -> String {
     let Ok(mut stream) = TcpStream::connect(addr) else { return String::new() };
--- a/crates/gateway/tests/unframed_answers.rs
+++ b/crates/gateway/tests/unframed_answers.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use aspenloft_gateway::roster::ServerRole::{Decode, Plain, Prefill};
-use common::{Scripted, TestHost, body, entry, exchange, header, sealed, status};
+use common::{Scripted, TestHost, body, chunks, entry, exchange, header, sealed, status};
 use socket2::SockRef;
 
 const EVENTS: &str = "id: 1\ndata: one\n\nid: 2\ndata: two\n\nid: 3\ndata: three\n\n";
@@ -51,21 +51,6 @@
     )
 }
 
-/// Returns the data of the chunks of a response, and whether its last chunk has come.
-fn chunks(response: &str) -> (String, bool) {
-    let mut rest = body(response);
-    let mut data = String::new();
-    while let Some((size, after)) = rest.split_once("\r\n") {
-        let size = usize::from_str_radix(size, 16).unwrap_or_default();
-        if size == 0 {
-            return (data, true);
-        }
-        data.push_str(after.get(..size).unwrap_or(after));
-        rest = after.get(size + 2..).unwrap_or_default();
-    }
-    (data, false)
-}
-
 /// Returns what a caller gets of a stream of which an engine sends `sent`.
 fn relayed(path: &str, sent: &'static str, end: End) -> (String, bool) {
     let (prefill, decode) = (prefill(), unframed(sent, end));
