--- a/crates/daemon/src/path/exchange.rs
+++ b/crates/daemon/src/path/exchange.rs
@@ -60,7 +60,10 @@
         if let Some(key) = self.key {
             req.insert_header("idempotency-key", key);
         }
-        let whole = async { read_answer(http::send(backend.addr, req, self.timeout).await?).await };
+        let whole = async {
+            let response = http::send(backend.addr, req, self.timeout).await?;
+            read_answer(http::with_whole_body(response, backend.addr)?).await
+        };
         timeout(self.timeout, whole).await.unwrap_or_else(|_| {
             Err(Error::new(ErrorCode::Timeout, "no complete answer in time")
                 .execution(Execution::Unknown))
--- a/crates/transport/src/http.rs
+++ b/crates/transport/src/http.rs
@@ -52,23 +52,23 @@
     // Boxed, so that its large buffers do not become part of the futures of all callers.
     let exchange = Box::pin(async_h1::connect(stream, req));
     match timeout(limit, exchange).await {
-        Ok(Ok(response)) => with_whole_body(response)
-            .map_err(|e| unavailable(addr, &e.to_string(), Execution::Unknown)),
+        Ok(Ok(response)) => Ok(response),
         Ok(Err(e)) => Err(unavailable(addr, &e.to_string(), Execution::Unknown)),
         Err(_) => Err(Error::new(ErrorCode::Timeout, format!("no response from {addr} in time"))
             .execution(Execution::Unknown)),
     }
 }
 
-/// Returns `response` with a body that fails if it ends before its length, which `async-h1` takes
-/// for its end. It takes a body without a length and chunks for an empty one, which fails here.
-fn with_whole_body(mut response: Response) -> std::io::Result<Response> {
+/// Returns the response of `addr` with a body that fails if it ends before its length, for bodies
+/// that are passed on as they are. `async-h1` takes the end of the connection for that of the
+/// body, and a body without a length and chunks for an empty one, which fails here.
+pub fn with_whole_body(mut response: Response, addr: SocketAddr) -> Result<Response> {
     let is_framed =
         [CONTENT_LENGTH, TRANSFER_ENCODING].iter().any(|h| response.header(h).is_some());
     let has_no_body = matches!(response.status(), StatusCode::NoContent | StatusCode::NotModified);
     if !is_framed && !has_no_body {
-        let message = "the response has neither a length nor chunks";
-        return Err(std::io::Error::new(ErrorKind::InvalidData, message));
+        let reason = "the response has neither a length nor chunks";
+        return Err(unavailable(addr, reason, Execution::Unknown));
     }
     if let Some(length) = response.len().filter(|length| *length > 0) {
         let (mime, body) = (response.content_type(), response.take_body());
