review: a call that a stopping host takes on late is cut

Calls are accepted until 1.2 s before the end of a planned stop, whatever their route and deadline allow them, and the process ends at a fixed time.

--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -6,6 +6,7 @@
 mod connections;
 mod http;
 mod json;
+mod stop_call;
 mod store;
 mod world;
 
@@ -40,6 +41,7 @@
     });
     let broken = match case.as_str() {
         "connections" => connections::run(&record, trouble),
+        "stop-call" => stop_call::run(&record, trouble),
         _ => Err(std::io::Error::other("no such case")),
     };
     let code = match broken {
