review: streams that begin while their writer leaves cannot be taken up

The host that writes the versions of streams to the store stops when it leaves, and the others of its data centre do not take over while it still sends digests. After they are killed nobody knows those streams.

--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -8,6 +8,7 @@
 mod json;
 mod stop_call;
 mod store;
+mod take_up;
 mod world;
 
 use std::path::Path;
@@ -42,6 +43,7 @@
     let broken = match case.as_str() {
         "connections" => connections::run(&record, trouble),
         "stop-call" => stop_call::run(&record, trouble),
+        "take-up" => take_up::run(&record, trouble),
         _ => Err(std::io::Error::other("no such case")),
     };
     let code = match broken {
