--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -9,6 +9,7 @@
 mod stop_call;
 mod store;
 mod take_up;
+mod uploads;
 mod world;
 
 use std::path::Path;
@@ -44,6 +45,7 @@
         "connections" => connections::run(&record, trouble),
         "stop-call" => stop_call::run(&record, trouble),
         "take-up" => take_up::run(&record, trouble),
+        "uploads" => uploads::run(&record, trouble),
         _ => Err(std::io::Error::other("no such case")),
     };
     let code = match broken {
