review: drop two cases that the first review shows

The first review's cases 3 and 4 show the call that a stopping host cuts and the uploads in chunks.

Case 7 (it was 8) now needs planned work only: the three hosts are stopped and started in turn.

--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -6,11 +6,9 @@
 mod connections;
 mod http;
 mod json;
-mod stop_call;
 mod stop_queue;
 mod store;
 mod take_up;
-mod uploads;
 mod world;
 
 use std::path::Path;
@@ -44,10 +42,8 @@
     });
     let broken = match case.as_str() {
         "connections" => connections::run(&record, trouble),
-        "stop-call" => stop_call::run(&record, trouble),
         "stop-queue" => stop_queue::run(&record, trouble),
         "take-up" => take_up::run(&record, trouble),
-        "uploads" => uploads::run(&record, trouble),
         _ => Err(std::io::Error::other("no such case")),
     };
     let code = match broken {
--- a/review/standin-2/take_up.rs
+++ b/review/standin-2/take_up.rs
@@ -1,42 +1,68 @@
-//! Streams that begin while the host that keeps the record of streams is stopped as planned, and
-//! that clients take up after the others have been killed.
+//! Streams that begin while the hosts are stopped and started in turn, and that clients take up
+//! afterwards.
 //!
 //! Engines of two versions serve side by side, so that a stream may only go on at the version that
 //! began it.
 
 use std::sync::Arc;
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::store::Store;
 use crate::world::{
-    Answer, Kind, Node, Ports, Record, Replica, Request, SIGKILL, SIGTERM, free_ports, send,
-    wait_ready, work_dir,
+    Answer, Kind, Node, Ports, Record, Replica, Request, SIGTERM, free_ports, send, wait_ready,
+    work_dir,
 };
 
+pub const CONFIGURATION: &str = r#"{"version":7,"routes":[{"name":"r-translate","host":"ficu95.example","path_prefix":"/translate/","kind":"streaming","timeout_ms":14000,"target_latency_ms":1000,"priority":1,"service":"scribe","max_attempts":2,"sticky":true,"resumable":true,"target_gap_ms":300}],"services":[{"name":"scribe","health_path":"/health","max_connections":360,"engine":{"slots":64,"kv_capacity_tokens":142786,"kv_token_bytes":18432,"link_mbps":740000.0,"stride":1,"handle_ttl_s":0.5,"switch_s":6.0,"models":[{"name":"m"}]}}],"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}}"#;
+
 const STREAMS: usize = 16;
 const EVENTS: usize = 200;
-const DEADLINE_MS: u64 = 14_000;
+pub const DEADLINE_MS: u64 = 14_000;
 const STABLE: Duration = Duration::from_millis(3_500);
 
-struct Hosts<'a> {
-    dir: &'a std::path::Path,
-    ips: &'a [String],
-    ports: Ports,
-    store: &'a Store,
+pub struct Hosts<'a> {
+    pub dir: &'a std::path::Path,
+    pub ips: &'a [String],
+    pub ports: Ports,
+    pub store: &'a Store,
 }
 
 impl Hosts<'_> {
-    fn start(&self, index: usize) -> std::io::Result<Node> {
+    pub fn start(&self, index: usize) -> std::io::Result<Node> {
         let Hosts { dir, ips, ports, store } = self;
         Node::start(dir, index + 1, &ips[index], "lhr-a", *ports, ips, store)
     }
 }
 
+/// Stops the hosts one second apart and starts each again as soon as it has ended, as when
+/// machines are stopped and started in turn.
+pub fn roll(record: &Record, hosts: &Hosts, nodes: &mut [Node]) -> std::io::Result<()> {
+    let start = Instant::now();
+    let (mut stopped, mut started) = (0, vec![false; nodes.len()]);
+    while started.iter().any(|started| !started) {
+        if stopped < nodes.len() && start.elapsed() >= Duration::from_secs(stopped as u64) {
+            record.line(&format!("SIGTERM to {}", nodes[stopped].name));
+            nodes[stopped].signal(SIGTERM);
+            stopped += 1;
+        }
+        for index in 0..stopped {
+            if !started[index] && nodes[index].exited().is_some() {
+                started[index] = true;
+                record.line(&format!("{} has ended, and starts again", nodes[index].name));
+                thread::sleep(Duration::from_millis(200));
+                nodes[index] = hosts.start(index)?;
+            }
+        }
+        thread::sleep(Duration::from_millis(20));
+    }
+    Ok(())
+}
+
 pub fn run(record: &Record, trouble: bool) -> std::io::Result<bool> {
     let dir = work_dir("take-up")?;
     let store = Store::start("127.0.0.1:0")?;
-    store.put("op/config", r#"{"version":7,"routes":[{"name":"r-translate","host":"ficu95.example","path_prefix":"/translate/","kind":"streaming","timeout_ms":14000,"target_latency_ms":1000,"priority":1,"service":"scribe","max_attempts":2,"sticky":true,"resumable":true,"target_gap_ms":300}],"services":[{"name":"scribe","health_path":"/health","max_connections":360,"engine":{"slots":64,"kv_capacity_tokens":142786,"kv_token_bytes":18432,"link_mbps":740000.0,"stride":1,"handle_ttl_s":0.5,"switch_s":6.0,"models":[{"name":"m"}]}}],"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}}"#);
+    store.put("op/config", CONFIGURATION);
     let decode = Kind::Decode(Duration::from_millis(50));
     for version in ["v1", "v2"] {
         for (name, kind) in [("pre0", Kind::Prefill), ("dec0", decode), ("dec1", decode)] {
@@ -53,61 +79,51 @@
         return Err(std::io::Error::other("the hosts are not ready"));
     }
     thread::sleep(STABLE);
-    if trouble {
-        record.line(&format!("SIGTERM to {}", nodes[0].name));
-        nodes[0].signal(SIGTERM);
-        thread::sleep(Duration::from_millis(500));
-    }
     let fronts: Vec<_> = nodes.iter().map(|node| (node.front, node.name.clone())).collect();
     let fronts = Arc::new(fronts);
     let begin = |prefix: &'static str, index: usize, resumed: Option<(String, usize)>| {
         let (fronts, record) = (fronts.clone(), record.clone());
         thread::spawn(move || {
-            // The first host is leaving when the first streams begin.
-            let host = if prefix == "first" { 1 + index % 2 } else { index % 3 };
+            // The first host is leaving when the first streams begin; the last one is the last
+            // to be in touch again.
+            let host = if prefix == "first" { 1 + index % 2 } else { index % 2 };
             let (front, name) = &fronts[host];
             send(&record, *front, name, &request(prefix, index, resumed))
         })
     };
+    let stop_at = Instant::now();
     let mut first = Vec::new();
-    for index in 0..STREAMS {
-        first.push(begin("first", index, None));
-        thread::sleep(Duration::from_millis(125));
-    }
-    if trouble {
-        // The host is started again as soon as it has ended.
-        while nodes[0].exited().is_none() {
-            thread::sleep(Duration::from_millis(50));
-        }
+    thread::scope(|scope| {
+        let nodes = &mut nodes;
+        let hosts = &hosts;
+        let rolled = trouble.then(|| scope.spawn(move || roll(record, hosts, nodes)));
         thread::sleep(Duration::from_millis(500));
-        nodes[0] = hosts.start(0)?;
-        record.line(&format!("{} has ended and is started again", nodes[0].name));
-        thread::sleep(Duration::from_millis(1_800));
-        for index in 1..nodes.len() {
-            record.line(&format!("SIGKILL to {}", nodes[index].name));
-            nodes[index].signal(SIGKILL);
-        }
-        thread::sleep(Duration::from_millis(300));
-        for index in 1..nodes.len() {
-            nodes[index] = hosts.start(index)?;
+        for index in 0..STREAMS {
+            first.push(begin("first", index, None));
+            thread::sleep(Duration::from_millis(100));
         }
-        if !wait_ready(&nodes) {
-            return Err(std::io::Error::other("the hosts are not ready again"));
-        }
-        record.line("all hosts are ready again");
-        thread::sleep(STABLE);
+        rolled.map_or(Ok(()), |rolled| {
+            rolled.join().unwrap_or_else(|_| Err(std::io::Error::other("the roll has failed")))
+        })
+    })?;
+    if !wait_ready(&nodes) {
+        return Err(std::io::Error::other("the hosts are not ready again"));
     }
     let first: Vec<Answer> = first.into_iter().filter_map(|client| client.join().ok()).collect();
-    // Without the disruption clients take up streams whose end they have not seen.
+    // The first two hosts have been in touch again for a moment, and the clients still wait.
+    let due = stop_at + Duration::from_millis(12_300);
+    thread::sleep(due.saturating_duration_since(Instant::now()));
+    record.line("clients take up their streams");
     let mut taken_up = Vec::new();
     let mut new = Vec::new();
     for (index, answer) in first.iter().enumerate() {
         let seen = events(answer);
+        // Without the disruption clients take up streams whose end they have not seen.
         let seen = if trouble { seen } else { seen / 2 };
         let resumed = Some((format!("first{index}"), seen));
         taken_up.push((index, seen, begin("again", index, resumed)));
         new.push(begin("new", index, None));
-        thread::sleep(Duration::from_millis(60));
+        thread::sleep(Duration::from_millis(30));
     }
     let mut went_on = 0;
     let count = taken_up.len();
@@ -132,13 +148,13 @@
 }
 
 /// Returns the id of the last event of an answer.
-fn events(answer: &Answer) -> usize {
+pub fn events(answer: &Answer) -> usize {
     let text = String::from_utf8_lossy(&answer.body).into_owned();
     let ids = text.lines().filter_map(|line| line.strip_prefix("id: ")?.parse().ok());
     ids.last().unwrap_or(0)
 }
 
-fn request(prefix: &str, index: usize, resumed: Option<(String, usize)>) -> Request {
+pub fn request(prefix: &str, index: usize, resumed: Option<(String, usize)>) -> Request {
     let mut headers = vec![
         ("X-Aspenloft-Model".to_string(), "m".to_string()),
         ("X-Aspenloft-Token-Usage".to_string(), format!("3000,{EVENTS}")),
--- a/review/standin-2/world.rs
+++ b/review/standin-2/world.rs
@@ -215,8 +215,6 @@
     pub addr: SocketAddr,
     pub kind: Kind,
     record: Record,
-    /// The time in which the replica is silent.
-    silence: Mutex<Option<(Instant, Instant)>>,
     /// The end of each line of an event.
     line_end: &'static str,
     handles: AtomicU64,
@@ -242,7 +240,6 @@
             addr: listener.local_addr()?,
             kind,
             record: record.clone(),
-            silence: Mutex::default(),
             line_end,
             handles: AtomicU64::new(0x3fa0_9c41),
             running: AtomicUsize::new(0),
@@ -276,29 +273,12 @@
         )
     }
 
-    /// Is silent for `span`, as a sound replica may be for a second or so.
-    pub fn fall_silent(&self, span: Duration) {
-        let now = Instant::now();
-        *self.silence.lock().unwrap() = Some((now, now + span));
-        self.record.line(&format!("replica {} is silent for {} ms", self.id, span.as_millis()));
-    }
-
-    fn wait_for_silence(&self) {
-        let silence = *self.silence.lock().unwrap();
-        if let Some((from, until)) = silence
-            && Instant::now() >= from
-        {
-            thread::sleep(until.saturating_duration_since(Instant::now()));
-        }
-    }
-
     fn serve(&self, stream: TcpStream) -> Result<()> {
         stream.set_nodelay(true)?;
         let mut out = stream.try_clone()?;
         let mut reader = BufReader::new(stream);
         while let Some(head) = http::read_head(&mut reader)? {
             let body = http::read_body(&mut reader, &head, false)?;
-            self.wait_for_silence();
             self.answer(&head, &body, &mut out)?;
         }
         Ok(())
@@ -348,7 +328,6 @@
         match self.kind {
             Kind::Plain(work) => {
                 self.work(work, out)?;
-                self.wait_for_silence();
                 http::respond(out, "200 OK", &headers, "booked ".repeat(100).as_bytes())
             }
             Kind::Prefill => {
@@ -372,7 +351,6 @@
                 let end = self.line_end;
                 for event in from + 1..=events {
                     self.work(interval, out)?;
-                    self.wait_for_silence();
                     let text = format!(
                         "id: {event}{end}data: piece {event} of {}{end}{end}",
                         self.version
