review: a restarted host joins streams of two versions

A host that has just started takes a missing mark in the store as proof that a service has had one version only. Nobody writes the mark while the first host of a data centre leaves, and other hosts, which know better, are not asked.

--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -5,6 +5,7 @@
 
 mod connections;
 mod http;
+mod joined;
 mod json;
 mod stop_queue;
 mod store;
@@ -42,6 +43,7 @@
     });
     let broken = match case.as_str() {
         "connections" => connections::run(&record, trouble),
+        "joined" => joined::run(&record, trouble),
         "stop-queue" => stop_queue::run(&record, trouble),
         "take-up" => take_up::run(&record, trouble),
         _ => Err(std::io::Error::other("no such case")),
