--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -7,6 +7,7 @@
 mod http;
 mod joined;
 mod json;
+mod line_ends;
 mod stop_queue;
 mod store;
 mod take_up;
@@ -43,6 +44,7 @@
     });
     let broken = match case.as_str() {
         "connections" => connections::run(&record, trouble),
+        "line-ends" => line_ends::run(&record, trouble),
         "joined" => joined::run(&record, trouble),
         "stop-queue" => stop_queue::run(&record, trouble),
         "take-up" => take_up::run(&record, trouble),
