--- a/review/standin-2/joined.rs
+++ b/review/standin-2/joined.rs
@@ -30,10 +30,10 @@
         Ok::<Vec<Arc<Replica>>, std::io::Error>(started)
     };
     start("v1")?;
-    let ips: Vec<String> = (1..=3).map(|n| format!("127.0.38.{n}")).collect();
+    let ips: Vec<String> = (1..=6).map(|n| format!("127.0.38.{n}")).collect();
     let ports = free_ports(&ips);
     let hosts = Hosts { dir: &dir, ips: &ips, ports, store: &store };
-    let mut nodes = vec![hosts.start(0)?, hosts.start(1)?, hosts.start(2)?];
+    let mut nodes = hosts.start_all()?;
     if !wait_ready(&nodes) {
         return Err(std::io::Error::other("the hosts are not ready"));
     }
@@ -47,8 +47,10 @@
             send(&record, *front, name, &request(prefix, index, resumed))
         })
     };
-    // An ordinary stream keeps the first host until its grace period ends.
-    let _long = begin("long", 0, 0, None);
+    // Ordinary streams, which last longer than the grace period.
+    for host in 0..3 {
+        begin("long", host, host, None);
+    }
     thread::sleep(Duration::from_millis(300));
     let stop_at = Instant::now();
     let wait_until = |ms: u64| {
@@ -61,19 +63,19 @@
         let hosts = &hosts;
         let rolled = trouble.then(|| scope.spawn(move || roll(record, hosts, nodes)));
         // Replicas of another version are added, and taken away again.
-        wait_until(300);
+        wait_until(2_300);
         let added = start("v2")?;
-        wait_until(700);
+        wait_until(2_700);
         for index in 0..STREAMS {
-            first.push(begin("first", index, 1 + index % 2, None));
+            first.push(begin("first", index, 3 + index % 3, None));
             thread::sleep(Duration::from_millis(60));
         }
-        wait_until(2_400);
+        wait_until(4_800);
         for replica in &added {
             store.put(&format!("servers/{}", replica.id), &replica.entry(64, "draining"));
         }
         record.line("replicas of version v2 drain");
-        wait_until(4_600);
+        wait_until(7_000);
         for replica in &added {
             store.delete(&format!("servers/{}", replica.id));
         }
@@ -92,7 +94,7 @@
         // Without the disruption clients take up streams whose end they have not seen.
         let seen = if trouble { events(answer) } else { events(answer) / 2 };
         let resumed = Some((format!("first{index}"), seen));
-        again.push((index, begin("again", index, index % 3, resumed)));
+        again.push((index, begin("again", index, index % 6, resumed)));
         thread::sleep(Duration::from_millis(30));
     }
     let mut joined = 0;
--- a/review/standin-2/take_up.rs
+++ b/review/standin-2/take_up.rs
@@ -17,7 +17,7 @@
 pub const CONFIGURATION: &str = r#"{"version":7,"routes":[{"name":"r-translate","host":"ficu95.example","path_prefix":"/translate/","kind":"streaming","timeout_ms":14000,"target_latency_ms":1000,"priority":1,"service":"scribe","max_attempts":2,"sticky":true,"resumable":true,"target_gap_ms":300}],"services":[{"name":"scribe","health_path":"/health","max_connections":360,"engine":{"slots":64,"kv_capacity_tokens":142786,"kv_token_bytes":18432,"link_mbps":740000.0,"stride":1,"handle_ttl_s":0.5,"switch_s":6.0,"models":[{"name":"m"}]}}],"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}}"#;
 
 const STREAMS: usize = 16;
-const EVENTS: usize = 200;
+const EVENTS: usize = 260;
 pub const DEADLINE_MS: u64 = 14_000;
 const STABLE: Duration = Duration::from_millis(3_500);
 
@@ -29,9 +29,16 @@
 }
 
 impl Hosts<'_> {
+    /// Starts all hosts: two in each of three zones.
+    pub fn start_all(&self) -> std::io::Result<Vec<Node>> {
+        (0..self.ips.len()).map(|index| self.start(index)).collect()
+    }
+
+    /// Starts the host `index`: the first three are the first ones of their zones.
     pub fn start(&self, index: usize) -> std::io::Result<Node> {
         let Hosts { dir, ips, ports, store } = self;
-        Node::start(dir, index + 1, &ips[index], "lhr-a", *ports, ips, store)
+        let zone = ["lhr-a", "lhr-b", "lhr-c"][index % 3];
+        Node::start(dir, index / 3 + 1, &ips[index], zone, *ports, &ips[..3], store)
     }
 }
 
@@ -71,35 +78,37 @@
             store.put(&format!("servers/{id}"), &replica.entry(64, "ready"));
         }
     }
-    let ips: Vec<String> = (1..=3).map(|n| format!("127.0.37.{n}")).collect();
+    let ips: Vec<String> = (1..=6).map(|n| format!("127.0.37.{n}")).collect();
     let ports = free_ports(&ips);
     let hosts = Hosts { dir: &dir, ips: &ips, ports, store: &store };
-    let mut nodes = vec![hosts.start(0)?, hosts.start(1)?, hosts.start(2)?];
+    let mut nodes = hosts.start_all()?;
     if !wait_ready(&nodes) {
         return Err(std::io::Error::other("the hosts are not ready"));
     }
     thread::sleep(STABLE);
     let fronts: Vec<_> = nodes.iter().map(|node| (node.front, node.name.clone())).collect();
     let fronts = Arc::new(fronts);
-    let begin = |prefix: &'static str, index: usize, resumed: Option<(String, usize)>| {
+    let begin = |prefix: &'static str, index: usize, host: usize, resumed| {
         let (fronts, record) = (fronts.clone(), record.clone());
         thread::spawn(move || {
-            // The first host is leaving when the first streams begin; the last one is the last
-            // to be in touch again.
-            let host = if prefix == "first" { 1 + index % 2 } else { index % 2 };
             let (front, name) = &fronts[host];
             send(&record, *front, name, &request(prefix, index, resumed))
         })
     };
+    // Ordinary streams, which last longer than the grace period.
+    for host in 0..3 {
+        begin("long", host, host, None);
+    }
+    thread::sleep(Duration::from_millis(300));
     let stop_at = Instant::now();
     let mut first = Vec::new();
     thread::scope(|scope| {
         let nodes = &mut nodes;
         let hosts = &hosts;
         let rolled = trouble.then(|| scope.spawn(move || roll(record, hosts, nodes)));
-        thread::sleep(Duration::from_millis(500));
+        thread::sleep(Duration::from_millis(2_400));
         for index in 0..STREAMS {
-            first.push(begin("first", index, None));
+            first.push(begin("first", index, 3 + index % 3, None));
             thread::sleep(Duration::from_millis(100));
         }
         rolled.map_or(Ok(()), |rolled| {
@@ -110,8 +119,8 @@
         return Err(std::io::Error::other("the hosts are not ready again"));
     }
     let first: Vec<Answer> = first.into_iter().filter_map(|client| client.join().ok()).collect();
-    // The first two hosts have been in touch again for a moment, and the clients still wait.
-    let due = stop_at + Duration::from_millis(12_300);
+    // The first host of each zone is in touch again, and the clients still wait.
+    let due = stop_at + Duration::from_millis(13_400);
     thread::sleep(due.saturating_duration_since(Instant::now()));
     record.line("clients take up their streams");
     let mut taken_up = Vec::new();
@@ -121,8 +130,8 @@
         // Without the disruption clients take up streams whose end they have not seen.
         let seen = if trouble { seen } else { seen / 2 };
         let resumed = Some((format!("first{index}"), seen));
-        taken_up.push((index, seen, begin("again", index, resumed)));
-        new.push(begin("new", index, None));
+        taken_up.push((index, seen, begin("again", index, index % 3, resumed)));
+        new.push(begin("new", index, index % 3, None));
         thread::sleep(Duration::from_millis(30));
     }
     let mut went_on = 0;
