review: the loss of eight of nine machines, as on the sheet

Case 8 has the nine machines of the ANRPE sheet and clients that try other nodes when a connection is refused.

--- a/review/standin-2/connections.rs
+++ b/review/standin-2/connections.rs
@@ -10,7 +10,7 @@
 use crate::store::Store;
 use crate::world::{
     Answer, Balancer, Kind, MEMORY_MB, Node, Record, Replica, Request, SIGKILL, free_ports,
-    send_and_keep, send_on, wait_ready, work_dir,
+    send_on, wait_ready, work_dir,
 };
 
 /// The requests a second of the sheet of ANRPE: 47.6 + 19.1 calls, 1.98 + 16.2 streams.
@@ -20,6 +20,9 @@
 const KEPT_STREAMS: usize = 6;
 /// Clients use connections that have been idle for up to four fifths of `idle_timeout_ms`.
 const KEPT: Duration = Duration::from_secs(12);
+const ZONES: usize = 3;
+/// How many nodes a client tries.
+const TRIES: usize = 3;
 const SPAN: Duration = Duration::from_secs(24);
 
 pub fn run(record: &Record, trouble: bool) -> std::io::Result<bool> {
@@ -40,11 +43,13 @@
         let replica = Replica::start(record, id, service, zone, "v1", kind, "\n")?;
         store.put(&format!("servers/{id}"), &replica.entry(64, "ready"));
     }
-    let ips: Vec<String> = (1..=3).map(|n| format!("127.0.35.{n}")).collect();
+    let ips: Vec<String> = (1..=9).map(|n| format!("127.0.35.{n}")).collect();
     let ports = free_ports(&ips);
+    // Three machines in each zone, as on the sheet.
     let mut nodes = Vec::new();
-    for (index, zone) in ["dakar-a", "dakar-b", "dakar-c"].iter().enumerate() {
-        nodes.push(Node::start(&dir, 1, &ips[index], zone, ports, &ips, &store)?);
+    for (index, ip) in ips.iter().enumerate() {
+        let zone = ["dakar-a", "dakar-b", "dakar-c"][index / 3];
+        nodes.push(Node::start(&dir, index % 3 + 1, ip, zone, ports, &ips[..3], &store)?);
     }
     if !wait_ready(&nodes) {
         return Err(std::io::Error::other("the hosts are not ready"));
@@ -57,7 +62,7 @@
             node.signal(SIGKILL);
         }
     }
-    // The balancer leaves the two out, and the machine that is left is in touch again.
+    // The balancer leaves them out, and the machine that is left is in touch again.
     thread::sleep(Duration::from_millis(3_500));
     let killed = Arc::new(AtomicBool::new(false));
     watch_memory(nodes.clone(), killed.clone(), record);
@@ -81,8 +86,8 @@
             }
             continue;
         };
-        let index = balancer.pick(calls + streams);
-        let (nodes, record) = (nodes.clone(), record.clone());
+        let number = calls + streams;
+        let (nodes, balancer, record) = (nodes.clone(), balancer.clone(), record.clone());
         let (kept, answers) = (kept.clone(), answers.clone());
         let is_stream = req.id.starts_with("stream");
         let reused = if is_stream && streams % KEPT_STREAMS == 0 {
@@ -91,13 +96,23 @@
             None
         };
         clients.push(thread::spawn(move || {
-            let node = &nodes[index];
             let is_reused = reused.is_some();
             let (answer, stream) = match reused {
                 Some(stream) => {
                     send_on(&record, || Ok(stream), "the host of a kept connection", &req)
                 }
-                None => send_and_keep(&record, node.front, &node.name, &req),
+                // A client whose connection is refused tries other nodes, each on a new one.
+                None => {
+                    let connect = || {
+                        let tries =
+                            (0..TRIES).map(|attempt| balancer.pick(number + ZONES * attempt));
+                        let mut opened = tries.map(|index| TcpStream::connect(nodes[index].front));
+                        opened
+                            .find(|opened| opened.is_ok())
+                            .unwrap_or_else(|| Err(std::io::ErrorKind::ConnectionRefused.into()))
+                    };
+                    send_on(&record, connect, "a host", &req)
+                }
             };
             answers.lock().unwrap().push((req.id, is_reused, answer));
             if let Some(stream) = stream {
--- a/review/standin-2/world.rs
+++ b/review/standin-2/world.rs
@@ -522,6 +522,7 @@
     pub fn pick(&self, client: usize) -> usize {
         let misses = self.misses.lock().unwrap();
         let mut zones: Vec<&str> = self.nodes.iter().map(|node| node.zone.as_str()).collect();
+        zones.sort_unstable();
         zones.dedup();
         let zone = zones[client % zones.len()];
         let client = client / zones.len();
