--- a/review/standin-2/connections.rs
+++ b/review/standin-2/connections.rs
@@ -170,6 +170,7 @@
         headers: Vec::new(),
         body: vec![b'x'; 600],
         deadline_ms: 1_000,
+        break_at: None,
     }
 }
 
@@ -186,5 +187,6 @@
         headers: headers.map(|(name, value)| (name.to_string(), value)).to_vec(),
         body: vec![b'x'; 3_000],
         deadline_ms: 14_000,
+        break_at: None,
     }
 }
--- a/review/standin-2/joined.rs
+++ b/review/standin-2/joined.rs
@@ -7,29 +7,45 @@
 use std::time::{Duration, Instant};
 
 use crate::store::Store;
-use crate::take_up::{CONFIGURATION, Hosts, events, request, roll};
-use crate::world::{Answer, Kind, Record, Replica, free_ports, send, wait_ready, work_dir};
+use crate::take_up::{CONFIGURATION, Hosts, break_at, events, request, roll};
+use crate::world::{
+    Answer, Kind, Record, Replica, Request, free_ports, send, wait_ready, work_dir,
+};
 
-const STREAMS: usize = 24;
+const STREAMS: usize = 40;
 const DECODE: Kind = Kind::Decode(Duration::from_millis(50));
+/// The nine engines of the sheet.
+const OLD: [(&str, Kind); 9] = [
+    ("pre0", Kind::Prefill),
+    ("pre1", Kind::Prefill),
+    ("dec0", DECODE),
+    ("dec1", DECODE),
+    ("dec2", DECODE),
+    ("dec3", DECODE),
+    ("dec4", DECODE),
+    ("dec5", DECODE),
+    ("dec6", DECODE),
+];
+/// Those that are added: two in nine.
+const ADDED: [(&str, Kind); 2] = [("pre0", Kind::Prefill), ("dec0", DECODE)];
 
 pub fn run(record: &Record, trouble: bool) -> std::io::Result<bool> {
     let dir = work_dir("joined")?;
     let store = Store::start("127.0.0.1:0")?;
     store.put("op/config", CONFIGURATION);
-    let kinds = [("pre0", Kind::Prefill), ("dec0", DECODE), ("dec1", DECODE)];
-    let start = |version: &str| {
+    let start = |version: &str, kinds: &[(&str, Kind)]| {
         let mut started = Vec::new();
-        for (name, kind) in kinds {
+        for (index, (name, kind)) in kinds.iter().enumerate() {
             let id = format!("i-{version}-{name}");
-            let replica = Replica::start(record, &id, "scribe", "lhr-a", version, kind, "\n")?;
+            let zone = ["lhr-a", "lhr-b", "lhr-c"][index % 3];
+            let replica = Replica::start(record, &id, "scribe", zone, version, *kind, "\n")?;
             store.put(&format!("servers/{id}"), &replica.entry(64, "ready"));
             started.push(replica);
         }
         record.line(&format!("replicas of version {version} join"));
         Ok::<Vec<Arc<Replica>>, std::io::Error>(started)
     };
-    start("v1")?;
+    start("v1", &OLD)?;
     let ips: Vec<String> = (1..=6).map(|n| format!("127.0.38.{n}")).collect();
     let ports = free_ports(&ips);
     let hosts = Hosts { dir: &dir, ips: &ips, ports, store: &store };
@@ -40,16 +56,17 @@
     thread::sleep(Duration::from_millis(3_500));
     let fronts: Arc<Vec<_>> =
         Arc::new(nodes.iter().map(|node| (node.front, node.name.clone())).collect());
-    let begin = |prefix: &'static str, index: usize, host: usize, resumed| {
+    let begin = |prefix: &'static str, index: usize, host: usize, resumed, break_at| {
         let (fronts, record) = (fronts.clone(), record.clone());
         thread::spawn(move || {
             let (front, name) = &fronts[host];
-            send(&record, *front, name, &request(prefix, index, resumed))
+            let req = Request { break_at, ..request(prefix, index, resumed) };
+            send(&record, *front, name, &req)
         })
     };
     // Ordinary streams, which last longer than the grace period.
     for host in 0..3 {
-        begin("long", host, host, None);
+        begin("long", host, host, None, None);
     }
     thread::sleep(Duration::from_millis(300));
     let stop_at = Instant::now();
@@ -64,23 +81,24 @@
         let rolled = trouble.then(|| scope.spawn(move || roll(record, hosts, nodes)));
         // Replicas of another version are added, and taken away again.
         wait_until(2_300);
-        let added = start("v2")?;
+        let added = start("v2", &ADDED)?;
         wait_until(2_700);
         for index in 0..STREAMS {
-            first.push(begin("first", index, 3 + index % 3, None));
+            let break_at = (!trouble).then(|| break_at(stop_at, index));
+            first.push(begin("first", index, 3 + index % 3, None, break_at));
             thread::sleep(Duration::from_millis(60));
         }
-        wait_until(4_800);
+        wait_until(5_200);
         for replica in &added {
             store.put(&format!("servers/{}", replica.id), &replica.entry(64, "draining"));
         }
         record.line("replicas of version v2 drain");
-        wait_until(7_000);
+        wait_until(7_250);
         for replica in &added {
             store.delete(&format!("servers/{}", replica.id));
         }
         record.line("replicas of version v2 have left, and end their streams");
-        rolled.map_or(Ok(()), |rolled| {
+        rolled.map_or(Ok(Vec::new()), |rolled| {
             rolled.join().unwrap_or_else(|_| Err(std::io::Error::other("the roll has failed")))
         })
     })?;
@@ -91,10 +109,8 @@
     record.line("clients take up their streams");
     let mut again = Vec::new();
     for (index, answer) in answers.iter().enumerate() {
-        // Without the disruption clients take up streams whose end they have not seen.
-        let seen = if trouble { events(answer) } else { events(answer) / 2 };
-        let resumed = Some((format!("first{index}"), seen));
-        again.push((index, begin("again", index, index % 6, resumed)));
+        let resumed = Some((format!("first{index}"), events(answer)));
+        again.push((index, begin("again", index, index % 6, resumed, None)));
         thread::sleep(Duration::from_millis(30));
     }
     let mut joined = 0;
@@ -108,6 +124,11 @@
             answers[index].status, answer.status
         ));
     }
+    let of_added = answers.iter().filter(|answer| versions(answer).contains("v2")).count();
+    record.line(&format!("{of_added} of {STREAMS} streams began at version v2"));
+    if of_added <= 2 {
+        return Err(std::io::Error::other("too few streams of the added version"));
+    }
     record.line(&format!("{joined} streams hold events of two versions"));
     Ok(joined > 2)
 }
--- a/review/standin-2/line_ends.rs
+++ b/review/standin-2/line_ends.rs
@@ -9,7 +9,7 @@
     Kind, Node, Record, Replica, Request, free_ports, send_and_keep, send_on, wait_ready, work_dir,
 };
 
-const STREAMS: usize = 12;
+const STREAMS: usize = 24;
 const EVENTS: usize = 20;
 
 pub fn run(record: &Record, trouble: bool) -> std::io::Result<bool> {
@@ -24,8 +24,18 @@
         store.put(&format!("servers/{id}"), &replica.entry(64, "ready"));
         Ok::<Arc<Replica>, std::io::Error>(replica)
     };
-    start("pre0", "v1", Kind::Prefill, "\n")?;
-    let old = [start("dec0", "v1", decode, "\n")?, start("dec1", "v1", decode, "\n")?];
+    let mut old = Vec::new();
+    for (name, kind) in [
+        ("pre0", Kind::Prefill),
+        ("dec0", decode),
+        ("dec1", decode),
+        ("dec2", decode),
+        ("dec3", decode),
+        ("dec4", decode),
+        ("pre1", Kind::Prefill),
+    ] {
+        old.push((name, kind, start(name, "v1", kind, "\n")?));
+    }
     let ips = vec!["127.0.36.1".to_string()];
     let ports = free_ports(&ips);
     let node = Node::start(&dir, 1, &ips[0], "lhr-a", ports, &ips, &store)?;
@@ -46,16 +56,22 @@
         return Err(std::io::Error::other("a stream was not answered"));
     }
     if trouble {
-        // One after the other: the new one starts first, the old one drains.
-        for (index, replica) in old.iter().enumerate() {
-            start(&format!("dec{index}"), "v2", decode, "\r\n")?;
+        // One after the other, each second: the new one starts first, the old one drains. Three of
+        // seven are replaced.
+        for (name, kind, replica) in &old[..3] {
+            start(name, "v2", *kind, "\r\n")?;
             thread::sleep(Duration::from_millis(300));
             let key = format!("servers/{}", replica.id);
             store.put(&key, &replica.entry(64, "draining"));
             record.line(&format!("replica {} drains", replica.id));
-            thread::sleep(Duration::from_millis(2_200));
-            store.delete(&key);
+            let store = store.clone();
+            thread::spawn(move || {
+                thread::sleep(Duration::from_millis(2_200));
+                store.delete(&key);
+            });
+            thread::sleep(Duration::from_millis(700));
         }
+        thread::sleep(Duration::from_millis(1_500));
     }
     thread::sleep(Duration::from_millis(3_500));
     let clients = kept.into_iter().enumerate().map(|(index, stream)| {
@@ -67,13 +83,18 @@
         })
     });
     let clients: Vec<_> = clients.collect();
-    let mut lost = 0;
+    let (mut lost, mut cut) = (0, 0);
     for client in clients {
         let (id, answer) =
             client.join().map_err(|_| std::io::Error::other("a client has failed"))?;
         let events = String::from_utf8_lossy(&answer.body).matches("id: ").count();
         record.line(&format!("{id}: complete {}, {events} of {EVENTS} events", answer.complete));
-        lost += usize::from(answer.sent && !answer.complete);
+        cut += usize::from(!answer.complete);
+        // The replica is sound: it has written its whole answer.
+        lost += usize::from(!answer.complete && record.answered().contains(&id));
+    }
+    if cut > lost {
+        return Err(std::io::Error::other("a stream was cut that no replica has answered"));
     }
     record.line(&format!(
         "{lost} of {STREAMS} streams of sound replicas on kept connections were cut"
@@ -94,5 +115,6 @@
         headers: headers.map(|(name, value)| (name.to_string(), value)).to_vec(),
         body: b"a catalogue note".to_vec(),
         deadline_ms: 14_000,
+        break_at: None,
     }
 }
--- a/review/standin-2/stop_queue.rs
+++ b/review/standin-2/stop_queue.rs
@@ -84,7 +84,6 @@
     let was_run = record.runs().contains(&request(2 * SLOTS).id);
     let lost = answer.sent
         && !answer.complete
-        && trouble
         && is_planned
         && !was_run
         && took > LOSS_SLACK
@@ -93,6 +92,9 @@
         "the request that waited: status {}, complete {}, run {was_run}, lost {lost}",
         answer.status, answer.complete
     ));
+    if !trouble && !answer.complete {
+        return Err(std::io::Error::other("the request was not answered without the disruption"));
+    }
     Ok(lost)
 }
 
@@ -112,5 +114,6 @@
         headers: headers.map(|(name, value)| (name.to_string(), value)).to_vec(),
         body: b"a dealer history".to_vec(),
         deadline_ms: TIMEOUT_MS,
+        break_at: None,
     }
 }
--- a/review/standin-2/take_up.rs
+++ b/review/standin-2/take_up.rs
@@ -44,9 +44,12 @@
 
 /// Stops the hosts one second apart and starts each again as soon as it has ended, as when
 /// machines are stopped and started in turn.
-pub fn roll(record: &Record, hosts: &Hosts, nodes: &mut [Node]) -> std::io::Result<()> {
+///
+/// Returns when the first host of each zone was started.
+pub fn roll(record: &Record, hosts: &Hosts, nodes: &mut [Node]) -> std::io::Result<Vec<Instant>> {
     let start = Instant::now();
     let (mut stopped, mut started) = (0, vec![false; nodes.len()]);
+    let mut started_at = Vec::new();
     while started.iter().any(|started| !started) {
         if stopped < nodes.len() && start.elapsed() >= Duration::from_secs(stopped as u64) {
             record.line(&format!("SIGTERM to {}", nodes[stopped].name));
@@ -59,11 +62,20 @@
                 record.line(&format!("{} has ended, and starts again", nodes[index].name));
                 thread::sleep(Duration::from_millis(200));
                 nodes[index] = hosts.start(index)?;
+                if index < 3 {
+                    started_at.push(Instant::now());
+                }
             }
         }
         thread::sleep(Duration::from_millis(20));
     }
-    Ok(())
+    Ok(started_at)
+}
+
+/// Returns when a client closes the stream `index` without the disruption: when its host, the
+/// second one of a zone, would have ended by it.
+pub fn break_at(stop_at: Instant, index: usize) -> Instant {
+    stop_at + Duration::from_millis(10_600 + 1_000 * (index % 3) as u64)
 }
 
 pub fn run(record: &Record, trouble: bool) -> std::io::Result<bool> {
@@ -88,30 +100,32 @@
     thread::sleep(STABLE);
     let fronts: Vec<_> = nodes.iter().map(|node| (node.front, node.name.clone())).collect();
     let fronts = Arc::new(fronts);
-    let begin = |prefix: &'static str, index: usize, host: usize, resumed| {
+    let begin = |prefix: &'static str, index: usize, host: usize, resumed, break_at| {
         let (fronts, record) = (fronts.clone(), record.clone());
         thread::spawn(move || {
             let (front, name) = &fronts[host];
-            send(&record, *front, name, &request(prefix, index, resumed))
+            let req = Request { break_at, ..request(prefix, index, resumed) };
+            send(&record, *front, name, &req)
         })
     };
     // Ordinary streams, which last longer than the grace period.
     for host in 0..3 {
-        begin("long", host, host, None);
+        begin("long", host, host, None, None);
     }
     thread::sleep(Duration::from_millis(300));
     let stop_at = Instant::now();
     let mut first = Vec::new();
-    thread::scope(|scope| {
+    let started_at = thread::scope(|scope| {
         let nodes = &mut nodes;
         let hosts = &hosts;
         let rolled = trouble.then(|| scope.spawn(move || roll(record, hosts, nodes)));
         thread::sleep(Duration::from_millis(2_400));
         for index in 0..STREAMS {
-            first.push(begin("first", index, 3 + index % 3, None));
+            let break_at = (!trouble).then(|| break_at(stop_at, index));
+            first.push(begin("first", index, 3 + index % 3, None, break_at));
             thread::sleep(Duration::from_millis(100));
         }
-        rolled.map_or(Ok(()), |rolled| {
+        rolled.map_or(Ok(Vec::new()), |rolled| {
             rolled.join().unwrap_or_else(|_| Err(std::io::Error::other("the roll has failed")))
         })
     })?;
@@ -123,15 +137,19 @@
     let due = stop_at + Duration::from_millis(13_400);
     thread::sleep(due.saturating_duration_since(Instant::now()));
     record.line("clients take up their streams");
+    if started_at.iter().any(|at| at.elapsed() <= Duration::from_secs(3)) {
+        return Err(std::io::Error::other("a host is not in touch yet"));
+    }
+    if first.iter().any(|answer| answer.ended_at.elapsed() >= Duration::from_secs(4)) {
+        return Err(std::io::Error::other("a client would have given its stream up"));
+    }
     let mut taken_up = Vec::new();
     let mut new = Vec::new();
     for (index, answer) in first.iter().enumerate() {
         let seen = events(answer);
-        // Without the disruption clients take up streams whose end they have not seen.
-        let seen = if trouble { seen } else { seen / 2 };
         let resumed = Some((format!("first{index}"), seen));
-        taken_up.push((index, seen, begin("again", index, index % 3, resumed)));
-        new.push(begin("new", index, index % 3, None));
+        taken_up.push((index, seen, begin("again", index, index % 3, resumed, None)));
+        new.push(begin("new", index, index % 3, None, None));
         thread::sleep(Duration::from_millis(30));
     }
     let mut went_on = 0;
@@ -180,5 +198,6 @@
         headers,
         body: b"an artist statement".to_vec(),
         deadline_ms: DEADLINE_MS,
+        break_at: None,
     }
 }
--- a/review/standin-2/world.rs
+++ b/review/standin-2/world.rs
@@ -20,12 +20,15 @@
     file: Arc<Mutex<File>>,
     /// The ids that replicas have begun to run.
     runs: Arc<Mutex<Vec<String>>>,
+    /// The ids that replicas have answered in full.
+    answered: Arc<Mutex<Vec<String>>>,
 }
 
 impl Record {
     pub fn create(path: &Path) -> Result<Record> {
         let file = Arc::new(Mutex::new(File::create(path)?));
-        Ok(Record { start: Instant::now(), file, runs: Arc::default() })
+        let (runs, answered) = Default::default();
+        Ok(Record { start: Instant::now(), file, runs, answered })
     }
 
     /// Returns the ids that replicas have begun to run.
@@ -33,6 +36,11 @@
         self.runs.lock().unwrap().clone()
     }
 
+    /// Returns the ids that replicas have answered in full.
+    pub fn answered(&self) -> Vec<String> {
+        self.answered.lock().unwrap().clone()
+    }
+
     pub fn line(&self, text: &str) {
         let at = self.start.elapsed().as_secs_f64();
         let _ = writeln!(self.file.lock().unwrap(), "{at:9.3} {text}");
@@ -317,6 +325,9 @@
         self.running.fetch_add(1, Ordering::SeqCst);
         let ended = self.run(head, &id, out);
         self.running.fetch_sub(1, Ordering::SeqCst);
+        if ended.is_ok() && !is_prefill {
+            self.record.answered.lock().unwrap().push(id.clone());
+        }
         let how = if ended.is_ok() { "has answered" } else { "finds the connection closed during" };
         self.record.line(&format!("replica {} {how} {id}", self.id));
         ended
@@ -392,6 +403,8 @@
     pub headers: Vec<(String, String)>,
     pub body: Vec<u8>,
     pub deadline_ms: u64,
+    /// When the client closes the connection, if it does not wait for the end.
+    pub break_at: Option<Instant>,
 }
 
 /// How a client attempt ended.
@@ -465,6 +478,13 @@
 fn exchange(mut stream: TcpStream, req: &Request, answer: &mut Answer) -> Result<TcpStream> {
     stream.set_nodelay(true)?;
     stream.set_read_timeout(Some(Duration::from_millis(req.deadline_ms)))?;
+    if let Some(at) = req.break_at {
+        let closed = stream.try_clone()?;
+        thread::spawn(move || {
+            thread::sleep(at.saturating_duration_since(Instant::now()));
+            let _ = closed.shutdown(std::net::Shutdown::Both);
+        });
+    }
     let mut message = format!("{} {} HTTP/1.1\r\nHost: {HOST}\r\n", req.method, req.path);
     message += &format!("X-Aspenloft-Attempt-Id: {}\r\n", req.id);
     message += &format!("X-Aspenloft-Deadline-Ms: {}\r\n", req.deadline_ms);
