--- a/review/standin-2/world.rs
+++ b/review/standin-2/world.rs
@@ -49,6 +49,7 @@
 
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn waitpid(pid: i32, status: *mut i32, options: i32) -> i32;
 }
 
 pub const SIGKILL: i32 = 9;
@@ -93,10 +94,14 @@
 /// The processes that have been started.
 static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
 
-/// Ends all processes that have been started and are still there.
+/// Ends all processes that have been started and are still there, and waits for their end.
 pub fn end_all() {
-    for pid in STARTED.lock().unwrap().drain(..) {
-        unsafe { kill(pid as i32, SIGKILL) };
+    let started: Vec<u32> = STARTED.lock().unwrap().drain(..).collect();
+    for pid in &started {
+        unsafe { kill(*pid as i32, SIGKILL) };
+    }
+    for pid in started {
+        unsafe { waitpid(pid as i32, std::ptr::null_mut(), 0) };
     }
 }
 
