gateway: keep the log of streams until another host says that it does

Cause: the first host of a data centre by name writes for all. It stopped at its SIGTERM, and the others took it for the writer until its digests had lapsed. When it had started again it was the first again, without memory. If all hosts of a data centre left, nobody wrote.

Change: policy::duty. The host that writes says so in a frame of its digests and goes on until another one says that it writes; leaving hosts come last but do not stop before they are relieved, and write what is new once more at their end. A writer whose writes fail says so and is replaced.

--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -239,6 +239,8 @@
         frames::encode(&notices, &mut supplement)?;
         // Hosts of previous builds do not read this frame.
         frames::encode(&self.state.loads.queues(), &mut supplement)?;
+        // Hosts of previous builds do not read this frame.
+        frames::encode(&*self.log_duty.lock(), &mut supplement)?;
         let mut digest = Digest {
             host: self.local.clone(),
             seq: self.seq.fetch_add(1, Ordering::SeqCst) + 1,
@@ -334,6 +336,8 @@
         let queues = frames::split_frame(&mut buf)?;
         let queues: Option<Vec<QueueDigest>> =
             queues.and_then(|body| frames::decode(&body).inspect_err(log_unread).ok());
+        let log_duty = frames::split_frame(&mut buf)?;
+        let log_duty = log_duty.and_then(|body| frames::decode(&body).inspect_err(log_unread).ok());
         let (name, breaks) = (digest.host.name.clone(), digest.breaks.clone());
         let era = supplement.as_ref().and_then(|supplement| supplement.era);
         if !self.apply_digest(digest, era) {
@@ -345,6 +349,9 @@
         if let Some(supplement) = supplement {
             self.apply_supplement(&name, &supplement);
         }
+        if let Some(log_duty) = log_duty {
+            self.apply_log_duty(&name, log_duty);
+        }
         match notices {
             Some(notices) => self.state.crashes.apply(notices),
             None => {
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -14,6 +14,7 @@
 use std::time::{Duration, Instant};
 
 use aspenloft_core::prelude::{Arc, Era, Host, Name, Position, SharedClock};
+use aspenloft_policy::duty::{Candidate, DutyState};
 use aspenloft_policy::host_groups::HostGroup;
 use aspenloft_policy::stream_versions::Origin;
 use aspenloft_transport::connector::Connector;
@@ -96,6 +97,8 @@
     is_cut: bool,
     /// Whether the host is shutting down.
     leaving: bool,
+    /// Whether the host keeps the log of streams.
+    log_duty: DutyState,
     /// When the last digest arrived.
     last_digest: Option<Instant>,
     /// Whether the silence since the last digest has been logged.
@@ -155,6 +158,7 @@
     clock: SharedClock,
     state: LocalState,
     follows: AtomicBool,
+    log_duty: Mutex<DutyState>,
     seq: AtomicU64,
     seeds: Vec<SocketAddr>,
     peers: Mutex<HashMap<Name, Peer>>,
@@ -188,6 +192,7 @@
             clock,
             state,
             follows: AtomicBool::new(false),
+            log_duty: Mutex::new(DutyState::Idle),
             seq: AtomicU64::new(0),
             seeds,
             peers: Mutex::default(),
@@ -240,15 +245,33 @@
         live.filter(|p| p.host.name < self.local.name).count()
     }
 
-    /// Returns whether this host precedes all other live hosts of its data centre by name. It
-    /// does work that one host does for the data centre.
-    pub fn is_first_of_data_centre(&self) -> bool {
+    /// Returns this host as a keeper of the log of streams.
+    pub fn own_log_candidate(&self) -> Candidate {
+        Candidate {
+            name: self.local.name.clone(),
+            leaving: self.state.shutdown.is_leaving(),
+            state: *self.log_duty.lock(),
+        }
+    }
+
+    /// Returns the other live hosts of this host's data centre as keepers of its log of streams.
+    pub fn log_candidates(&self) -> Vec<Candidate> {
         let now = self.clock.now();
         let peers = self.peers.lock();
-        let mut near = peers.values().filter(|p| {
-            p.host.data_centre == self.local.data_centre && is_recent(p, now, LIVENESS_TIMEOUT)
+        let group = self.group_among(&peers);
+        let near = peers.values().filter(|p| {
+            let in_group = group.has_host(&p.host.name, &p.host.data_centre);
+            let max_age = if in_group { FOLLOWER_TIMEOUT } else { FORWARDING_MAX_AGE };
+            p.host.data_centre == self.local.data_centre && is_recent(p, now, max_age)
         });
-        near.all(|p| p.host.name > self.local.name)
+        near.map(|p| Candidate { name: p.host.name.clone(), leaving: p.leaving, state: p.log_duty })
+            .collect()
+    }
+
+    /// Sets whether this host keeps the log of streams, and tells the others soon.
+    pub fn set_log_duty(&self, state: DutyState) {
+        *self.log_duty.lock() = state;
+        self.announce();
     }
 
     /// Returns the number of servers that this host cannot reach, and the keys of up to
@@ -315,6 +338,7 @@
             calls: 0,
             is_cut: false,
             leaving: false,
+            log_duty: DutyState::Unable,
             last_digest: None,
             silence_logged: false,
             failed_at: None,
@@ -485,6 +509,7 @@
                 calls: same_process.map_or(0, |p| p.calls),
                 is_cut: same_process.is_some_and(|p| p.is_cut),
                 leaving: same_process.is_some_and(|p| p.leaving),
+                log_duty: same_process.map_or(DutyState::Unable, |p| p.log_duty),
                 last_digest: Some(now),
                 silence_logged: false,
                 failed_at: same_process.and_then(|p| p.failed_at),
@@ -520,6 +545,13 @@
         }
     }
 
+    /// Applies what the host `name` tells of the log of streams.
+    fn apply_log_duty(&self, name: &str, state: DutyState) {
+        if let Some(peer) = self.peers.lock().get_mut(name) {
+            peer.log_duty = state;
+        }
+    }
+
     /// Returns the host that books the requests to `server`, or `None` if it is this one.
     ///
     /// It is in the server's data centre if possible, so that hosts that cannot reach it
--- a/crates/gateway/src/probes.rs
+++ b/crates/gateway/src/probes.rs
@@ -21,7 +21,7 @@
 const METRICS_CONTENT_TYPE: HeaderValue = HeaderValue::from_static("text/plain; version=0.0.4");
 
 /// `Readiness` tells whether the host accepts callers.
-#[derive(Debug, Clone)]
+#[derive(Clone)]
 pub struct Readiness {
     /// The host's view of the deployment, which must be complete.
     pub view: Arc<View>,
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -171,15 +171,9 @@
         metrics.clone(),
         settings.mechanisms,
     );
-    let log = StreamLog::new(
-        kv.clone(),
-        sync,
-        peers.clone(),
-        streams.clone(),
-        shutdown.clone(),
-        clock.clone(),
-    );
+    let log = StreamLog::new(kv.clone(), sync, peers.clone(), streams.clone(), clock.clone());
     task::spawn(log.clone().run());
+    shutdown.do_last(log.clone());
     let orders = Orders {
         host: settings.host.clone(),
         kv,
--- a/crates/gateway/src/shutdown.rs
+++ b/crates/gateway/src/shutdown.rs
@@ -10,7 +10,9 @@
 
 use aspenloft_core::prelude::{Arc, SharedClock};
 use async_std::channel::{Receiver, Sender, bounded};
+use async_std::future::timeout;
 use async_std::task;
+use async_trait::async_trait;
 use parking_lot::Mutex;
 
 use crate::settings::ShutdownSettings;
@@ -32,8 +34,17 @@
 /// How often the open connections are checked during a drain.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// How long the work may take that is done last.
+const LAST_WORK_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// `LastWork` is work that must be done before the process ends, because other hosts rely on it.
+#[async_trait]
+pub trait LastWork: Send + Sync {
+    /// Does the work. It is given up if it takes too long.
+    async fn finish(&self);
+}
+
 /// `Shutdown` holds the state of a host's shutdown and counts its work in flight.
-#[derive(Debug)]
 pub struct Shutdown {
     leaving: AtomicBool,
     began: Mutex<Option<Instant>>,
@@ -42,6 +53,7 @@
     // Carries no messages: closing the channel tells idle connections to close.
     close_tx: Sender<()>,
     close_rx: Receiver<()>,
+    last_work: Mutex<Vec<Arc<dyn LastWork>>>,
 }
 
 impl Default for Shutdown {
@@ -54,6 +66,7 @@
             requests: AtomicUsize::new(0),
             close_tx,
             close_rx,
+            last_work: Mutex::default(),
         }
     }
 }
@@ -107,6 +120,11 @@
         CountGuard::begin(self.clone(), |s| &s.requests)
     }
 
+    /// Has `work` done before the process ends.
+    pub fn do_last(&self, work: Arc<dyn LastWork>) {
+        self.last_work.lock().push(work);
+    }
+
     /// Shuts the host down gracefully; returns the number of requests that were still
     /// running at the end.
     pub async fn drain(&self, clock: &SharedClock, settings: &ShutdownSettings) -> usize {
@@ -122,6 +140,12 @@
             task::sleep(POLL_INTERVAL).await;
         }
         let interrupted = self.requests();
+        let last_work = self.last_work.lock().clone();
+        for work in last_work {
+            if timeout(LAST_WORK_TIMEOUT, work.finish()).await.is_err() {
+                log::warn!(event = "last_work_unfinished"; "");
+            }
+        }
         log::info!(event = "stopped", cut = interrupted, connections = self.connections(); "");
         interrupted
     }
@@ -136,7 +160,6 @@
 }
 
 /// `CountGuard` counts one connection or request until it is dropped.
-#[derive(Debug)]
 pub struct CountGuard {
     shutdown: Arc<Shutdown>,
     counter: fn(&Shutdown) -> &AtomicUsize,
--- a/crates/gateway/src/stream_log.rs
+++ b/crates/gateway/src/stream_log.rs
@@ -2,25 +2,27 @@
 //! while a service has engines of several versions, so that streams can be taken up after all
 //! hosts have restarted at once.
 //!
-//! One host of each data centre writes what the digests of the others there tell it. Hosts that
-//! have forgotten everything read the log when a caller takes a stream up.
-//! `docs/design/stream-versions.md` gives the costs and bounds.
+//! One host of each data centre, the keeper, writes what the digests of the others there tell
+//! it, until another host says that it does. Hosts that have forgotten everything read the log
+//! when a caller takes a stream up. `docs/design/stream-versions.md` gives the costs and bounds.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::time::{Duration, Instant, SystemTime};
 
 use aspenloft_core::errors::{Result, internal, invalid, unavailable};
 use aspenloft_core::prelude::{Arc, Era, Name, SharedClock};
+use aspenloft_policy::duty::{DutyElection, DutyState};
 use aspenloft_policy::stream_versions::{Origin, StreamRecord, VersionTag};
 use aspenloft_protocol::platform::{KeyValue, LeaseId, Put, Swap, Version};
 use async_std::future::timeout;
 use async_std::sync::Mutex as AsyncMutex;
 use async_std::task;
+use async_trait::async_trait;
 use futures::future::join;
 use parking_lot::Mutex;
 
 use crate::peers::Peers;
-use crate::shutdown::Shutdown;
+use crate::shutdown::LastWork;
 use crate::stream_versions::StreamVersions;
 use crate::sync::ViewConfirmer;
 
@@ -43,9 +45,11 @@
 /// The number of segments beyond those that are written while a stream lasts.
 const SPARE_SEGMENTS: usize = 8;
 
-/// The number of intervals for which a host must be the one that writes before it reads the
-/// log without need, to end marks that a previous one has left.
-const MIN_WRITER_INTERVALS: u32 = 20;
+/// The timeout of the calls of one interval.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// The number of intervals in a row that may fail before another host is to write.
+const MAX_FAILURES: u32 = 2;
 
 /// The maximum number of records in one segment.
 const MAX_SEGMENT_RECORDS: usize = 4_096;
@@ -56,6 +60,9 @@
 /// How often the lease is renewed while records are written.
 const RENEWAL_INTERVAL: Duration = Duration::from_secs(15);
 
+/// How long it takes until a digest has been sent.
+const DIGEST_TIME: Duration = Duration::from_millis(20);
+
 /// How long what was read of the log is used before it is read again.
 const READ_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -68,12 +75,12 @@
     confirmer: Arc<dyn ViewConfirmer>,
     peers: Arc<Peers>,
     streams: Arc<StreamVersions>,
-    shutdown: Arc<Shutdown>,
     clock: SharedClock,
     /// The prefix of this process's segments.
     segment_prefix: String,
     /// The services that were marked when the log was last read or written.
-    mixed: Mutex<HashSet<Name>>,
+    mixed: Mutex<HashMap<Name, Mark>>,
+    keeper: AsyncMutex<Keeper>,
     /// When the log was last read. It is held while the log is being read.
     read_at: AsyncMutex<Option<ReadTime>>,
 }
@@ -98,12 +105,28 @@
     }
 }
 
-/// The state of the host that writes the log.
+/// The mark of a service that has, or lately had, several versions.
+#[derive(Debug, Clone, Copy)]
+struct Mark {
+    /// The position at which it was written.
+    version: Version,
+}
+
+/// This host's part in keeping the log.
+#[derive(Debug, Default)]
+struct Keeper {
+    election: DutyElection,
+    /// The era in which the marks were read since this host became the keeper.
+    era: Option<Era>,
+    writer: Option<Writer>,
+    /// The number of intervals in a row that failed.
+    failures: u32,
+}
+
+/// The state of the segments that a keeper writes.
 #[derive(Debug)]
 struct Writer {
     lease: LeaseId,
-    /// The era in which the lease was granted and the log was read.
-    era: Era,
     renewed_at: Instant,
     /// The time of the newest record that has been written.
     written_until: Instant,
@@ -119,21 +142,20 @@
         confirmer: Arc<dyn ViewConfirmer>,
         peers: Arc<Peers>,
         streams: Arc<StreamVersions>,
-        shutdown: Arc<Shutdown>,
         clock: SharedClock,
     ) -> Arc<StreamLog> {
         let (host, born_ms) = (&peers.local_host().name, peers.born_ms());
         let segment_prefix = format!("{SEGMENT_PREFIX}{host}-{born_ms}/");
-        let (mixed, read_at) = Default::default();
+        let (mixed, keeper, read_at) = Default::default();
         Arc::new(StreamLog {
             kv,
             confirmer,
             peers,
             streams,
-            shutdown,
             clock,
             segment_prefix,
             mixed,
+            keeper,
             read_at,
         })
     }
@@ -163,8 +185,12 @@
             .await
             .map_err(|_| unavailable("the versions of a service were not read in time"))?;
         confirmed?;
+        if let Some(item) = mark? {
+            self.learn_mark(service.clone(), item.version);
+            return Ok(None);
+        }
         // A host that is ahead knows of changes that this one does not know yet.
-        if mark?.is_some() || self.is_mixed(service) || self.peers.is_behind() {
+        if self.is_mixed(service) || self.peers.is_behind() {
             return Ok(None);
         }
         let streams = &self.streams;
@@ -174,7 +200,7 @@
     /// Returns whether this host knows of several versions of `service`. A service may not be
     /// marked yet.
     fn is_mixed(&self, service: &Name) -> bool {
-        self.mixed.lock().contains(service) || self.streams.mixed_services().contains(service)
+        self.mixed.lock().contains_key(service) || self.streams.mixed_services().contains(service)
     }
 
     /// Reads the log unless that was done a moment ago.
@@ -190,11 +216,11 @@
 
     async fn read(&self) -> Result<()> {
         let items = self.kv.list(LOG_PREFIX).await?;
-        let mut mixed = HashSet::new();
+        let mut marks: HashMap<Name, Version> = HashMap::new();
         let mut records: Vec<StreamRecord> = Vec::new();
         for item in &items {
             if let Some(service) = item.key.strip_prefix(MIXED_PREFIX) {
-                mixed.insert(Name::from(service));
+                marks.insert(Name::from(service), item.version);
             } else if item.key.starts_with(SEGMENT_PREFIX) {
                 match decode_segment(&item.value) {
                     Ok(segment) => records.extend(segment),
@@ -206,44 +232,85 @@
             }
         }
         self.streams.record_peer(&records, Origin::Far);
-        let (services, records) = (mixed.len(), records.len());
+        let (services, records) = (marks.len(), records.len());
         log::info!(event = "stream_log_read", mixed = services, records; "");
-        *self.mixed.lock() = mixed;
+        self.mixed.lock().retain(|service, _| marks.contains_key(service));
+        marks.into_iter().for_each(|(service, version)| self.learn_mark(service, version));
         Ok(())
     }
 
-    /// Writes new records while this host is the one that does so; does not return.
+    /// Records that `service` has a mark, which was written at `version`.
+    fn learn_mark(&self, service: Name, version: Version) {
+        let mark = Mark { version };
+        let mut mixed = self.mixed.lock();
+        let known = mixed.entry(service).or_insert(mark);
+        if known.version != version {
+            *known = mark;
+        }
+    }
+
+    /// Keeps the log while this host is the one that does so; does not return.
     pub async fn run(self: Arc<Self>) {
-        let mut writer: Option<Writer> = None;
-        let mut intervals = 0;
         loop {
             task::sleep(WRITE_INTERVAL).await;
-            let services = self.streams.mixed_services();
-            if !self.peers.is_first_of_data_centre() || self.shutdown.is_leaving() {
-                (writer, intervals) = (None, 0);
-                continue;
-            }
-            intervals += 1;
-            let is_needed = !services.is_empty() || !self.mixed.lock().is_empty();
-            if !is_needed && intervals != MIN_WRITER_INTERVALS {
-                continue;
-            }
-            if let Err(e) = self.write(&mut writer, &services).await {
-                log::info!(event = "stream_log_unwritten", error = e.to_string().as_str(); "");
-                writer = None;
+            self.keep(&mut *self.keeper.lock().await).await;
+        }
+    }
+
+    /// Takes part in the choice of the keeper, and writes what is new if this host is it.
+    async fn keep(&self, keeper: &mut Keeper) {
+        let own = self.peers.own_log_candidate();
+        let others = self.peers.log_candidates();
+        let now = self.clock.now();
+        let next = keeper.election.next(&own, &others, now);
+        if next != own.state {
+            log::info!(event = "stream_log_duty", state = format!("{next:?}").as_str(); "");
+        }
+        if next == DutyState::Active || own.state == DutyState::Active {
+            // A host that is relieved writes what it has not written yet.
+            match timeout(WRITE_TIMEOUT, self.write(keeper)).await {
+                Ok(Ok(())) => keeper.failures = 0,
+                Ok(Err(e)) => self.record_failure(keeper, &e.to_string(), 1),
+                Err(_) => self.record_failure(keeper, "no response in time", MAX_FAILURES),
             }
         }
+        if next != DutyState::Active {
+            (keeper.era, keeper.writer, keeper.failures) = (None, None, 0);
+        } else if keeper.failures >= MAX_FAILURES {
+            keeper.failures = 0;
+            keeper.election.fail(others.len(), self.clock.now());
+            return self.peers.set_log_duty(DutyState::Unable);
+        }
+        // A new keeper says so after it has written for the first time.
+        if next != own.state && (next != DutyState::Active || keeper.failures == 0) {
+            self.peers.set_log_duty(next);
+        }
     }
 
-    /// Brings the marks up to date and writes new records.
-    async fn write(&self, writer: &mut Option<Writer>, services: &[Name]) -> Result<()> {
+    fn record_failure(&self, keeper: &mut Keeper, error: &str, failures: u32) {
+        log::info!(event = "stream_log_unwritten", error; "");
+        (keeper.era, keeper.writer) = (None, None);
+        keeper.failures += failures;
+    }
+
+    /// Brings the marks up to date and writes new records, if a service has, or lately had,
+    /// several versions.
+    async fn write(&self, keeper: &mut Keeper) -> Result<()> {
         let (era, now) = (self.kv.era(), self.clock.now());
-        let current = match writer.take().filter(|w| w.era == era) {
-            Some(current) => current,
-            None => self.begin(era, services, now).await?,
+        if keeper.era != Some(era) {
+            self.read().await?;
+            (keeper.era, keeper.writer) = (Some(era), None);
+        }
+        let services = self.streams.mixed_services();
+        if services.is_empty() && self.mixed.lock().is_empty() {
+            return Ok(());
+        }
+        self.update_marks(&services).await?;
+        let writer = match keeper.writer.take() {
+            Some(writer) => writer,
+            None => self.begin(&services, now).await?,
         };
-        let current = writer.insert(current);
-        self.update_marks(services).await?;
+        let current = keeper.writer.insert(writer);
         if now.saturating_duration_since(current.renewed_at) >= RENEWAL_INTERVAL {
             if !self.kv.renew(current.lease).await? {
                 return Err(unavailable("the lease on the log of streams has ended"));
@@ -262,34 +329,32 @@
     /// long enough.
     async fn update_marks(&self, services: &[Name]) -> Result<()> {
         let marked = self.mixed.lock().clone();
-        for service in services.iter().filter(|service| !marked.contains(*service)) {
+        for service in services.iter().filter(|service| !marked.contains_key(*service)) {
             self.set_mark(service, true).await?;
         }
-        if marked.iter().any(|service| self.streams.only_version(service).is_some()) {
+        let may_end = |(service, _): &(&Name, &Mark)| self.streams.only_version(service).is_some();
+        if marked.iter().any(|entry| may_end(&entry)) {
             // Another version may have come while this host was out of touch.
             self.confirmer.confirm(self.clock.now()).await?;
             self.streams.observe();
         }
-        for service in marked.iter().filter(|service| self.streams.only_version(service).is_some())
-        {
+        for (service, _) in marked.iter().filter(may_end) {
             self.set_mark(service, false).await?;
         }
         Ok(())
     }
 
     /// Begins to write the log, with all records of streams that may still be taken up.
-    async fn begin(&self, era: Era, services: &[Name], now: Instant) -> Result<Writer> {
-        self.read().await?;
+    async fn begin(&self, services: &[Name], now: Instant) -> Result<Writer> {
         let lease = self.kv.grant(LEASE_TTL).await?;
-        let marked: Vec<Name> = self.mixed.lock().iter().cloned().collect();
+        let marked: Vec<Name> = self.mixed.lock().keys().cloned().collect();
         let lifetimes = services.iter().chain(&marked).map(|s| self.streams.lifetime(s));
         let longest = lifetimes.max().unwrap_or_default();
         let intervals = longest.as_millis() / WRITE_INTERVAL.as_millis();
         let segments = usize::try_from(intervals).unwrap_or(MAX_SEGMENTS) + SPARE_SEGMENTS;
-        log::info!(event = "stream_log_begun", mixed = services.len(), era = era.0; "");
+        log::info!(event = "stream_log_begun", mixed = services.len(); "");
         Ok(Writer {
             lease,
-            era,
             renewed_at: now,
             written_until: now.checked_sub(longest).unwrap_or(now),
             segments: segments.min(MAX_SEGMENTS),
@@ -325,23 +390,43 @@
     /// Marks `service` as having several versions, or ends that.
     async fn set_mark(&self, service: &Name, is_mixed: bool) -> Result<()> {
         let key = mark_key(service);
-        let expect = self.kv.get(&key).await?.map_or(0, |item| item.version);
-        if (expect > 0) != is_mixed {
+        let mut version = self.kv.get(&key).await?.map_or(0, |item| item.version);
+        if (version > 0) != is_mixed {
             let value = is_mixed.then(|| "{}".to_string());
-            if let Swap::Conflict(_) = self.kv.put(Put { key, expect, value, lease: None }).await? {
+            match self.kv.put(Put { key, expect: version, value, lease: None }).await? {
+                Swap::Done(written) => version = written,
                 // The host of another data centre has written it, which the next try finds.
-                return Ok(());
+                Swap::Conflict(_) => return Ok(()),
             }
         }
         log::info!(event = "service_mixed", service = &**service, mixed = is_mixed; "");
         match is_mixed {
-            true => self.mixed.lock().insert(service.clone()),
-            false => self.mixed.lock().remove(service),
-        };
+            true => self.learn_mark(service.clone(), version),
+            false => drop(self.mixed.lock().remove(service)),
+        }
         Ok(())
     }
 }
 
+#[async_trait]
+impl LastWork for StreamLog {
+    /// Writes what no other host of the data centre may have written.
+    async fn finish(&self) {
+        let mut keeper = self.keeper.lock().await;
+        let own = self.peers.own_log_candidate();
+        let others = self.peers.log_candidates();
+        if own.state != DutyState::Active && others.iter().any(|o| o.state == DutyState::Active) {
+            return;
+        }
+        if let Err(e) = self.write(&mut keeper).await {
+            self.record_failure(&mut keeper, &e.to_string(), 1);
+        }
+        // Another host takes over without waiting for this one to be silent.
+        self.peers.set_log_duty(DutyState::Unable);
+        task::sleep(DIGEST_TIME).await;
+    }
+}
+
 /// Returns the key of the mark of `service`.
 fn mark_key(service: &Name) -> String {
     format!("{MIXED_PREFIX}{service}")
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -5,17 +5,19 @@
 
 pub mod crashing;
 pub mod peer;
+pub mod streams;
 
 use std::collections::{BTreeMap, HashSet};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
 use aspenloft_core::clock::SystemClock;
 use aspenloft_core::errors::{Error, ErrorCode, Result, invalid};
-use aspenloft_core::prelude::{Era, Host, Name, Position};
+use aspenloft_core::prelude::{Era, Host, Name, Position, SharedClock};
 use aspenloft_core::suspects::PromptPart;
 use aspenloft_gateway::configuration::{
     CallerLimits, Configuration, EngineProfile, RepeatPolicy, Route, Service,
@@ -30,7 +32,7 @@
 use aspenloft_gateway::peers::Digest;
 use aspenloft_gateway::roster::{ServerEntry, ServerRole};
 use aspenloft_gateway::run::{Platform, start};
-use aspenloft_gateway::settings::Settings;
+use aspenloft_gateway::settings::{Settings, ShutdownSettings};
 use aspenloft_gateway::shutdown::Shutdown;
 use aspenloft_protocol::platform::{
     Change, ChangeFeed, Changes, KeyValue, LeaseId, Put, Snapshot, Swap, Version, Versioned,
@@ -173,6 +175,8 @@
 pub struct MemoryStore {
     state: Arc<Mutex<StoreState>>,
     silent: AtomicBool,
+    /// Whether this host is turned away.
+    refusing: AtomicBool,
     /// Raised when the watches that are waiting are left without a response.
     dead_watches: AtomicU32,
     snapshots: AtomicU32,
@@ -248,6 +252,11 @@
         Arc::new(other)
     }
 
+    /// Turns this host away, or ends that.
+    pub fn set_refusing(&self, refusing: bool) {
+        self.refusing.store(refusing, Ordering::SeqCst);
+    }
+
     /// Leaves the watches of this host without a response until the client gives up, or
     /// ends that.
     pub fn set_silent(&self, silent: bool) {
@@ -310,7 +319,7 @@
     }
 
     fn check(&self) -> Result<()> {
-        match self.state.lock().down {
+        match self.state.lock().down || self.refusing.load(Ordering::SeqCst) {
             true => Err(aspenloft_core::errors::unavailable("down")),
             false => Ok(()),
         }
@@ -499,6 +508,15 @@
         host
     }
 
+    /// Has the host shut down within `grace`, which begins before this returns.
+    pub fn leave(&self, grace: Duration) -> JoinHandle<usize> {
+        let (shutdown, settings) = (self.shutdown.clone(), ShutdownSettings { grace_s: grace });
+        let clock: SharedClock = Arc::new(SystemClock);
+        let leaving = std::thread::spawn(move || task::block_on(shutdown.drain(&clock, &settings)));
+        wait_for("the host to leave", || self.shutdown.is_leaving());
+        leaving
+    }
+
     /// Sends `digest` to the host once.
     pub fn receive_digest(&self, digest: &Digest) {
         send_digest(self.settings.listen.peers, digest);
--- a/crates/gateway/tests/stream_versions.rs
+++ b/crates/gateway/tests/stream_versions.rs
@@ -3,62 +3,28 @@
 
 mod common;
 
-use std::io::{Read, Write};
-use std::net::TcpStream;
+use std::io::Write;
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime};
 
 use aspenloft_gateway::peers::PeerCall;
 use aspenloft_gateway::roster::ServerEntry;
-use aspenloft_gateway::roster::ServerRole::{Decode, Prefill};
+use aspenloft_gateway::roster::ServerRole::Prefill;
 use aspenloft_policy::stream_versions::{VersionTag, stream_key};
 use aspenloft_transport::frames;
 use aspenloft_transport::mesh::PeerLink;
 use async_std::task;
 use bytes::BytesMut;
 use common::peer::ScriptedPeer;
+use common::streams::{
+    EVENTS, WRITE_TIME, after, at_version, engine, event, read_events, request, restart_all,
+    start_hosts, stream_head, take_up, versions,
+};
 use common::{
-    MemoryStore, Scripted, TestHost, body, configuration, entry, header, not_run, sealed, status,
+    MemoryStore, Scripted, TestHost, configuration, entry, header, not_run, sealed, status,
     wait_for,
 };
 
-const EVENTS: u32 = 6;
-
-fn request(id: &str) -> String {
-    format!(
-        "POST /resume/ HTTP/1.1\r\nhost: app.test\r\nid: {id}\r\ntokens: 1000,200\r\ncontent-length: 1\r\n\r\nx"
-    )
-}
-
-/// Returns a request that takes up the stream that the attempt `first` began.
-fn take_up(id: &str, first: &str, after: u32) -> String {
-    let resumes = format!("\r\nresumes: {first}\r\nafter: {after}\r\ntokens:");
-    request(id).replace("\r\ntokens:", &resumes)
-}
-
-fn stream_head(req: &str) -> String {
-    let id = header(req, "id").unwrap_or_default();
-    format!("HTTP/1.1 200 OK\r\nid: {id}\r\nseal: s\r\ntransfer-encoding: chunked\r\n\r\n")
-}
-
-/// Returns one event as a chunk; its data names the version of the engine.
-fn event(number: u32, version: &str) -> String {
-    let event = format!("id: {number}\ndata: {version}\n\n");
-    format!("{:x}\r\n{event}\r\n", event.len())
-}
-
-fn after(req: &str) -> u32 {
-    header(req, "after").and_then(|id| id.parse().ok()).unwrap_or(0)
-}
-
-/// An engine at `version` that sends a whole stream, or what is left of one.
-fn engine(version: &'static str) -> Scripted {
-    Scripted::start(move |_, req| {
-        let events: String = (after(req) + 1..=EVENTS).map(|n| event(n, version)).collect();
-        format!("{}{events}0\r\n\r\n", stream_head(req)).into_bytes()
-    })
-}
-
 /// An engine at `version` that breaks off each stream that it begins after two events.
 fn breaking_engine(version: &'static str) -> Scripted {
     Scripted::serve(move |_, req, stream| {
@@ -72,46 +38,6 @@
     })
 }
 
-fn at_version(name: &str, server: &Scripted, version: &str) -> ServerEntry {
-    ServerEntry { version: version.into(), ..entry(name, server.addr, Decode) }
-}
-
-/// Starts hosts that follow one store with `servers` in it.
-fn start_hosts(names: &[&str], servers: &[ServerEntry]) -> (Arc<MemoryStore>, Vec<TestHost>) {
-    let store = Arc::new(MemoryStore::default());
-    store.write("configuration", &configuration(1));
-    for server in servers {
-        store.write(&format!("servers/{}", server.instance), server);
-    }
-    let hosts: Vec<TestHost> =
-        names.iter().map(|name| TestHost::start(name, store.for_another_host())).collect();
-    hosts.iter().for_each(TestHost::wait_ready);
-    (store, hosts)
-}
-
-/// Returns the versions that the events of `response` name, without repetitions.
-fn versions(response: &str) -> Vec<String> {
-    let data = body(response).lines().filter_map(|line| line.strip_prefix("data: "));
-    let mut versions: Vec<String> = data.map(str::to_string).collect();
-    versions.dedup();
-    versions
-}
-
-/// Sends `req`, reads up to the event `last` and closes the connection.
-fn read_events(host: &TestHost, req: &str, last: u32) -> String {
-    let mut stream = TcpStream::connect(host.callers).expect("connect");
-    stream.set_read_timeout(Some(common::READ_TIMEOUT)).expect("timeout");
-    stream.write_all(req.as_bytes()).expect("send");
-    let mut response = String::new();
-    let mut buf = [0; 4096];
-    while !response.contains(&format!("id: {last}\n")) {
-        let read = stream.read(&mut buf).expect("a response");
-        assert!(read > 0, "closed after {response}");
-        response.push_str(&String::from_utf8_lossy(&buf[..read]));
-    }
-    response
-}
-
 /// The stream went on at any engine with room, whatever its version.
 #[test]
 fn a_broken_stream_goes_on_at_another_version() {
@@ -308,19 +234,6 @@
     assert_eq!(status(&response), "503", "{response}");
 }
 
-/// Returns hosts that know nothing and follow a service with what `store` has, but without the
-/// hosts that served before.
-fn restart_all(store: &MemoryStore, names: &[&str]) -> (Arc<MemoryStore>, Vec<TestHost>) {
-    let store = store.without("aspenloft/hosts/");
-    let start = |name: &&str| TestHost::start(name, store.for_another_host());
-    let hosts: Vec<TestHost> = names.iter().map(start).collect();
-    hosts.iter().for_each(TestHost::wait_ready);
-    (store, hosts)
-}
-
-/// How long it takes until the version of a stream that has begun is written down.
-const WRITE_TIME: Duration = Duration::from_millis(1_300);
-
 // After all hosts had restarted, streams were refused though engines of their version served.
 #[test]
 fn streams_are_taken_up_after_all_hosts_have_restarted_among_several_versions() {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod catch_up;
 pub mod concurrency;
 pub mod crash_tracker;
+pub mod duty;
 pub mod engine_choice;
 pub mod engine_memory;
 pub mod eras;
