gateway: end the mark of several versions only after it was known for long enough

A host that was out of touch while a version came and left does not have that version in its own history.

Change: a mark is ended by a keeper that has known of it, and seen a single version, for as long as streams last. The mark's position tells a mark that was written anew.

--- a/crates/gateway/src/stream_log.rs
+++ b/crates/gateway/src/stream_log.rs
@@ -110,6 +110,8 @@
 struct Mark {
     /// The position at which it was written.
     version: Version,
+    /// Since when this host knows of it.
+    known_since: Instant,
 }
 
 /// This host's part in keeping the log.
@@ -241,7 +243,7 @@
 
     /// Records that `service` has a mark, which was written at `version`.
     fn learn_mark(&self, service: Name, version: Version) {
-        let mark = Mark { version };
+        let mark = Mark { version, known_since: self.clock.now() };
         let mut mixed = self.mixed.lock();
         let known = mixed.entry(service).or_insert(mark);
         if known.version != version {
@@ -332,7 +334,13 @@
         for service in services.iter().filter(|service| !marked.contains_key(*service)) {
             self.set_mark(service, true).await?;
         }
-        let may_end = |(service, _): &(&Name, &Mark)| self.streams.only_version(service).is_some();
+        // Another version may have come and left while this host was out of touch, before it
+        // knew of the mark.
+        let now = self.clock.now();
+        let may_end = |(service, mark): &(&Name, &Mark)| {
+            now.saturating_duration_since(mark.known_since) >= self.streams.lifetime(service)
+                && self.streams.only_version(service).is_some()
+        };
         if marked.iter().any(|entry| may_end(&entry)) {
             // Another version may have come while this host was out of touch.
             self.confirmer.confirm(self.clock.now()).await?;
--- a/crates/gateway/tests/stream_log_keeper.rs
+++ b/crates/gateway/tests/stream_log_keeper.rs
@@ -10,7 +10,7 @@
     WRITE_TIME, at_version, engine, read_events, request, restart_all, start_hosts, take_up,
     versions,
 };
-use common::{MemoryStore, TestHost, status};
+use common::{MemoryStore, TestHost, status, wait_for};
 
 /// A grace period that outlasts the tests.
 const GRACE: Duration = Duration::from_secs(60);
@@ -21,6 +21,11 @@
 /// How long it takes until another host has taken the log over from one that cannot write.
 const TAKEOVER_TIME: Duration = Duration::from_secs(2);
 
+/// The time for which streams of the tests last: the timeout of their route.
+const LIFETIME: Duration = Duration::from_secs(2);
+
+const MARK: &str = "aspenloft/streams/mixed/model";
+
 /// Takes the stream `first` up at a host that starts with what `store` has, and returns the
 /// status of the response and the versions in it.
 fn take_up_after_restart(store: &MemoryStore, first: &str) -> (String, Vec<String>) {
@@ -80,3 +85,21 @@
     hosts[0].leave(Duration::from_millis(400)).join().expect("the end");
     assert_eq!(take_up_after_restart(&store, "a"), ("200".to_string(), versions(&begun)));
 }
+
+// A host that had been out of touch took the mark for one that had outlived its versions.
+#[test]
+fn the_mark_of_a_version_that_has_just_left_is_removed() {
+    let (old, new) = (engine("v1"), engine("v2"));
+    let (store, hosts) = start_hosts(&["h1"], &[at_version("d1", &old, "v1")]);
+    std::thread::sleep(LIFETIME * 2);
+    hosts[0].store.set_silent(true);
+    store.write("servers/d2", &at_version("d2", &new, "v2"));
+    store.write(MARK, &serde_json::json!({}));
+    store.remove("servers/d2");
+    hosts[0].store.set_silent(false);
+    let response = hosts[0].send(&take_up("b", "begun-at-v2", 2));
+    assert_eq!(status(&response), "503", "{response}");
+    std::thread::sleep(LIFETIME.mul_f64(0.8));
+    assert!(store.value(MARK).is_some(), "streams of the other version may still be taken up");
+    wait_for("the mark to end", || store.value(MARK).is_none());
+}
