gateway: prefer the hosts that have run longest for the version of a stream

The first host that named a version decided. A host that has just started names the only version that is left, sooner than one with a record of the stream answers, and the stream could be joined.

Change: the answer of a host that has run longer goes first if it comes within 0.1 s of another's.

Test: a_stream_is_taken_up_at_the_version_that_the_newest_host_names, failed on (200 at v1 where the older host names v2).

--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -1,5 +1,6 @@
 //! The `exchange` module exchanges digests over UDP and complete views over `h2`.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -71,6 +72,9 @@
 /// The timeout of the question whether a trial may be made.
 const TRIAL_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// How long hosts that have run longer may take after another one has named a version.
+const OLDER_HOST_WAIT: Duration = Duration::from_millis(100);
+
 /// The number of hosts that are asked for the version of a stream.
 const MAX_ASKED: usize = 3;
 
@@ -141,17 +145,36 @@
         }
         let call = PeerCall::StreamVersion(service.clone(), key);
         let hosts = self.longest_running(MAX_ASKED);
-        let mut calls: FuturesUnordered<_> =
-            hosts.iter().map(|host| self.call(host, &call, STREAM_VERSION_TIMEOUT)).collect();
+        let ask = |(age_rank, host)| {
+            let call = &call;
+            async move { (age_rank, self.call(host, call, STREAM_VERSION_TIMEOUT).await) }
+        };
+        let mut calls: FuturesUnordered<_> = hosts.iter().enumerate().map(ask).collect();
+        let mut unanswered: BTreeSet<usize> = (0..hosts.len()).collect();
+        let mut best: Option<(usize, VersionTag)> = None;
         let mut outcome = Err(unavailable("no other host answered"));
-        while let Some(reply) = calls.next().await {
+        loop {
+            let reply = match best {
+                None => calls.next().await,
+                Some(_) => timeout(OLDER_HOST_WAIT, calls.next()).await.unwrap_or_default(),
+            };
+            let Some((age_rank, reply)) = reply else { break };
+            unanswered.remove(&age_rank);
             match reply.and_then(|body| frames::decode::<Option<VersionTag>>(&body)) {
-                Ok(Some(version)) => return Ok(Some(version)),
+                Ok(Some(version)) if best.is_none_or(|(rank, _)| age_rank < rank) => {
+                    best = Some((age_rank, version));
+                }
+                Ok(Some(_)) => {}
                 Ok(None) => outcome = Ok(None),
                 Err(_) => {}
             }
+            // A host that has run longer may have a record where others have only the version
+            // that is left.
+            if best.is_some_and(|(rank, _)| unanswered.first().is_none_or(|older| rank < *older)) {
+                break;
+            }
         }
-        outcome
+        best.map_or(outcome, |(_, version)| Ok(Some(version)))
     }
 
     /// Has `host` serve a request. An error says whether it may have done so.
--- a/crates/gateway/tests/stream_versions.rs
+++ b/crates/gateway/tests/stream_versions.rs
@@ -4,24 +4,28 @@
 mod common;
 
 use std::io::Write;
+use std::net::UdpSocket;
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime};
 
-use aspenloft_gateway::peers::PeerCall;
+use aspenloft_gateway::peers::{CALLS_VERSION, Digest, DigestSupplement, PeerCall};
 use aspenloft_gateway::roster::ServerEntry;
 use aspenloft_gateway::roster::ServerRole::Prefill;
 use aspenloft_policy::stream_versions::{VersionTag, stream_key};
 use aspenloft_transport::frames;
-use aspenloft_transport::mesh::PeerLink;
+use aspenloft_transport::mesh::{self, FrameHandler, PeerLink};
+use async_std::channel::Sender;
+use async_std::net::TcpListener;
 use async_std::task;
-use bytes::BytesMut;
+use async_trait::async_trait;
+use bytes::{Bytes, BytesMut};
 use common::peer::ScriptedPeer;
 use common::streams::{
     EVENTS, WRITE_TIME, after, at_version, engine, event, read_events, request, restart_all,
     start_hosts, stream_head, take_up, versions,
 };
 use common::{
-    MemoryStore, Scripted, TestHost, configuration, entry, header, not_run, sealed, status,
+    MemoryStore, Scripted, TestHost, configuration, digest, entry, header, not_run, sealed, status,
     wait_for,
 };
 
@@ -394,3 +398,46 @@
         assert!(ask_version(host, "unknown").is_some());
     }
 }
+
+/// A host that answers each question for the version of a stream with `version` after `delay`.
+struct Answering {
+    version: &'static str,
+    delay: Duration,
+}
+
+#[async_trait]
+impl FrameHandler for Answering {
+    async fn handle(&self, _body: Bytes, tx: Sender<Bytes>) {
+        task::sleep(self.delay).await;
+        let mut buf = BytesMut::new();
+        frames::encode(&Some(VersionTag::of(self.version)), &mut buf).expect("a reply");
+        let _ = tx.try_send(buf.freeze());
+    }
+}
+
+/// Has `host` hear of another one that started at `born_ms` and answers as `handler`.
+fn introduce(host: &TestHost, born_ms: u64, handler: Answering) {
+    let listener = task::block_on(TcpListener::bind("127.0.0.1:0")).expect("bind");
+    let addr = listener.local_addr().expect("address");
+    task::spawn(mesh::serve(listener, Arc::new(handler)));
+    let digest = Digest { born_ms, ..digest(&format!("x{born_ms}"), addr, 0) };
+    let supplement = DigestSupplement { calls: CALLS_VERSION, ..Default::default() };
+    let mut buf = BytesMut::new();
+    frames::encode(&digest, &mut buf).expect("a digest");
+    frames::encode(&supplement, &mut buf).expect("a supplement");
+    let socket = UdpSocket::bind("127.0.0.1:0").expect("bind");
+    socket.send_to(&buf, host.settings.listen.peers).expect("send");
+}
+
+// The answer of a host that had just started came before that of one with a record.
+#[test]
+fn a_stream_is_taken_up_at_the_version_that_the_newest_host_names() {
+    let (old, new) = (engine("v1"), engine("v2"));
+    let servers = [at_version("d1", &old, "v1"), at_version("d2", &new, "v2")];
+    let (_store, hosts) = start_hosts(&["h1"], &servers);
+    introduce(&hosts[0], 2, Answering { version: "v1", delay: Duration::ZERO });
+    introduce(&hosts[0], 1, Answering { version: "v2", delay: Duration::from_millis(40) });
+    std::thread::sleep(Duration::from_millis(100));
+    let response = hosts[0].send(&take_up("b", "begun-at-v2", 2));
+    assert_eq!((status(&response).as_str(), versions(&response)), ("200", vec!["v2".into()]));
+}
