gateway: agree on one home of a server while all hosts leave

Change: leaving hosts come last in the same order, by which all agree on one.

Test: hosts_that_leave_together_exceed_the_limit_of_a_server.

--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -557,32 +557,35 @@
     /// It is in the server's data centre if possible, so that hosts that cannot reach it
     /// probably cannot reach the server either.
     pub fn home_of(&self, server: &Server) -> Option<Host> {
-        let now = self.clock.now();
-        let peers = self.peers.lock();
-        let able = peers
-            .values()
-            .filter(|p| p.answers_calls && !p.leaving && is_recent(p, now, LIVENESS_TIMEOUT));
-        let rank = |host: &Host| {
-            let local = host.data_centre == server.entry.data_centre;
-            (local, xxh3_64_with_seed(host.name.as_bytes(), server.key))
-        };
-        let best = able.map(|p| &p.host).max_by_key(|host| rank(host));
-        let leaving = self.state.shutdown.is_leaving();
-        best.filter(|host| leaving || rank(host) > rank(&self.local)).cloned()
+        self.best_host(
+            |p| p.answers_calls,
+            |host| {
+                let local = host.data_centre == server.entry.data_centre;
+                (local, xxh3_64_with_seed(host.name.as_bytes(), server.key))
+            },
+        )
     }
 
     /// Returns the host that decides for all about the matter with the number `key`, or `None`
     /// if it is this one.
     pub fn decider(&self, key: u64) -> Option<Host> {
+        self.best_host(|p| p.calls > 0, |host| xxh3_64_with_seed(host.name.as_bytes(), key))
+    }
+
+    /// Returns the live host with the highest `rank` of those that are `able`, or `None` if it
+    /// is this one. Hosts that are leaving come last: while all are, they still agree on one.
+    fn best_host<R: Ord>(
+        &self,
+        able: impl Fn(&Peer) -> bool,
+        rank: impl Fn(&Host) -> R,
+    ) -> Option<Host> {
         let now = self.clock.now();
         let peers = self.peers.lock();
-        let rank = |host: &Host| xxh3_64_with_seed(host.name.as_bytes(), key);
-        let able = peers
-            .values()
-            .filter(|p| p.calls > 0 && !p.leaving && is_recent(p, now, LIVENESS_TIMEOUT));
-        let best = able.map(|p| &p.host).max_by_key(|host| rank(host));
-        let leaving = self.state.shutdown.is_leaving();
-        best.filter(|host| leaving || rank(host) > rank(&self.local)).cloned()
+        let able = peers.values().filter(|p| able(p) && is_recent(p, now, LIVENESS_TIMEOUT));
+        let best =
+            able.map(|p| ((!p.leaving, rank(&p.host)), &p.host)).max_by(|a, b| a.0.cmp(&b.0));
+        let own = (!self.state.shutdown.is_leaving(), rank(&self.local));
+        best.filter(|(best, _)| *best > own).map(|(_, host)| host.clone())
     }
 
     /// Returns the best host to serve a request for `service`, except those in `tried`: one that
--- a/crates/gateway/tests/server_limits.rs
+++ b/crates/gateway/tests/server_limits.rs
@@ -123,6 +123,19 @@
     assert!(most <= allowed(3.0), "{most} requests in {WINDOW:?}, allowed {}", allowed(3.0));
 }
 
+/// Each of the hosts that were leaving kept the limit for itself.
+#[test]
+fn hosts_that_leave_together_exceed_the_limit_of_a_server() {
+    let limited = LimitedServer::start(10.0);
+    let hosts = start_hosts(&["h1", "h2", "h3", "h4", "h5", "h6"], &[("s1", &limited.server)]);
+    send_for(&hosts, Duration::from_millis(100), Duration::from_millis(20));
+    std::thread::sleep(NOTICE_PERIOD);
+    hosts.iter().for_each(|host| drop(host.leave(Duration::from_secs(60))));
+    send_for(&hosts, Duration::from_secs(3), Duration::from_millis(5));
+    let most = limited.most_in_window();
+    assert!(most <= allowed(10.0), "{most} requests in {WINDOW:?}, allowed {}", allowed(10.0));
+}
+
 #[test]
 fn requests_wait_without_end_when_all_servers_limit_them() {
     let limited = LimitedServer::start(2.0);
