gateway: watch the store before the hosts end that watch it for others

Hosts relied on the first two hosts of their group by name to watch the store, leaving or not, and noticed that they had ended 0.8 s later. Each leaving host also made those after it wait three seconds longer before they give orders to engines.

Change: leaving hosts come last in both orders.

The order of role changes has no test of its own.

--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -236,12 +236,12 @@
         self.live_and_listed().1
     }
 
-    /// Returns this host's rank among the live hosts ordered by name, from 0. Work
-    /// that one host does for all goes to the lowest rank first.
+    /// Returns this host's rank among the live hosts that are not leaving, ordered by name,
+    /// from 0. Work that one host does for all goes to the lowest rank first.
     pub fn rank(&self) -> usize {
         let now = self.clock.now();
         let peers = self.peers.lock();
-        let live = peers.values().filter(|p| is_recent(p, now, LIVENESS_TIMEOUT));
+        let live = peers.values().filter(|p| !p.leaving && is_recent(p, now, LIVENESS_TIMEOUT));
         live.filter(|p| p.host.name < self.local.name).count()
     }
 
@@ -386,9 +386,10 @@
         self.follows.store(follows, Ordering::SeqCst);
     }
 
-    /// Returns the number of hosts in this host's group that precede it by name, watch
-    /// the key-value service and sent a digest recently. Hosts whose positions are not known
-    /// do not count, as this host could not tell when they are ahead.
+    /// Returns the number of hosts in this host's group that precede it, watch the key-value
+    /// service and sent a digest recently. Hosts precede others by name, and those that are
+    /// leaving come last, so that others watch before they end. Hosts whose positions are not
+    /// known do not count, as this host could not tell when they are ahead.
     pub fn preceding_followers(&self) -> usize {
         let (now, own) = (self.clock.now(), self.state.view.position());
         let peers = self.peers.lock();
@@ -397,7 +398,8 @@
         let following = members.filter(|p| {
             p.follows && p.position(own.era).is_some() && is_recent(p, now, FOLLOWER_TIMEOUT)
         });
-        following.filter(|p| p.host.name < self.local.name).count()
+        let own = (self.state.shutdown.is_leaving(), &self.local.name);
+        following.filter(|p| (p.leaving, &p.host.name) < own).count()
     }
 
     /// Records that the host `name` did not respond to a call.
--- a/crates/gateway/tests/host_view.rs
+++ b/crates/gateway/tests/host_view.rs
@@ -305,6 +305,21 @@
     assert_eq!(first.count(), before, "requests reach a server that is leaving");
 }
 
+// The hosts that watched the store for the others left, and nobody else did until they had ended.
+#[test]
+fn hosts_do_not_watch_the_store_while_those_that_do_are_leaving() {
+    let store = Arc::new(MemoryStore::default());
+    store.write("configuration", &configuration(1));
+    let start = |name: &str| TestHost::start(name, store.for_another_host());
+    let hosts = ["h1", "h2", "h3"].map(start);
+    hosts.iter().for_each(TestHost::wait_ready);
+    // The third host leaves the watch to the others once it has heard of them.
+    std::thread::sleep(Duration::from_secs(3));
+    let before = hosts[2].store.snapshots();
+    hosts[..2].iter().for_each(|host| drop(host.leave(Duration::from_secs(60))));
+    wait_for("the third host to watch the store", || hosts[2].store.snapshots() > before);
+}
+
 // A host read the whole store over and over without a pause.
 #[test]
 fn a_store_that_keeps_no_history_is_not_read_without_a_pause() {
