gateway: forward requests to leaving hosts if no other host is left

A host without a path to the servers left out hosts that are leaving, though these serve for seconds and refuse what they cannot finish. While all others left, its callers got 503.

Test: a_host_that_is_cut_off_finds_no_host_while_all_others_leave, failed on.

--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -593,7 +593,8 @@
     /// Returns the best host to serve a request for `service`, except those in `tried`: one that
     /// reaches at least `min_reached` servers, knows the configuration in force here and has
     /// few of the requests `in_flight` from this host. Hosts of the own data centre come first
-    /// among those that have about as many.
+    /// among those that have about as many, and hosts that are leaving last: they refuse what
+    /// they cannot finish.
     pub fn forwarding_host(
         &self,
         service: &Name,
@@ -609,7 +610,6 @@
                 .failed_at
                 .is_some_and(|at| now.saturating_duration_since(at) < FAILED_CALL_PERIOD);
             p.calls > 0
-                && !p.leaving
                 && !p.is_cut
                 && !failed
                 && p.configuration >= version
@@ -624,7 +624,7 @@
         let rank = |p: &Peer| {
             let load = in_flight.get(&p.host.name).copied().unwrap_or_default() / LOAD_STEP;
             let is_remote = p.host.data_centre != self.local.data_centre;
-            (load, is_remote, xxh3_64_with_seed(p.host.name.as_bytes(), self.born_ms))
+            (p.leaving, load, is_remote, xxh3_64_with_seed(p.host.name.as_bytes(), self.born_ms))
         };
         able.min_by_key(|p| rank(p)).map(|p| p.host.clone())
     }
--- a/crates/gateway/tests/forwarded_requests.rs
+++ b/crates/gateway/tests/forwarded_requests.rs
@@ -217,6 +217,16 @@
     assert!((500..=600).contains(&left), "{left} ms");
 }
 
+// Hosts that were leaving but still served were left out.
+#[test]
+fn a_host_that_is_cut_off_finds_no_host_while_all_others_leave() {
+    let (hosts, _servers) = start_cut_off(|_, req| sealed(req, "200 OK", "done"));
+    hosts[1].leave(Duration::from_secs(60));
+    std::thread::sleep(Duration::from_millis(500));
+    let response = call(&hosts[0], "/once/", "a", "");
+    assert_eq!(status(&response), "200", "{response}");
+}
+
 #[test]
 fn a_forwarded_call_is_cancelled_when_its_caller_disconnects() {
     let (tx, rx) = std::sync::mpsc::channel();
