gateway: answer the requests that still wait when their host ends

Cause: only new requests were looked at while a host leaves. Nothing looked at those in the queue of the dispatcher, nor told any request that the process was about to exit.

Change: the queue refuses what could not be begun any more, by the same test as the front. 0.3 s before the exit each request that is still served is answered by what is known of its sends (Progress): 503 with Retry-After if it has not run, else 504.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -78,6 +78,11 @@
     fn reached_server(&self) -> bool {
         !matches!(self, SendOutcome::Failed(failure) if !failure.may_have_run())
     }
+
+    /// Returns whether the server may have run the call.
+    fn may_have_run(&self) -> bool {
+        self.reached_server() && !matches!(self, SendOutcome::Refused)
+    }
 }
 
 impl CallHandler {
@@ -114,10 +119,14 @@
             }
             tried.push(server.entry.instance.clone());
             let attempts_left = progress.runs() + 1 < inbound.route.max_attempts;
+            progress.begin_send();
             let sent = self.send(inbound, &server, permit, attempts_left).await;
             if sent.reached_server() {
                 progress.record_arrival();
             }
+            if !sent.may_have_run() {
+                progress.end_send_unrun();
+            }
             // A trial may crash the server that it reaches, and one shows enough.
             let may_try_again = !(inbound.is_trial() && sent.reached_server());
             match sent {
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -20,12 +20,14 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::configuration::EngineProfile;
+use crate::front::leaving_error;
 use crate::loads::{EngineLoads, QueueDigest, QueueScope, RunGuard, RunSize, service_key};
 use crate::metrics::Metrics;
 use crate::peers::Peers;
 use crate::permits::Permits;
 use crate::request::InboundRequest;
 use crate::roster::{Server, ServerRole};
+use crate::shutdown::WorkKind;
 use crate::view::View;
 
 /// How often the queue is processed while it is not empty: every few decode steps.
@@ -89,7 +91,16 @@
     waiter: WaitingRequest,
     service: Name,
     needs: RunNeeds,
-    tx: oneshot::Sender<Option<Placement>>,
+    tx: oneshot::Sender<Result<Placement, WaitEnd>>,
+}
+
+/// Why a request leaves the queue without a placement.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum WaitEnd {
+    /// No engine had capacity in time.
+    TimedOut,
+    /// The host is leaving and could not finish the request any more.
+    Leaving,
 }
 
 /// `Dispatcher` places model requests.
@@ -207,10 +218,13 @@
             inbound,
             QueuedRequest { waiter, service: inbound.service.clone(), needs, tx },
         )?;
-        let placed = rx.await.ok().flatten();
+        let placed = rx.await.unwrap_or(Err(WaitEnd::TimedOut));
         let waited = self.clock.now().saturating_duration_since(now);
         self.metrics.waited(waited);
-        placed.ok_or_else(|| {
+        placed.map_err(|end| {
+            if end == WaitEnd::Leaving {
+                return leaving_error();
+            }
             let expected = self.expected_wait(&inbound.service, needs, self.clock.now());
             let message = format!(
                 "no engine had capacity for a prompt of {} tokens within {} ms",
@@ -307,7 +321,15 @@
         queue.retain(|w| !w.tx.is_canceled());
         let waiters: Vec<WaitingRequest> = queue.iter().map(|w| w.waiter).collect();
         for id in waiting::timed_out(&waiters, now, &self.options) {
-            let _ = remove_queued(queue, id).map(|w| w.tx.send(None));
+            let _ = remove_queued(queue, id).map(|w| w.tx.send(Err(WaitEnd::TimedOut)));
+        }
+        // Another host can still finish what this one cannot begin in time.
+        let may_start = |w: &QueuedRequest| {
+            let limit = w.waiter.deadline.saturating_duration_since(now);
+            self.peers.shutdown().may_start(WorkKind::Generation, limit, now)
+        };
+        for waiting in queue.extract_if(.., |w| !may_start(w)) {
+            let _ = waiting.tx.send(Err(WaitEnd::Leaving));
         }
         let waiters: Vec<WaitingRequest> = queue.iter().map(|w| w.waiter).collect();
         let mut without_room: Vec<Name> = Vec::new();
@@ -332,7 +354,7 @@
                 }
                 continue;
             };
-            let _ = remove_queued(queue, id).map(|w| w.tx.send(Some(placement)));
+            let _ = remove_queued(queue, id).map(|w| w.tx.send(Ok(placement)));
         }
     }
 
--- a/crates/gateway/src/forwarding/mod.rs
+++ b/crates/gateway/src/forwarding/mod.rs
@@ -138,6 +138,7 @@
                 return None;
             }
             tried.push(host.name.clone());
+            inbound.progress.begin_send();
             let error = match self.send(inbound, &host, is_counted).await {
                 Ok(response) => return Some(Ok(response)),
                 Err(failure) => failure,
@@ -148,6 +149,9 @@
                 outcome = outcome.as_str(); ""
             );
             self.metrics.forwarded("failed");
+            if error.error.execution == Execution::NotRun {
+                inbound.progress.end_send_unrun();
+            }
             match error {
                 ForwardFailure { is_hop: false, error } => return Some(Err(error)),
                 ForwardFailure { error, .. } if error.execution == Execution::NotRun => {}
--- a/crates/gateway/src/forwarding/serve.rs
+++ b/crates/gateway/src/forwarding/serve.rs
@@ -64,7 +64,9 @@
         let inbound = inbound.forwarded(now + req.remaining, req.runs);
         log::info!(event = "forwarded_here", request = inbound.log_id(); "");
         self.metrics.forwarded("served");
-        self.serve_here(Arc::new(inbound), &configuration, req.is_counted).await
+        let inbound = Arc::new(inbound);
+        let serving = Box::pin(self.serve_here(inbound.clone(), &configuration, req.is_counted));
+        self.unless_ending(serving, || inbound.progress.may_have_run()).await
     }
 }
 
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -2,6 +2,7 @@
 //! passes them to the handler of plain calls or of model requests.
 
 use std::convert::Infallible;
+use std::pin::pin;
 use std::time::{Duration, Instant};
 
 use aspenloft_core::errors::{Error, ErrorCode};
@@ -33,7 +34,6 @@
 use crate::request::InboundRequest;
 use crate::responses::{self, ResponseBody};
 use crate::retries::RetryBudgets;
-use crate::settings::ShutdownSettings;
 use crate::shutdown::{Shutdown, WorkKind};
 use crate::view::View;
 
@@ -71,8 +71,6 @@
     pub retries: Arc<RetryBudgets>,
     /// The state of the host's shutdown.
     pub shutdown: Arc<Shutdown>,
-    /// The time limits of the shutdown.
-    pub shutdown_settings: ShutdownSettings,
     /// The host's metrics.
     pub metrics: Arc<Metrics>,
     /// The source of time.
@@ -176,10 +174,31 @@
             let error = Error::new(ErrorCode::NotReady, "the host has no configuration yet");
             return Err(error.retry_after(STARTUP_RETRY_AFTER));
         };
-        let inbound = Arc::new(self.read(head, body, metadata, arrived, &configuration).await?);
+        // The future is large, and each function that wraps it would hold it on the stack.
+        let read = Box::pin(self.read(head, body, metadata, arrived, &configuration));
+        let inbound = Arc::new(self.unless_ending(read, || false).await?);
         *route_name = inbound.route.name.to_string();
         let remaining = inbound.remaining(self.clock.now());
-        with_deadline(self.serve_here_or_forward(inbound, &configuration), remaining).await
+        let serving = Box::pin(self.serve_here_or_forward(inbound.clone(), &configuration));
+        let serving = with_deadline(serving, remaining);
+        self.unless_ending(serving, || inbound.progress.may_have_run()).await
+    }
+
+    /// Waits for `work` on a request, but only until the host ends. The error then says whether
+    /// the request `may_have_run`.
+    pub(crate) async fn unless_ending<T>(
+        &self,
+        work: impl Future<Output = Result<T>>,
+        may_have_run: impl Fn() -> bool,
+    ) -> Result<T> {
+        match select(pin!(work), pin!(self.shutdown.answer_requested())).await {
+            Either::Left((outcome, _)) => outcome,
+            Either::Right(_) if may_have_run() => {
+                let error = Error::new(ErrorCode::Timeout, "the host ended before the response");
+                Err(error.execution(Execution::Unknown))
+            }
+            Either::Right(_) => Err(leaving_error()),
+        }
     }
 
     /// Serves the request, through another host if that is the only way.
@@ -233,11 +252,12 @@
             Some(_) => WorkKind::Generation,
             None => WorkKind::Call,
         };
-        if !self.shutdown.may_start(work, &self.shutdown_settings, self.clock.now()) {
-            let error = Error::new(ErrorCode::NotReady, "the host is shutting down");
-            return Err(error.retry_after(LEAVING_RETRY_AFTER));
+        let now = self.clock.now();
+        let limit = inbound.remaining(now);
+        match self.shutdown.may_start(work, limit, now) {
+            true => Ok(()),
+            false => Err(leaving_error()),
         }
-        Ok(())
     }
 
     /// Selects the request's route and service, and reads its body.
@@ -356,6 +376,11 @@
     }
 }
 
+/// Returns the error of a request that has not run and that another host can serve.
+pub(crate) fn leaving_error() -> Error {
+    Error::new(ErrorCode::NotReady, "the host is shutting down").retry_after(LEAVING_RETRY_AFTER)
+}
+
 /// How long data to a caller may stay unacknowledged before the connection is closed.
 const CALLER_ACK_TIMEOUT: Duration = Duration::from_secs(5);
 
--- a/crates/gateway/src/generation/decode.rs
+++ b/crates/gateway/src/generation/decode.rs
@@ -170,7 +170,15 @@
             last_event: None,
         };
         let remaining = inbound.remaining(self.clock.now());
+        inbound.progress.begin_send();
         let sent = self.send(inbound, &search.server, permit, phase, remaining).await;
+        let is_unrun = match &sent {
+            Ok(response) => response.metadata.refused(),
+            Err(failure) => !failure.may_have_run(),
+        };
+        if is_unrun {
+            inbound.progress.end_send_unrun();
+        }
         let now = self.clock.now();
         match sent {
             Ok(response) if !response.metadata.refused() => {
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -214,6 +214,11 @@
         &self.local
     }
 
+    /// Returns the shutdown of this host, which it tells the others of.
+    pub fn shutdown(&self) -> &Shutdown {
+        &self.state.shutdown
+    }
+
     /// Returns when this process started, in milliseconds since the Unix epoch.
     pub fn born_ms(&self) -> u64 {
         self.born_ms
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -57,6 +57,7 @@
 pub struct Progress {
     arrived: AtomicBool,
     prefilled: AtomicBool,
+    sending: AtomicBool,
     runs: AtomicU32,
 }
 
@@ -83,6 +84,22 @@
         self.prefilled.store(true, Ordering::SeqCst);
     }
 
+    /// Records that the request is being sent to a server that may run it, or to a host that may
+    /// have one do so.
+    pub fn begin_send(&self) {
+        self.sending.store(true, Ordering::SeqCst);
+    }
+
+    /// Records that the last send has not led to a run and will not.
+    pub fn end_send_unrun(&self) {
+        self.sending.store(false, Ordering::SeqCst);
+    }
+
+    /// Returns whether a server may have run the request or may run it now.
+    pub fn may_have_run(&self) -> bool {
+        self.sending.load(Ordering::SeqCst) || self.runs() > 0
+    }
+
     /// Returns how many servers may have run the request.
     pub fn runs(&self) -> u32 {
         self.runs.load(Ordering::SeqCst)
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -241,7 +241,6 @@
         bodies: BodyBudget::new(settings.memory_mb),
         retries,
         shutdown: shutdown.clone(),
-        shutdown_settings: settings.shutdown.clone(),
         metrics,
         clock: clock.clone(),
     });
--- a/crates/gateway/src/shutdown.rs
+++ b/crates/gateway/src/shutdown.rs
@@ -3,7 +3,8 @@
 //! The balancer takes a host out after two failed readiness probes, a second apart,
 //! and sends new connections until then. The host therefore continues to serve, asks
 //! callers to close their connections, then closes those that are idle, and ends when
-//! no connection is left or the grace period is over.
+//! no connection is left or the grace period is over. Shortly before that it answers the requests
+//! that still wait. `docs/design/stopping.md` lists where a request may be at that time.
 
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
@@ -23,6 +24,9 @@
 /// How long before the end of the grace period the host exits by itself.
 const EXIT_MARGIN: Duration = Duration::from_millis(400);
 
+/// How long before the process exits the requests that wait are answered.
+const ANSWER_MARGIN: Duration = Duration::from_millis(300);
+
 /// How long a slow call of a plain service takes. Such calls are accepted for as long
 /// as they can end in time, because the balancer may send callers until the end if too
 /// few hosts are ready.
@@ -47,18 +51,23 @@
 /// `Shutdown` holds the state of a host's shutdown and counts its work in flight.
 pub struct Shutdown {
     leaving: AtomicBool,
-    began: Mutex<Option<Instant>>,
+    /// When the shutdown began, and its limits.
+    began: Mutex<Option<(Instant, ShutdownSettings)>>,
     connections: AtomicUsize,
     requests: AtomicUsize,
     // Carries no messages: closing the channel tells idle connections to close.
     close_tx: Sender<()>,
     close_rx: Receiver<()>,
+    // Carries no messages: closing the channel has the requests answered that still wait.
+    answer_tx: Sender<()>,
+    answer_rx: Receiver<()>,
     last_work: Mutex<Vec<Arc<dyn LastWork>>>,
 }
 
 impl Default for Shutdown {
     fn default() -> Self {
         let (close_tx, close_rx) = bounded(1);
+        let (answer_tx, answer_rx) = bounded(1);
         Shutdown {
             leaving: AtomicBool::new(false),
             began: Mutex::default(),
@@ -66,6 +75,8 @@
             requests: AtomicUsize::new(0),
             close_tx,
             close_rx,
+            answer_tx,
+            answer_rx,
             last_work: Mutex::default(),
         }
     }
@@ -81,14 +92,24 @@
 }
 
 impl ShutdownSettings {
-    /// Tells whether `work` may start `elapsed` after the signal, that is, whether it
-    /// can be expected to end before the process does.
-    pub fn may_start(&self, work: WorkKind, elapsed: Duration) -> bool {
-        let needed = match work {
+    /// Tells whether `work` that must end within `limit` may start `elapsed` after the signal:
+    /// whether it can be expected to end before the process does.
+    pub fn may_start(&self, work: WorkKind, limit: Duration, elapsed: Duration) -> bool {
+        let usual = match work {
             WorkKind::Call => CALL_DURATION,
             WorkKind::Generation => GENERATION_DURATION,
         };
-        self.grace_s.saturating_sub(EXIT_MARGIN).saturating_sub(elapsed) >= needed
+        self.answer_after().saturating_sub(elapsed) >= usual.min(limit)
+    }
+
+    /// Returns how long after the signal the process exits.
+    fn exit_after(&self) -> Duration {
+        self.grace_s.saturating_sub(EXIT_MARGIN)
+    }
+
+    /// Returns how long after the signal the requests are answered that still wait.
+    fn answer_after(&self) -> Duration {
+        self.exit_after().saturating_sub(ANSWER_MARGIN)
     }
 }
 
@@ -98,10 +119,11 @@
         self.leaving.load(Ordering::SeqCst)
     }
 
-    /// Tells whether the host may start `work` at `now`.
-    pub fn may_start(&self, work: WorkKind, settings: &ShutdownSettings, now: Instant) -> bool {
-        let began = *self.began.lock();
-        began.is_none_or(|began| settings.may_start(work, now.saturating_duration_since(began)))
+    /// Tells whether the host may start `work` at `now` that must end within `limit`.
+    pub fn may_start(&self, work: WorkKind, limit: Duration, now: Instant) -> bool {
+        self.began.lock().as_ref().is_none_or(|(began, settings)| {
+            settings.may_start(work, limit, now.saturating_duration_since(*began))
+        })
     }
 
     /// Waits until idle connections are to be closed.
@@ -110,6 +132,12 @@
         let _ = self.close_rx.recv().await;
     }
 
+    /// Waits until the requests are to be answered that still wait.
+    pub async fn answer_requested(&self) {
+        // Returns an error once the channel is closed.
+        let _ = self.answer_rx.recv().await;
+    }
+
     /// Counts a connection until the guard is dropped.
     pub fn track_connection(self: &Arc<Self>) -> CountGuard {
         CountGuard::begin(self.clone(), |s| &s.connections)
@@ -129,14 +157,17 @@
     /// running at the end.
     pub async fn drain(&self, clock: &SharedClock, settings: &ShutdownSettings) -> usize {
         let began = clock.now();
-        *self.began.lock() = Some(began);
+        *self.began.lock() = Some((began, settings.clone()));
         self.leaving.store(true, Ordering::SeqCst);
         log::info!(event = "leaving", requests = self.requests(), connections = self.connections(); "");
         let lag = BALANCER_LAG.min(settings.grace_s / 2);
         task::sleep(lag).await;
         self.close_tx.close();
-        let end = began + settings.grace_s.saturating_sub(EXIT_MARGIN);
+        let (answer_at, end) = (began + settings.answer_after(), began + settings.exit_after());
         while clock.now() < end && self.connections() > 0 {
+            if clock.now() >= answer_at {
+                self.answer_tx.close();
+            }
             task::sleep(POLL_INTERVAL).await;
         }
         let interrupted = self.requests();
--- a/crates/gateway/tests/host_view.rs
+++ b/crates/gateway/tests/host_view.rs
@@ -168,14 +168,16 @@
 #[test]
 fn a_stopping_host_starts_only_work_that_can_finish() {
     let settings = ShutdownSettings { grace_s: Duration::from_secs(8) };
-    let starts = |work, ms| settings.may_start(work, Duration::from_millis(ms));
-    assert!(starts(WorkKind::Generation, 0) && starts(WorkKind::Generation, 2_000));
+    let ms = Duration::from_millis;
+    let generation = |at| settings.may_start(WorkKind::Generation, ms(14_000), ms(at));
+    assert!(generation(0) && generation(2_000));
     assert!(
-        !starts(WorkKind::Generation, 2_900),
+        !generation(2_900),
         "a generation that starts later cannot be complete before the process ends"
     );
-    assert!(starts(WorkKind::Call, 6_000));
-    assert!(!starts(WorkKind::Call, 7_500), "the process ends 100 ms later");
+    let call = |at| settings.may_start(WorkKind::Call, ms(14_000), ms(at));
+    assert!(call(6_000));
+    assert!(!call(7_500), "the process ends 100 ms later");
 }
 
 #[test]
