gateway: answer new connections of a host that leaves until its end

From 3.2 s after the signal a host closed each new connection unread, as the idle ones. While all hosts of a data centre leave, the balancer sends callers to them all the same, and each such attempt failed.

Change: a connection that is opened after that is read and answered once, with connection: close.

Test: callers_that_come_while_the_last_host_leaves_are_turned_away, failed on (no response).

--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -2,6 +2,7 @@
 //! passes them to the handler of plain calls or of model requests.
 
 use std::convert::Infallible;
+use std::future::pending;
 use std::pin::pin;
 use std::time::{Duration, Instant};
 
@@ -104,6 +105,12 @@
             return;
         }
         let limits = self.limits();
+        // The balancer may send callers until the end; each gets one answer.
+        let is_closing = self.shutdown.is_closing();
+        let head_timeout = match is_closing {
+            true => limits.header_timeout,
+            false => limits.idle_timeout.max(limits.header_timeout),
+        };
         let frontend = self.clone();
         let service = service_fn(move |req| {
             let frontend = frontend.clone();
@@ -111,10 +118,16 @@
         });
         let connection = http1::Builder::new()
             .timer(SmolTimer::new())
-            .header_read_timeout(limits.idle_timeout.max(limits.header_timeout))
+            .keep_alive(!is_closing)
+            .header_read_timeout(head_timeout)
             .max_buf_size(MAX_BUFFER_BYTES.max(limits.max_header_bytes))
             .serve_connection(FuturesIo::new(stream), service);
-        let closing = self.shutdown.close_requested();
+        let closing = async {
+            match is_closing {
+                true => pending().await,
+                false => self.shutdown.close_requested().await,
+            }
+        };
         pin_mut!(connection, closing);
         let ended = match select(connection, closing).await {
             Either::Left((ended, _)) => ended,
--- a/crates/gateway/src/shutdown.rs
+++ b/crates/gateway/src/shutdown.rs
@@ -132,6 +132,11 @@
         let _ = self.close_rx.recv().await;
     }
 
+    /// Tells whether idle connections are being closed.
+    pub fn is_closing(&self) -> bool {
+        self.close_tx.is_closed()
+    }
+
     /// Waits until the requests are to be answered that still wait.
     pub async fn answer_requested(&self) {
         // Returns an error once the channel is closed.
--- a/crates/gateway/tests/stops.rs
+++ b/crates/gateway/tests/stops.rs
@@ -184,3 +184,15 @@
     assert_eq!(status(&response), "504", "{response}");
     assert_eq!(server.count(), 1);
 }
+
+// New connections were closed unread, though the balancer had no other host to send them to.
+#[test]
+fn callers_that_come_while_the_last_host_leaves_are_turned_away() {
+    let server = Scripted::start(|_, req| sealed(req, "200 OK", "done"));
+    let hosts = start(&["h1"], &[entry("s1", server.addr, Plain)]);
+    hosts[0].leave(GRACE);
+    std::thread::sleep(Duration::from_millis(3_400));
+    let response = hosts[0].send(&call("/many/", ""));
+    assert_eq!(status(&response), "200", "{response}");
+    assert_eq!(header(&response, "connection").as_deref(), Some("close"));
+}
