gateway: refuse late calls that may not be repeated and may outlast their host

Reported by users: in a planned stop, requests that came late in the grace period were passed on and cut at its end, among them such as may not be repeated. It could happen here: a call was passed on up to 6.4 s after the signal if calls usually take less than 1.2 s, whatever its deadline.

One that may be repeated begins if it usually ends in time, and gets a 504 if it does not.

Test: a_late_call_that_may_not_be_repeated_is_passed_on_and_cut, failed on; host_view's a_stopping_host_starts_only_work_that_can_finish has the bounds for both kinds.

--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -263,7 +263,7 @@
     fn check_leaving(&self, inbound: &InboundRequest) -> Result<()> {
         let work = match inbound.metadata.generation {
             Some(_) => WorkKind::Generation,
-            None => WorkKind::Call,
+            None => WorkKind::Call { repeatable: inbound.route.repeat.allows_rerun() },
         };
         let now = self.clock.now();
         let limit = inbound.remaining(now);
--- a/crates/gateway/src/shutdown.rs
+++ b/crates/gateway/src/shutdown.rs
@@ -27,6 +27,10 @@
 /// How long before the process exits the requests that wait are answered.
 const ANSWER_MARGIN: Duration = Duration::from_millis(300);
 
+/// How long after the signal work may begin that usually ends in time. Later on the balancer
+/// sends callers only because too few hosts are ready, and what begins must end.
+const CERTAIN_END_AFTER: Duration = Duration::from_millis(3_000);
+
 /// How long a slow call of a plain service takes. Such calls are accepted for as long
 /// as they can end in time, because the balancer may send callers until the end if too
 /// few hosts are ready.
@@ -86,20 +90,27 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum WorkKind {
     /// A call of a plain service.
-    Call,
+    Call {
+        /// Whether callers may repeat a call that was not answered.
+        repeatable: bool,
+    },
     /// A model request.
     Generation,
 }
 
 impl ShutdownSettings {
     /// Tells whether `work` that must end within `limit` may start `elapsed` after the signal:
-    /// whether it can be expected to end before the process does.
+    /// whether it can be expected to end before the process does and, if it comes late and cannot
+    /// be repeated, whether it ends before in any case.
     pub fn may_start(&self, work: WorkKind, limit: Duration, elapsed: Duration) -> bool {
         let usual = match work {
-            WorkKind::Call => CALL_DURATION,
+            WorkKind::Call { .. } => CALL_DURATION,
             WorkKind::Generation => GENERATION_DURATION,
         };
-        self.answer_after().saturating_sub(elapsed) >= usual.min(limit)
+        let is_certain =
+            elapsed >= CERTAIN_END_AFTER && work != WorkKind::Call { repeatable: true };
+        let needed = if is_certain { limit } else { usual.min(limit) };
+        self.answer_after().saturating_sub(elapsed) >= needed
     }
 
     /// Returns how long after the signal the process exits.
--- a/crates/gateway/tests/host_view.rs
+++ b/crates/gateway/tests/host_view.rs
@@ -175,9 +175,15 @@
         !generation(2_900),
         "a generation that starts later cannot be complete before the process ends"
     );
-    let call = |at| settings.may_start(WorkKind::Call, ms(14_000), ms(at));
-    assert!(call(6_000));
-    assert!(!call(7_500), "the process ends 100 ms later");
+    let call = |repeatable, limit, at| {
+        settings.may_start(WorkKind::Call { repeatable }, ms(limit), ms(at))
+    };
+    for repeatable in [true, false] {
+        assert!(call(repeatable, 1_000, 6_000) && call(repeatable, 14_000, 2_900));
+        assert!(!call(repeatable, 14_000, 7_500), "the process ends 100 ms later");
+    }
+    assert!(call(true, 2_500, 6_000), "its caller may send it again");
+    assert!(!call(false, 2_500, 6_000), "it may last until the process has ended");
 }
 
 #[test]
--- a/crates/gateway/tests/stops.rs
+++ b/crates/gateway/tests/stops.rs
@@ -196,3 +196,19 @@
     assert_eq!(status(&response), "200", "{response}");
     assert_eq!(header(&response, "connection").as_deref(), Some("close"));
 }
+
+// Calls that came late in the grace period were passed on and cut at its end.
+#[test]
+fn a_late_call_that_may_not_be_repeated_is_passed_on_and_cut() {
+    let server = silent();
+    let hosts = start(&["h1"], &[entry("s1", server.addr, Plain)]);
+    hosts[0].leave(GRACE);
+    std::thread::sleep(Duration::from_millis(3_100));
+    let response = hosts[0].send(&call("/once/", "wait-ms: 4000\r\n"));
+    assert_not_run(&response);
+    assert_eq!(server.count(), 0);
+    // One that may be repeated is answered before the host ends.
+    let response = hosts[0].send(&call("/many/", "wait-ms: 4000\r\n"));
+    assert_eq!(status(&response), "504", "{response}");
+    assert!(server.count() > 0);
+}
