gateway: read the end of a connection only once the request is written

Reported by users: a server answered a long upload at once with a 200 without a length, sent part of its body and reset the connection while the upload was being written; the caller got that part as a complete answer. A server sent the status 000, and the caller got it.

Statuses that do not exist give 502 or 504.

Cause: a response without a length ends with its connection, and the HTTP library took the end of the read side for that although the request had not been written.

Change: MeteredStream passes the end on when the request has been flushed, and fails it if a write fails.

--- a/crates/gateway/src/http/metered.rs
+++ b/crates/gateway/src/http/metered.rs
@@ -1,11 +1,15 @@
 //! The `metered` module limits the bytes that are read from a connection to a backend
 //! server, whatever they are. The HTTP parser bounds each part of a message, but not how
 //! many interim responses, leading zeros or chunks come one after the other.
+//!
+//! It also tells the end of a connection from a reset that only a write has shown. A server may
+//! answer while a long request is being written, and a response without a length ends with its
+//! connection.
 
 use std::io::{Error, ErrorKind, Result};
 use std::pin::Pin;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, Waker};
 
 use aspenloft_core::prelude::Arc;
 use futures::io::{AsyncRead, AsyncWrite};
@@ -38,18 +42,44 @@
     }
 }
 
+/// What is known of the writes on a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum WriteState {
+    /// All that was to be written has been.
+    Flushed,
+    /// A request is being written.
+    Writing,
+    /// A write has failed.
+    Failed,
+}
+
 /// `MeteredStream` is a connection from which only an allowance of bytes can be read. Beyond
 /// it, reads fail, which closes the connection.
+///
+/// The end of the connection is read only once the request has been written, and is an error if
+/// that fails.
 #[derive(Debug)]
 pub struct MeteredStream<S> {
     inner: S,
     allowance: Arc<ReadAllowance>,
+    writes: WriteState,
+    /// Waits for the end of the connection to be confirmed.
+    reader: Option<Waker>,
 }
 
 impl<S> MeteredStream<S> {
     /// Limits what is read from `inner` to `allowance`.
     pub fn new(inner: S, allowance: Arc<ReadAllowance>) -> MeteredStream<S> {
-        MeteredStream { inner, allowance }
+        MeteredStream { inner, allowance, writes: WriteState::Flushed, reader: None }
+    }
+
+    fn set_writes(&mut self, writes: WriteState) {
+        self.writes = writes;
+        if writes != WriteState::Writing
+            && let Some(reader) = self.reader.take()
+        {
+            reader.wake();
+        }
     }
 }
 
@@ -65,6 +95,19 @@
             return Poll::Ready(Err(error));
         }
         let read = Pin::new(&mut self.inner).poll_read(cx, &mut buf[..length]);
+        if matches!(read, Poll::Ready(Ok(0))) && !buf.is_empty() {
+            match self.writes {
+                WriteState::Flushed => {}
+                WriteState::Writing => {
+                    self.reader = Some(cx.waker().clone());
+                    return Poll::Pending;
+                }
+                WriteState::Failed => {
+                    let cause = "the server closed the connection before it had the request";
+                    return Poll::Ready(Err(Error::new(ErrorKind::ConnectionReset, cause)));
+                }
+            }
+        }
         if let Poll::Ready(Ok(bytes)) = &read {
             self.allowance.consume(*bytes);
         }
@@ -78,11 +121,25 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<Result<usize>> {
-        Pin::new(&mut self.inner).poll_write(cx, buf)
+        let written = Pin::new(&mut self.inner).poll_write(cx, buf);
+        match &written {
+            Poll::Ready(Err(_)) => self.set_writes(WriteState::Failed),
+            _ if self.writes == WriteState::Failed => {}
+            _ => self.set_writes(WriteState::Writing),
+        }
+        written
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
-        Pin::new(&mut self.inner).poll_flush(cx)
+        let flushed = Pin::new(&mut self.inner).poll_flush(cx);
+        match &flushed {
+            Poll::Ready(Ok(())) if self.writes == WriteState::Writing => {
+                self.set_writes(WriteState::Flushed);
+            }
+            Poll::Ready(Err(_)) => self.set_writes(WriteState::Failed),
+            _ => {}
+        }
+        flushed
     }
 
     fn poll_close(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
