tests: bytes without end from engines and on kept connections

Reported by users: a server sent bytes that were no answer, without end, until the caller closed, and the machine that had called it ran out of memory. Calls, streams and a whole service of such servers had tests; engines (prefill and decode: no HTTP, heads, interim responses, refusals, failures) and bytes after a whole response on a kept connection had none.

--- a/crates/gateway/tests/endless_bytes.rs
+++ b/crates/gateway/tests/endless_bytes.rs
@@ -12,7 +12,7 @@
 
 use aspenloft_gateway::events::EventSplitter;
 use aspenloft_gateway::roster::ServerEntry;
-use aspenloft_gateway::roster::ServerRole::{Decode, Plain};
+use aspenloft_gateway::roster::ServerRole::{self, Decode, Plain, Prefill};
 use common::{MemoryStore, Scripted, TestHost, configuration, entry, header, sealed, status};
 
 /// The most bytes that a server may get rid of before its connection is closed: the limit
@@ -138,6 +138,54 @@
     check_stream("comments", chunk_of(": xxxx\n\n"));
 }
 
+/// Checks endless responses of an engine in `role` to model requests.
+fn check_engine(what: &str, role: ServerRole, start: &'static str, repeated: &'static str) {
+    let endless = EndlessServer::start(start, repeated);
+    let sound = Scripted::start(|_, req| sealed(req, "200 OK", "id: 1\ndata: x\n\n"));
+    let mut servers = vec![ServerEntry { role, ..entry("e1", endless.server.addr, role) }];
+    if role == Prefill {
+        servers.push(entry("d1", sound.addr, Decode));
+    }
+    let host = TestHost::with_servers(&servers);
+    for path in ["/stream/", "/resume/"] {
+        let req = post(path, "a").replace("content-length", "tokens: 100,50\r\ncontent-length");
+        let response = host.send(&req);
+        let is_served = status(&response) == "200";
+        assert_eq!(is_served, role == Prefill, "{what}: {response:.200}");
+    }
+    common::wait_for("the connections to be closed", || endless.open.load(Ordering::SeqCst) == 0);
+    let (sent, count) = (endless.sent.load(Ordering::SeqCst), endless.server.count());
+    assert!(sent <= count * MAX_SENT_BYTES, "{what}: {sent} bytes taken in {count} responses");
+}
+
+#[test]
+fn endless_responses_of_engines_are_read_on() {
+    for role in [Prefill, Decode] {
+        check_engine("no HTTP", role, "", "0123456789abcdef");
+        check_engine("a head", role, SEALED, "x: yyyyyyyyyyyyyyyyyyyyyyyyyyyyy\r\n");
+        check_engine("interim responses", role, "", "HTTP/1.1 100 Continue\r\n\r\n");
+        let refusal =
+            "HTTP/1.1 503 Full\r\nid: ID\r\nnot-run: 1\r\ntransfer-encoding: chunked\r\n\r\n";
+        check_engine("a refusal", role, refusal, "8\r\nxxxxxxxx\r\n");
+        let failure = "HTTP/1.1 500 Broken\r\nid: ID\r\nseal: s\r\n\r\n";
+        check_engine("a failure", role, failure, "0123456789abcdef");
+    }
+    check_engine("a prefill", Prefill, CHUNKED, "8\r\nxxxxxxxx\r\n");
+}
+
+// What a server sends on a connection that is kept was read without a request.
+#[test]
+fn bytes_without_end_after_a_whole_response_are_read_on() {
+    const WHOLE: &str = "HTTP/1.1 200 OK\r\nid: ID\r\nseal: s\r\ncontent-length: 4\r\n\r\ndone";
+    let endless = EndlessServer::start(WHOLE, "0123456789abcdef");
+    let host = TestHost::with_servers(&[entry("s1", endless.server.addr, Plain)]);
+    let response = host.send(&post("/once/", "a"));
+    assert_eq!(status(&response), "200", "{response:.200}");
+    common::wait_for("the connection to be closed", || endless.open.load(Ordering::SeqCst) == 0);
+    let sent = endless.sent.load(Ordering::SeqCst);
+    assert!(sent <= MAX_SENT_HEAD_BYTES, "{sent} bytes taken");
+}
+
 /// Servers with endless responses, as many as a service has, left no memory for others.
 #[test]
 fn endless_bodies_of_all_servers_at_once_use_up_the_memory() {
