gateway: let the host that has run longest keep the log of streams

After the keeper was killed, the first host by name took over, even one that had just started and knew nothing of the streams that others had begun before. Records are sent once, when they are made, so that such a keeper never wrote them.

Change: of the hosts that stay the one that has run longest comes first, and each host writes all that it knows at its end, not only the keeper.

Test: the_work_goes_to_a_host_that_has_just_started (policy); by name, h1 took over.

--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -254,6 +254,7 @@
     pub fn own_log_candidate(&self) -> Candidate {
         Candidate {
             name: self.local.name.clone(),
+            born_ms: self.born_ms,
             leaving: self.state.shutdown.is_leaving(),
             state: *self.log_duty.lock(),
         }
@@ -269,8 +270,13 @@
             let max_age = if in_group { FOLLOWER_TIMEOUT } else { FORWARDING_MAX_AGE };
             p.host.data_centre == self.local.data_centre && is_recent(p, now, max_age)
         });
-        near.map(|p| Candidate { name: p.host.name.clone(), leaving: p.leaving, state: p.log_duty })
-            .collect()
+        near.map(|p| Candidate {
+            name: p.host.name.clone(),
+            born_ms: p.born_ms,
+            leaving: p.leaving,
+            state: p.log_duty,
+        })
+        .collect()
     }
 
     /// Sets whether this host keeps the log of streams, and tells the others soon.
--- a/crates/gateway/src/stream_log.rs
+++ b/crates/gateway/src/stream_log.rs
@@ -418,14 +418,11 @@
 
 #[async_trait]
 impl LastWork for StreamLog {
-    /// Writes what no other host of the data centre may have written.
+    /// Writes all that this host knows: a keeper that started later may not know it.
     async fn finish(&self) {
         let mut keeper = self.keeper.lock().await;
-        let own = self.peers.own_log_candidate();
-        let others = self.peers.log_candidates();
-        if own.state != DutyState::Active && others.iter().any(|o| o.state == DutyState::Active) {
-            return;
-        }
+        // The marks need not be read to write what this host has seen itself.
+        keeper.era.get_or_insert(self.kv.era());
         if let Err(e) = self.write(&mut keeper).await {
             self.record_failure(&mut keeper, &e.to_string(), 1);
         }
--- a/crates/policy/src/duty.rs
+++ b/crates/policy/src/duty.rs
@@ -26,6 +26,9 @@
 pub struct Candidate {
     /// The name of the host.
     pub name: Name,
+    /// When the process started, in milliseconds since the Unix epoch. One that has run longer
+    /// knows more of what was told before others started.
+    pub born_ms: u64,
     /// Whether the host is shutting down. Such a host does the work only if all others are, too.
     pub leaving: bool,
     /// What the host tells about the work.
@@ -35,7 +38,8 @@
 impl Candidate {
     /// Returns whether this host rather than `other` does the work.
     fn precedes(&self, other: &Candidate) -> bool {
-        (self.leaving, &self.name) < (other.leaving, &other.name)
+        let order = |c: &Candidate| (c.leaving, c.born_ms, c.name.clone());
+        order(self) < order(other)
     }
 
     fn is_active(&self) -> bool {
--- a/crates/policy/tests/duty.rs
+++ b/crates/policy/tests/duty.rs
@@ -22,8 +22,9 @@
 }
 
 impl Host {
-    fn start(name: &str) -> Host {
-        let own = Candidate { name: name.into(), leaving: false, state: DutyState::Idle };
+    fn start(name: &str, born_ms: u64) -> Host {
+        let state = DutyState::Idle;
+        let own = Candidate { name: name.into(), born_ms, leaving: false, state };
         let election = DutyElection::default();
         Host { own, election, runs: true, fails: false, told: None }
     }
@@ -39,7 +40,7 @@
 
 impl Deployment {
     fn start(count: usize) -> Deployment {
-        let hosts = (0..count).map(|n| Host::start(&format!("h{n}"))).collect();
+        let hosts = (0..count).map(|n| Host::start(&format!("h{n}"), 0)).collect();
         let mut deployment = Deployment {
             hosts,
             now: Instant::now(),
@@ -93,13 +94,25 @@
     }
 }
 
+// A host that had just started took over from one that was killed, and wrote the little it knew.
+#[test]
+fn the_work_goes_to_a_host_that_has_just_started() {
+    let mut deployment = Deployment::start(3);
+    deployment.hosts[1] = Host::start("h1", 1);
+    deployment.run(4);
+    deployment.hosts[0].runs = false;
+    deployment.run(12);
+    deployment.hosts[0].own.state = DutyState::Idle;
+    assert_eq!(deployment.active(), ["h2"]);
+}
+
 #[test]
 fn one_host_does_the_work_and_goes_on_when_one_with_a_lower_name_starts() {
     let mut deployment = Deployment::start(3);
     assert_eq!(deployment.active(), ["h0"]);
     deployment.hosts[0].runs = false;
     deployment.run(12);
-    deployment.hosts[0] = Host::start("h0");
+    deployment.hosts[0] = Host::start("h0", 1);
     deployment.run(12);
     assert_eq!(deployment.active(), ["h1"]);
 }
@@ -115,7 +128,7 @@
     assert_eq!(deployment.longest_rest, Duration::ZERO);
     assert_eq!(deployment.active().len(), 1, "{:?}", deployment.active());
     // The first one starts again while the others leave.
-    deployment.hosts[0] = Host::start("h0");
+    deployment.hosts[0] = Host::start("h0", 1);
     deployment.run(8);
     assert_eq!((deployment.active(), deployment.longest_rest), (vec!["h0"], Duration::ZERO));
 }
@@ -146,7 +159,7 @@
             (random >> 33) % max
         };
         let mut deployment = Deployment::start(4);
-        for _ in 0..30 {
+        for step in 1..30 {
             let index = next(4) as usize;
             let others_run = deployment.active().iter().any(|name| *name != format!("h{index}"));
             match deployment.hosts[index].own.leaving {
@@ -154,7 +167,7 @@
                 // A host that does the work ends only when its grace period is over.
                 true if others_run => {
                     let name = deployment.hosts[index].own.name.clone();
-                    deployment.hosts[index] = Host::start(&name);
+                    deployment.hosts[index] = Host::start(&name, step);
                 }
                 true => {}
             }
