gateway: ask hosts that have run longer before the store for a stream's version

Change: a host that has not seen a single version for as long as streams last asks the others and the store at the same time, and takes what the others know.

Test: a_host_that_has_just_started_takes_the_version_that_is_left_for_the_only_one, failed on (200 at v1).

--- a/crates/gateway/src/generation/version.rs
+++ b/crates/gateway/src/generation/version.rs
@@ -8,7 +8,7 @@
 use aspenloft_core::prelude::Name;
 use aspenloft_policy::stream_versions::{VersionTag, stream_key};
 use async_std::future::timeout;
-use futures::future::{Either, select};
+use futures::future::{Either, join, select};
 
 use super::{ENGINE_RETRY_AFTER, GenerationHandler};
 use crate::request::InboundRequest;
@@ -55,6 +55,14 @@
     async fn find_stream_version(&self, service: &Name, key: u64) -> Result<Option<VersionTag>> {
         let only = self.log.only_version(service);
         let asked = self.peers.ask_stream_version(service, key);
+        if self.streams.only_version(service).is_none() {
+            // Hosts that have run longer may have seen another version leave.
+            return match join(asked, only).await {
+                (Ok(Some(version)), _) => Ok(Some(version)),
+                (Ok(None), only) => only,
+                (Err(_), _) => self.log.find(service, key).await,
+            };
+        }
         match first_known(only, asked, ASK_OTHERS_AFTER).await {
             (Ok(Some(version)), _) | (_, Ok(Some(version))) => Ok(Some(version)),
             (_, Ok(None)) => Ok(None),
--- a/crates/gateway/tests/stream_versions.rs
+++ b/crates/gateway/tests/stream_versions.rs
@@ -441,3 +441,14 @@
     let response = hosts[0].send(&take_up("b", "begun-at-v2", 2));
     assert_eq!((status(&response).as_str(), versions(&response)), ("200", vec!["v2".into()]));
 }
+
+// The host relied on the store, where the mark was missing, before it asked one that knew.
+#[test]
+fn a_host_that_has_just_started_takes_the_version_that_is_left_for_the_only_one() {
+    let old = engine("v1");
+    let (_store, hosts) = start_hosts(&["h1"], &[at_version("d1", &old, "v1")]);
+    introduce(&hosts[0], 1, Answering { version: "v2", delay: Duration::from_millis(100) });
+    std::thread::sleep(Duration::from_millis(100));
+    let response = hosts[0].send(&take_up("b", "begun-at-v2", 2));
+    assert_eq!(status(&response), "503", "{response}");
+}
