--- a/crates/gateway/src/http/client.rs
+++ b/crates/gateway/src/http/client.rs
@@ -2,6 +2,7 @@
 //! the response. Unless it is certain that a request was not run, its execution counts
 //! as unknown.
 
+use std::ops::RangeInclusive;
 use std::time::{Duration, Instant};
 
 use aspenloft_core::execution::Execution;
@@ -123,6 +124,9 @@
 /// The number of bytes that a server may send before those of a body.
 const MIN_BODY_ALLOWANCE: usize = 256 * 1024;
 
+/// The statuses of a final response. No request asks for an upgrade (101).
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// `BackendClient` sends requests to backend servers.
 #[derive(Clone)]
 pub struct BackendClient {
@@ -172,7 +176,8 @@
             self.view.record_leaving(server);
         }
         let encoded = head.headers.contains_key(header::CONTENT_ENCODING);
-        if !belongs_to(&metadata, id, connection.reused) || encoded {
+        let is_final = FINAL_STATUSES.contains(&head.status.as_u16());
+        if !belongs_to(&metadata, id, connection.reused) || encoded || !is_final {
             return Err(SendFailure::unknown(FailureCause::WrongResponse));
         }
         self.limits.record_response(server, sent_at, &metadata);
