gateway: read a response that came before the rest of the request was refused

A server that refused a long upload at once, with "not run" or 413, and reset the connection lost its response to that reset: the write failed and ended the connection before the response was read. The caller got 502 and may not repeat a call that had not run.

Change: a write that fails is told by the next read, after what has arrived. Such a connection is not used again.

--- a/crates/gateway/src/http/metered.rs
+++ b/crates/gateway/src/http/metered.rs
@@ -8,37 +8,47 @@
 
 use std::io::{Error, ErrorKind, Result};
 use std::pin::Pin;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::task::{Context, Poll, Waker};
 
 use aspenloft_core::prelude::Arc;
 use futures::io::{AsyncRead, AsyncWrite};
 
-/// `ReadAllowance` is the number of bytes that may still be read from one connection.
+/// `ReadAllowance` is the number of bytes that may still be read from one connection, and whether
+/// the connection has failed.
 #[derive(Debug, Default)]
-pub struct ReadAllowance(AtomicUsize);
+pub struct ReadAllowance {
+    bytes: AtomicUsize,
+    failed: AtomicBool,
+}
 
 impl ReadAllowance {
+    /// Returns whether a write on the connection has failed.
+    pub fn has_failed(&self) -> bool {
+        self.failed.load(Ordering::SeqCst)
+    }
+
     /// Sets the number of bytes that may be read from now on.
     pub fn set(&self, bytes: usize) {
-        self.0.store(bytes, Ordering::SeqCst);
+        self.bytes.store(bytes, Ordering::SeqCst);
     }
 
     /// Allows `bytes` more bytes to be read.
     pub fn add(&self, bytes: usize) {
-        let _ = self.0.fetch_update(Ordering::SeqCst, Ordering::SeqCst, |left| {
+        let _ = self.bytes.fetch_update(Ordering::SeqCst, Ordering::SeqCst, |left| {
             Some(left.saturating_add(bytes))
         });
     }
 
     fn remaining(&self) -> usize {
-        self.0.load(Ordering::SeqCst)
+        self.bytes.load(Ordering::SeqCst)
     }
 
     fn consume(&self, bytes: usize) {
         // Only the task of the connection reads, so a concurrent change is a new allowance.
-        let _ =
-            self.0.fetch_update(Ordering::SeqCst, Ordering::SeqCst, |left| left.checked_sub(bytes));
+        let _ = self
+            .bytes
+            .fetch_update(Ordering::SeqCst, Ordering::SeqCst, |left| left.checked_sub(bytes));
     }
 }
 
@@ -57,7 +67,8 @@
 /// it, reads fail, which closes the connection.
 ///
 /// The end of the connection is read only once the request has been written, and is an error if
-/// that fails.
+/// that fails. A write that fails seems to succeed, because the server's response may have arrived
+/// before it refused the rest of the request.
 #[derive(Debug)]
 pub struct MeteredStream<S> {
     inner: S,
@@ -75,6 +86,9 @@
 
     fn set_writes(&mut self, writes: WriteState) {
         self.writes = writes;
+        if writes == WriteState::Failed {
+            self.allowance.failed.store(true, Ordering::SeqCst);
+        }
         if writes != WriteState::Writing
             && let Some(reader) = self.reader.take()
         {
@@ -122,24 +136,29 @@
         buf: &[u8],
     ) -> Poll<Result<usize>> {
         let written = Pin::new(&mut self.inner).poll_write(cx, buf);
-        match &written {
-            Poll::Ready(Err(_)) => self.set_writes(WriteState::Failed),
-            _ if self.writes == WriteState::Failed => {}
-            _ => self.set_writes(WriteState::Writing),
+        match written {
+            _ if self.writes == WriteState::Failed => Poll::Ready(Ok(buf.len())),
+            Poll::Ready(Err(_)) => {
+                self.set_writes(WriteState::Failed);
+                Poll::Ready(Ok(buf.len()))
+            }
+            written => {
+                self.set_writes(WriteState::Writing);
+                written
+            }
         }
-        written
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
-        let flushed = Pin::new(&mut self.inner).poll_flush(cx);
-        match &flushed {
-            Poll::Ready(Ok(())) if self.writes == WriteState::Writing => {
-                self.set_writes(WriteState::Flushed);
-            }
+        if self.writes == WriteState::Failed {
+            return Poll::Ready(Ok(()));
+        }
+        match Pin::new(&mut self.inner).poll_flush(cx) {
+            Poll::Ready(Ok(())) => self.set_writes(WriteState::Flushed),
             Poll::Ready(Err(_)) => self.set_writes(WriteState::Failed),
-            _ => {}
+            Poll::Pending => return Poll::Pending,
         }
-        flushed
+        Poll::Ready(Ok(()))
     }
 
     fn poll_close(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
--- a/crates/gateway/src/http/pool.rs
+++ b/crates/gateway/src/http/pool.rs
@@ -127,7 +127,7 @@
         let keep_for =
             server_keeps.unwrap_or(self.options.idle_timeout).min(self.options.idle_timeout);
         let keep_for = keep_for.saturating_sub(self.options.close_margin);
-        if keep_for.is_zero() || sender.is_closed() {
+        if keep_for.is_zero() || sender.is_closed() || reads.has_failed() {
             return;
         }
         let expires_at = self.clock.now() + keep_for;
@@ -137,7 +137,8 @@
         }
         let pool = self.clone();
         task::spawn(async move {
-            if matches!(timeout(pool.options.ready_timeout, sender.ready()).await, Ok(Ok(()))) {
+            let ready = timeout(pool.options.ready_timeout, sender.ready()).await;
+            if matches!(ready, Ok(Ok(()))) && !reads.has_failed() {
                 pool.keep(addr, IdleConnection { sender, last_id, reads, expires_at });
             }
         });
--- a/crates/gateway/tests/early_answers.rs
+++ b/crates/gateway/tests/early_answers.rs
@@ -27,6 +27,8 @@
     Reset,
     /// It is closed with the rest of the request unread, which resets it as well.
     CloseUnread,
+    /// It is reset as soon as the answer has been written.
+    ResetAtOnce,
     /// The answer ends in order, and the connection is reset after a pause.
     FinThenReset,
 }
@@ -56,7 +58,9 @@
                 }
                 let id = header(&head, "id").unwrap_or_default();
                 let _ = stream.write_all(answer.replace('@', &id).as_bytes());
-                std::thread::sleep(Duration::from_millis(30));
+                if end != End::ResetAtOnce {
+                    std::thread::sleep(Duration::from_millis(30));
+                }
                 if end == End::FinThenReset {
                     let _ = stream.shutdown(Shutdown::Write);
                     std::thread::sleep(Duration::from_millis(30));
@@ -106,6 +110,24 @@
     assert_eq!(status(&response), "502", "{response:.200}");
 }
 
+// A refusal was lost with the rest of the upload, and the call seemed to have run.
+#[test]
+fn an_early_refusal_of_an_upload_is_lost_to_the_reset() {
+    const REFUSAL: &str =
+        "HTTP/1.1 503 Full\r\nid: @\r\nnot-run: 1\r\ncontent-length: 4\r\n\r\nfull";
+    const TOO_LARGE: &str =
+        "HTTP/1.1 413 Large\r\nid: @\r\nseal: s\r\ncontent-length: 5\r\n\r\nlarge";
+    for end in [End::Reset, End::CloseUnread, End::ResetAtOnce] {
+        for (answer, expected) in [(REFUSAL, "503"), (TOO_LARGE, "413")] {
+            let (server, answered) = early(answer, end);
+            let host = TestHost::with_servers(&[server]);
+            let response = host.send(&upload("/once/", ""));
+            wait_for("the server to have ended", || answered.load(Ordering::SeqCst) > 0);
+            assert_eq!(status(&response), expected, "{end:?}: {response:.200}");
+        }
+    }
+}
+
 #[test]
 fn an_early_stream_that_is_reset_during_the_upload_passes_for_whole() {
     for end in [End::Reset, End::CloseUnread, End::FinThenReset] {
@@ -191,12 +213,25 @@
     }
 }
 
+/// Status lines that no response to a request has.
+const STATUS_LINES: [&str; 11] = [
+    "000 Trouble",
+    "000",
+    "099 Low",
+    "0 Zero",
+    "00 Zero",
+    "2000 Long",
+    "-20 Minus",
+    "abc Text",
+    "101 Switching Protocols",
+    "600 High",
+    "999 Highest",
+];
+
 // A status that no answer has was relayed to the caller.
 #[test]
 fn an_answer_with_a_status_that_does_not_exist_is_relayed() {
-    for line in
-        ["000 Trouble", "000", "099 Low", "0 Zero", "00 Zero", "2000 Long", "-20 Minus", "abc Text"]
-    {
+    for line in STATUS_LINES {
         let answer = move |_: usize, req: &str| {
             let sound = String::from_utf8(sealed(req, "200 OK", "done")).expect("text");
             sound.replacen("200 OK", line, 1).into_bytes()
