--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -173,7 +173,7 @@
     );
     let log = StreamLog::new(kv.clone(), sync, peers.clone(), streams.clone(), clock.clone());
     task::spawn(log.clone().run());
-    shutdown.do_last(log.clone());
+    shutdown.add_exit_hook(log.clone());
     let orders = Orders {
         host: settings.host.clone(),
         kv,
--- a/crates/gateway/src/shutdown.rs
+++ b/crates/gateway/src/shutdown.rs
@@ -42,12 +42,12 @@
 /// How often the open connections are checked during a drain.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
-/// How long the work that is done last may take after the last connection has ended.
-const LAST_WORK_TIMEOUT: Duration = Duration::from_millis(250);
+/// How long exit hooks may take after the last connection has ended.
+const EXIT_HOOK_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// `LastWork` is work that must be done before the process ends, because other hosts rely on it.
+/// `ExitHook` is work that must be done before the process exits, because other hosts rely on it.
 #[async_trait]
-pub trait LastWork: Send + Sync {
+pub trait ExitHook: Send + Sync {
     /// Does the work. It is given up if it takes too long.
     async fn finish(&self);
 }
@@ -65,7 +65,7 @@
     // Carries no messages: closing the channel has the requests answered that still wait.
     answer_tx: Sender<()>,
     answer_rx: Receiver<()>,
-    last_work: Mutex<Vec<Arc<dyn LastWork>>>,
+    exit_hooks: Mutex<Vec<Arc<dyn ExitHook>>>,
 }
 
 impl Default for Shutdown {
@@ -81,7 +81,7 @@
             close_rx,
             answer_tx,
             answer_rx,
-            last_work: Mutex::default(),
+            exit_hooks: Mutex::default(),
         }
     }
 }
@@ -164,9 +164,9 @@
         CountGuard::begin(self.clone(), |s| &s.requests)
     }
 
-    /// Has `work` done before the process ends.
-    pub fn do_last(&self, work: Arc<dyn LastWork>) {
-        self.last_work.lock().push(work);
+    /// Has `hook` run before the process exits.
+    pub fn add_exit_hook(&self, hook: Arc<dyn ExitHook>) {
+        self.exit_hooks.lock().push(hook);
     }
 
     /// Shuts the host down gracefully; returns the number of requests that were still
@@ -179,30 +179,30 @@
         let lag = BALANCER_LAG.min(settings.grace_s / 2);
         task::sleep(lag).await;
         self.close_tx.close();
-        let mut finishing = None;
+        let mut hooks = None;
         let (answer_at, end) = (began + settings.answer_after(), began + settings.exit_after());
         while clock.now() < end && self.connections() > 0 {
             if clock.now() >= answer_at {
                 self.answer_tx.close();
-                finishing.get_or_insert_with(|| task::spawn(self.finish()));
+                hooks.get_or_insert_with(|| task::spawn(self.run_exit_hooks()));
             }
             task::sleep(POLL_INTERVAL).await;
         }
         let interrupted = self.requests();
-        let finishing = finishing.unwrap_or_else(|| task::spawn(self.finish()));
-        if timeout(LAST_WORK_TIMEOUT, finishing).await.is_err() {
-            log::warn!(event = "last_work_unfinished"; "");
+        let hooks = hooks.unwrap_or_else(|| task::spawn(self.run_exit_hooks()));
+        if timeout(EXIT_HOOK_TIMEOUT, hooks).await.is_err() {
+            log::warn!(event = "exit_hook_unfinished"; "");
         }
         log::info!(event = "stopped", cut = interrupted, connections = self.connections(); "");
         interrupted
     }
 
-    /// Does the work that is done last.
-    fn finish(&self) -> impl Future<Output = ()> + Send + 'static {
-        let last_work = self.last_work.lock().clone();
+    /// Runs the exit hooks, one after the other.
+    fn run_exit_hooks(&self) -> impl Future<Output = ()> + Send + 'static {
+        let exit_hooks = self.exit_hooks.lock().clone();
         async move {
-            for work in last_work {
-                work.finish().await;
+            for hook in exit_hooks {
+                hook.finish().await;
             }
         }
     }
--- a/crates/gateway/src/stream_log.rs
+++ b/crates/gateway/src/stream_log.rs
@@ -22,7 +22,7 @@
 use parking_lot::Mutex;
 
 use crate::peers::Peers;
-use crate::shutdown::LastWork;
+use crate::shutdown::ExitHook;
 use crate::stream_versions::StreamVersions;
 use crate::sync::ViewConfirmer;
 
@@ -417,7 +417,7 @@
 }
 
 #[async_trait]
-impl LastWork for StreamLog {
+impl ExitHook for StreamLog {
     /// Writes all that this host knows: a keeper that started later may not know it.
     async fn finish(&self) {
         let mut keeper = self.keeper.lock().await;
