--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -187,7 +187,7 @@
             let error = Error::new(ErrorCode::NotReady, "the host has no configuration yet");
             return Err(error.retry_after(STARTUP_RETRY_AFTER));
         };
-        // The future is large, and each function that wraps it would hold it on the stack.
+        // Boxed, because the connection holds the state of its next request while it is idle.
         let read = Box::pin(self.read(head, body, metadata, arrived, &configuration));
         let inbound = Arc::new(self.unless_ending(read, || false).await?);
         *route_name = inbound.route.name.to_string();
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -792,3 +792,11 @@
     let length = header(message, "content-length").and_then(|l| l.parse::<usize>().ok());
     body.len() >= length.unwrap_or(0)
 }
+
+/// Returns the resident memory of the test process, in bytes.
+pub fn resident_bytes() -> usize {
+    let status = std::fs::read_to_string("/proc/self/status").expect("a status");
+    let line = status.lines().find(|line| line.starts_with("VmRSS:")).expect("a line");
+    let kib = line.split_whitespace().nth(1).and_then(|kib| kib.parse::<usize>().ok());
+    kib.expect("a number") * 1024
+}
--- a/crates/gateway/tests/endless_bytes.rs
+++ b/crates/gateway/tests/endless_bytes.rs
@@ -13,7 +13,9 @@
 use aspenloft_gateway::events::EventSplitter;
 use aspenloft_gateway::roster::ServerEntry;
 use aspenloft_gateway::roster::ServerRole::{self, Decode, Plain, Prefill};
-use common::{MemoryStore, Scripted, TestHost, configuration, entry, header, sealed, status};
+use common::{
+    MemoryStore, Scripted, TestHost, configuration, entry, header, resident_bytes, sealed, status,
+};
 
 /// The most bytes that a server may get rid of before its connection is closed: the limit
 /// of a whole response and what the sockets on both sides buffer.
@@ -239,13 +241,6 @@
     assert!(peak_mb <= 80, "{peak_mb} MiB more while responses are endless");
 }
 
-fn resident_bytes() -> usize {
-    let status = std::fs::read_to_string("/proc/self/status").expect("a status");
-    let line = status.lines().find(|line| line.starts_with("VmRSS:")).expect("a line");
-    let kib = line.split_whitespace().nth(1).and_then(|kib| kib.parse::<usize>().ok());
-    kib.expect("a number") * 1024
-}
-
 /// Bytes of any kind from a server never become a success, and never stop the host.
 #[test]
 fn arbitrary_bytes_are_a_truthful_failure() {
