gateway: refuse calls that come as the host exits

The host's log has stopped cut=0 connections=1: no connection was left, the host decided to exit, and a new one came before it had.

Change: from the decision on nothing begins any more, and the host takes up to 0.1 s to refuse what comes.

--- a/crates/gateway/src/shutdown.rs
+++ b/crates/gateway/src/shutdown.rs
@@ -39,6 +39,9 @@
 /// How long a typical model request takes under load.
 const GENERATION_DURATION: Duration = Duration::from_millis(5_000);
 
+/// How long connections that arrive as the host exits may take to be refused.
+const REFUSAL_TIME: Duration = Duration::from_millis(100);
+
 /// How often the open connections are checked during a drain.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -55,6 +58,8 @@
 /// `Shutdown` holds the state of a host's shutdown and counts its work in flight.
 pub struct Shutdown {
     leaving: AtomicBool,
+    /// Whether the process is about to exit.
+    exiting: AtomicBool,
     /// When the shutdown began, and its limits.
     began: Mutex<Option<(Instant, ShutdownSettings)>>,
     connections: AtomicUsize,
@@ -74,6 +79,7 @@
         let (answer_tx, answer_rx) = bounded(1);
         Shutdown {
             leaving: AtomicBool::new(false),
+            exiting: AtomicBool::new(false),
             began: Mutex::default(),
             connections: AtomicUsize::new(0),
             requests: AtomicUsize::new(0),
@@ -132,6 +138,9 @@
 
     /// Tells whether the host may start `work` at `now` that must end within `limit`.
     pub fn may_start(&self, work: WorkKind, limit: Duration, now: Instant) -> bool {
+        if self.exiting.load(Ordering::SeqCst) {
+            return false;
+        }
         self.began.lock().as_ref().is_none_or(|(began, settings)| {
             settings.may_start(work, limit, now.saturating_duration_since(*began))
         })
@@ -188,11 +197,18 @@
             }
             task::sleep(POLL_INTERVAL).await;
         }
+        // Connections may still arrive, and are refused.
+        self.exiting.store(true, Ordering::SeqCst);
+        self.answer_tx.close();
         let interrupted = self.requests();
         let hooks = hooks.unwrap_or_else(|| task::spawn(self.run_exit_hooks()));
         if timeout(EXIT_HOOK_TIMEOUT, hooks).await.is_err() {
             log::warn!(event = "exit_hook_unfinished"; "");
         }
+        let last = clock.now() + REFUSAL_TIME;
+        while clock.now() < last.min(end) && self.connections() > 0 {
+            task::sleep(REFUSAL_TIME / 10).await;
+        }
         log::info!(event = "stopped", cut = interrupted, connections = self.connections(); "");
         interrupted
     }
