Add review case 12, drop the chunked uploads, number by weight

Connections that have carried a long body keep their read buffer while they are idle: 1,472 clients take a host beyond 110 MiB. It takes the place of the chunked uploads (11), which review/4 shows already. The descriptors (12) are case 11 now, the lost end (15) is 14 and the high Server-Limit (14) is 15.

--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -4,4 +4,7 @@
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
 [ -x target/release/aspenloft-node ] && [ -x target/review-3/stage ] || exit 2
-exec timeout -k 2 115 target/review-3/stage uploads "$here" "${TROUBLE:-1}"
+# The clients take one descriptor each here, too.
+limit=$(ulimit -S -n)
+[ "$limit" = unlimited ] || [ "$limit" -ge 8192 ] || ulimit -S -n 8192 || exit 2
+exec timeout -k 2 115 target/review-3/stage flood "$here" "${TROUBLE:-1}"
--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -7,4 +7,4 @@
 # The clients take one descriptor each here, too.
 limit=$(ulimit -S -n)
 [ "$limit" = unlimited ] || [ "$limit" -ge 8192 ] || ulimit -S -n 8192 || exit 2
-exec timeout -k 2 115 target/review-3/stage flood "$here" "${TROUBLE:-1}"
+exec timeout -k 2 115 target/review-3/stage idle "$here" "${TROUBLE:-1}"
--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -3,11 +3,11 @@
 
 mod flood;
 mod http;
+mod idle;
 mod joint;
 mod json;
 mod limits;
 mod store;
-mod uploads;
 mod world;
 
 use std::path::PathBuf;
@@ -23,7 +23,7 @@
     std::fs::create_dir_all(&dir).expect("a temporary folder");
     let trouble = trouble != "0";
     let code = match case.as_str() {
-        "uploads" => uploads::play(&dir, &record, trouble),
+        "idle" => idle::play(&dir, &record, trouble),
         "limits" => limits::play(&dir, &record, trouble),
         "joint" => joint::play(&dir, &record, trouble, joint::Trouble::Crash),
         "lost-end" => joint::play(&dir, &record, trouble, joint::Trouble::LostEnd),
