--- a/review/standin-3/world.rs
+++ b/review/standin-3/world.rs
@@ -194,10 +194,13 @@
     fn sched_setaffinity(pid: i32, size: usize, mask: *const [u64; 16]) -> i32;
     fn setrlimit(resource: i32, limits: *const [u64; 2]) -> i32;
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, argument: u64) -> i32;
     fn setsockopt(fd: i32, level: i32, name: i32, value: *const [i32; 2], size: u32) -> i32;
 }
 
 const RLIMIT_NOFILE: i32 = 7;
+const PR_SET_PDEATHSIG: i32 = 1;
+const SIGKILL: u64 = 9;
 const SOL_SOCKET: i32 = 1;
 const SO_LINGER: i32 = 13;
 
@@ -247,6 +250,8 @@
                 return Err(std::io::Error::last_os_error());
             }
             setrlimit(RLIMIT_NOFILE, &[max_fds, max_fds]);
+            // It ends with this process, also if that is killed.
+            prctl(PR_SET_PDEATHSIG, SIGKILL);
             Ok(())
         });
     }
