Review case 11 with the plain traffic of a sheet

The first form had 2.3 times as many clients in a burst, not 2.3 times the traffic, and more traffic at one machine than any sheet. Now eight of nine machines are lost, and the one that is left gets the sheet's 84.9 requests a second until idle connections have used up its descriptors.

--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -4,7 +4,7 @@
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
 [ -x target/release/aspenloft-node ] && [ -x target/review-3/stage ] || exit 2
-# The clients take one descriptor each here, too.
+# The clients and the replicas take their descriptors here, too.
 limit=$(ulimit -S -n)
-[ "$limit" = unlimited ] || [ "$limit" -ge 8192 ] || ulimit -S -n 8192 || exit 2
-exec timeout -k 2 115 target/review-3/stage flood "$here" "${TROUBLE:-1}"
+[ "$limit" = unlimited ] || [ "$limit" -ge 16384 ] || ulimit -S -n 16384 || exit 2
+exec timeout -k 2 115 target/review-3/stage left "$here" "${TROUBLE:-1}"
--- a/review/standin-3/limits.rs
+++ b/review/standin-3/limits.rs
@@ -9,7 +9,8 @@
 use crate::http;
 use crate::store::Store;
 use crate::world::{
-    Behaviour, Client, End, Node, Record, Replica, STABLE_WINDOW, service_name, write_configuration,
+    Behaviour, Client, End, Machine, Node, Record, Replica, STABLE_WINDOW, service_name,
+    write_configuration,
 };
 
 const DEADLINE: Duration = Duration::from_millis(2_500);
@@ -59,7 +60,7 @@
             replicas.push(replica);
         }
     }
-    let node = Node::start(dir, "h1", "z1", &store, 110);
+    let node = Node::start(dir, "h1", "z1", &store, Machine { memory_mb: 110, core: 0 });
     if !node.wait_ready() {
         return 2;
     }
--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -1,9 +1,10 @@
 //! The cases of the third review that are scripts. `stage CASE FOLDER TROUBLE` plays one; it
 //! ends with 1 if the rule was broken, 0 if it held, and 2 if the case couldn't run.
 
-mod flood;
+mod engine;
 mod http;
 mod json;
+mod left;
 mod limits;
 mod store;
 mod world;
@@ -21,8 +22,8 @@
     std::fs::create_dir_all(&dir).expect("a temporary folder");
     let trouble = trouble != "0";
     let code = match case.as_str() {
+        "left" => left::play(&dir, &record, trouble),
         "limits" => limits::play(&dir, &record, trouble),
-        "flood" => flood::play(&dir, &record, trouble),
         _ => 2,
     };
     let _ = std::fs::remove_dir_all(&dir);
--- a/review/standin-3/world.rs
+++ b/review/standin-3/world.rs
@@ -4,11 +4,10 @@
 use std::fs::File;
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
-use std::os::fd::AsRawFd;
 use std::os::unix::process::CommandExt;
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU16, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -90,16 +89,6 @@
         instance: &str,
         record: &Arc<Record>,
         behaviour: Box<dyn Behaviour>,
-    ) -> Arc<Replica> {
-        Replica::start_with(instance, record, behaviour, Arc::default())
-    }
-
-    /// Starts a replica that refuses connections while `is_down`.
-    pub fn start_with(
-        instance: &str,
-        record: &Arc<Record>,
-        behaviour: Box<dyn Behaviour>,
-        is_down: Arc<AtomicBool>,
     ) -> Arc<Replica> {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let replica = Arc::new(Replica {
@@ -112,22 +101,7 @@
         });
         let serving = replica.clone();
         std::thread::spawn(move || {
-            let mut listener = Some(listener);
-            loop {
-                if is_down.load(Ordering::SeqCst) {
-                    listener = None;
-                } else if listener.is_none() {
-                    listener = TcpListener::bind(serving.addr).ok();
-                }
-                let accepted = listener.as_ref().and_then(|l| {
-                    l.set_nonblocking(true).ok()?;
-                    l.accept().ok()
-                });
-                let Some((stream, _)) = accepted else {
-                    std::thread::sleep(Duration::from_micros(500));
-                    continue;
-                };
-                let _ = stream.set_nonblocking(false);
+            for stream in listener.incoming().flatten() {
                 let replica = serving.clone();
                 std::thread::spawn(move || replica.serve(stream));
             }
@@ -195,24 +169,23 @@
     fn setrlimit(resource: i32, limits: *const [u64; 2]) -> i32;
     fn kill(pid: i32, signal: i32) -> i32;
     fn prctl(option: i32, argument: u64) -> i32;
-    fn setsockopt(fd: i32, level: i32, name: i32, value: *const [i32; 2], size: u32) -> i32;
 }
 
 const RLIMIT_NOFILE: i32 = 7;
 const PR_SET_PDEATHSIG: i32 = 1;
 const SIGKILL: u64 = 9;
-const SOL_SOCKET: i32 = 1;
-const SO_LINGER: i32 = 13;
-
-/// Has the connection reset instead of closed.
-pub fn reset(stream: &TcpStream) {
-    unsafe { setsockopt(stream.as_raw_fd(), SOL_SOCKET, SO_LINGER, &[1, 0], 8) };
-}
 
 /// `max_fds` of a machine, and how many of these are reserved for files.
 const MAX_FDS: u64 = 4_100;
 const FILE_FDS: u64 = 200;
 
+/// What a machine gives a process, beside its descriptors.
+pub struct Machine {
+    pub memory_mb: u64,
+    /// The number of the core that the machine shows.
+    pub core: usize,
+}
+
 /// A process of the system, run as the deploy file says.
 pub struct Node {
     pub front: SocketAddr,
@@ -220,17 +193,21 @@
     pub child: Child,
 }
 
-fn free_port(udp: bool) -> SocketAddr {
+/// Returns an address on which nothing listens, below the ports that the system gives to
+/// connections by itself, and each only once.
+fn free_port() -> SocketAddr {
+    static NEXT: AtomicU16 = AtomicU16::new(0);
     loop {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-        let addr = listener.local_addr().expect("an address");
-        if !udp || UdpSocket::bind(addr).is_ok() {
+        let number = NEXT.fetch_add(1, Ordering::SeqCst);
+        let first = 12_000 + (std::process::id() % 150) as u16 * 100;
+        let addr = SocketAddr::from(([127, 0, 0, 1], first + number));
+        if TcpListener::bind(addr).is_ok() && UdpSocket::bind(addr).is_ok() {
             return addr;
         }
     }
 }
 
-fn spawn(settings: &Path, log: &Path, max_fds: u64) -> Child {
+fn spawn(settings: &Path, log: &Path, max_fds: u64, core: usize) -> Child {
     let out = File::options().create(true).append(true).open(log).expect("the log can be opened");
     let mut command = Command::new("target/release/aspenloft-node");
     command.env_clear().env("ASPENLOFT_CONFIG", settings).env("MALLOC_ARENA_MAX", "1");
@@ -242,9 +219,12 @@
             if sched_getaffinity(0, size_of_val(&mask), &mut mask) < 0 {
                 return Err(std::io::Error::last_os_error());
             }
+            // Hosts take the cores in turn.
+            let bit = |core: &usize| mask[core / 64] >> (core % 64) & 1 == 1;
+            let count = (0..1024).filter(bit).count().max(1);
             let mut first = [0; 16];
-            if let Some(word) = mask.iter().position(|word| *word != 0) {
-                first[word] = 1 << mask[word].trailing_zeros();
+            if let Some(core) = (0..1024).filter(bit).nth(core % count) {
+                first[core / 64] = 1 << (core % 64);
             }
             if sched_setaffinity(0, size_of_val(&first), &first) < 0 {
                 return Err(std::io::Error::last_os_error());
@@ -259,17 +239,16 @@
 }
 
 impl Node {
-    pub fn start(dir: &Path, name: &str, zone: &str, store: &Store, memory_mb: u64) -> Node {
-        let (front, ready, metrics) = (free_port(false), free_port(false), free_port(false));
-        let peers = free_port(true);
-        let store = store.addr;
+    pub fn start(dir: &Path, name: &str, zone: &str, store: &Store, machine: Machine) -> Node {
+        let (front, ready, metrics, peers) = (free_port(), free_port(), free_port(), free_port());
+        let (store, memory_mb) = (store.addr, machine.memory_mb);
         let text = format!(
             "{{\"host\":\"{name}\",\"data_centre\":\"{zone}\",\"listen\":{{\"callers\":\"{front}\",\"readiness\":\"{ready}\",\"peers\":\"{peers}\",\"metrics\":\"{metrics}\"}},\"key_value\":\"{store}\",\"retries\":{{\"ratio\":0.2,\"slack\":52,\"window_s\":10}},\"shutdown\":{{\"grace_s\":8}},\"memory_mb\":{memory_mb},\"seeds\":[]}}"
         );
         let settings = dir.join(format!("{name}.json"));
         std::fs::write(&settings, text).expect("the settings can be written");
         let log = dir.join(format!("{name}.log"));
-        let child = spawn(&settings, &log, MAX_FDS - FILE_FDS);
+        let child = spawn(&settings, &log, MAX_FDS - FILE_FDS, machine.core);
         Node { front, ready, child }
     }
 
