gateway: keep serving when connections use up the descriptors

Cause: the listeners of readiness and metrics accepted again at once when an accept failed, which without descriptors never gives way: on one core no other task ran. Evidence on: at 3,900 descriptors the process began to use a whole core; 320,581 failed calls of accept4 in half a second (strace -c); the stack was that of its log line. Second cause, which is there without the first: nothing bounded the callers' connections or set descriptors aside for anything else.

Change: all listeners accept through one module that waits after a failure. Each kind of connection has a share of the descriptors; at its limit the connection that has been idle for longest gives way, and callers are told in Keep-Alive how long theirs will be kept. Counts of connections, failed accepts and descriptors are on the metrics page.

--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -9,7 +9,9 @@
 use aspenloft_core::errors::{Error, ErrorCode};
 use aspenloft_core::execution::Execution;
 use aspenloft_core::prelude::{Arc, Name, Result, SharedClock};
-use aspenloft_transport::socket::{self, KeepaliveOptions};
+use aspenloft_transport::accept::Acceptor;
+use aspenloft_transport::connections::{ConnectionSet, TrackedConnection};
+use aspenloft_transport::socket::{self, KeepaliveOptions, is_shortage};
 use async_std::future::timeout;
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
@@ -28,9 +30,11 @@
 use crate::body_budget::{BodyBudget, BodyReservation};
 use crate::call::CallHandler;
 use crate::configuration::{CallerLimits, Configuration, Route};
+use crate::descriptors::relieve;
 use crate::dialect::{Dialect, RequestMetadata};
 use crate::forwarding::Forwarder;
 use crate::generation::GenerationHandler;
+use crate::http::headers::KEEP_ALIVE;
 use crate::metrics::Metrics;
 use crate::request::InboundRequest;
 use crate::responses::{self, ResponseBody};
@@ -38,10 +42,6 @@
 use crate::shutdown::{Shutdown, WorkKind};
 use crate::view::View;
 
-/// How long to wait after a failed accept, for instance when the process has no free
-/// file descriptors.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
-
 /// The `Retry-After` of a host that has just started and has no configuration yet.
 const STARTUP_RETRY_AFTER: Duration = Duration::from_millis(500);
 
@@ -51,9 +51,26 @@
 /// The `Retry-After` of a request for whose body there is no memory.
 const BODY_MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// The `Retry-After` of a request for whose connection there is no room.
+const CONNECTION_RETRY_AFTER: Duration = Duration::from_millis(500);
+
+/// The share of the time for which an idle connection will probably be kept that callers are
+/// told.
+const ANNOUNCED_SHARE: f64 = 0.7;
+
+/// How often it is checked whether there is room for a connection.
+const ADMISSION_RETRY_DELAY: Duration = Duration::from_millis(10);
+
+/// How long a connection that is closed for another one may take to begin a request that was
+/// on its way.
+const CLOSE_GRACE: Duration = Duration::from_millis(100);
+
 /// The maximum size of the read buffer of a connection, in bytes.
 const MAX_BUFFER_BYTES: usize = 64 * 1024;
 
+/// The name of the callers' listener in logs and metrics.
+const LISTENER: &str = "callers";
+
 /// `Frontend` serves the callers' HTTP connections.
 pub struct Frontend {
     /// The configuration and the servers that are known to this host.
@@ -66,6 +83,8 @@
     pub generations: Arc<GenerationHandler>,
     /// Has other hosts serve requests.
     pub forwarder: Forwarder,
+    /// Limits the callers' connections.
+    pub connections: Arc<ConnectionSet>,
     /// Limits the memory of buffered bodies.
     pub bodies: Arc<BodyBudget>,
     /// The budgets of extra sends, which grow with the number of requests.
@@ -81,21 +100,37 @@
 impl Frontend {
     /// Accepts connections until the process ends.
     pub async fn serve(self: Arc<Self>, listener: TcpListener) {
+        let mut acceptor = Acceptor::new(listener, LISTENER);
         loop {
-            match listener.accept().await {
-                Ok((stream, _)) => {
-                    task::spawn(self.clone().serve_connection(stream));
+            match acceptor.accept().await {
+                Ok(stream) => {
+                    let tracked = self.admit().await;
+                    task::spawn(self.clone().serve_connection(stream, tracked));
                 }
                 Err(e) => {
-                    log::warn!(event = "accept_failed", error = e.to_string().as_str(); "");
-                    task::sleep(ACCEPT_RETRY_DELAY).await;
+                    self.metrics.accept_failed(LISTENER);
+                    if is_shortage(&e) {
+                        relieve(&self.connections);
+                    }
                 }
             }
         }
     }
 
-    async fn serve_connection(self: Arc<Self>, stream: TcpStream) {
+    /// Waits until there is room for a connection that has been accepted. Those after it wait in
+    /// the listener's queue.
+    async fn admit(&self) -> TrackedConnection {
+        loop {
+            match self.connections.admit() {
+                Some(tracked) => return tracked,
+                None => task::sleep(ADMISSION_RETRY_DELAY).await,
+            }
+        }
+    }
+
+    async fn serve_connection(self: Arc<Self>, stream: TcpStream, tracked: TrackedConnection) {
         let _open = self.shutdown.track_connection();
+        let tracked = Arc::new(tracked);
         // A caller may read slowly, so the connection only ends when the peer's TCP
         // stack stops acknowledging data.
         let silence =
@@ -111,10 +146,15 @@
             true => limits.header_timeout,
             false => limits.idle_timeout.max(limits.header_timeout),
         };
-        let frontend = self.clone();
+        let (frontend, connection) = (self.clone(), tracked.clone());
         let service = service_fn(move |req| {
-            let frontend = frontend.clone();
-            async move { Ok::<_, Infallible>(frontend.handle(req).await) }
+            let (frontend, connection) = (frontend.clone(), connection.clone());
+            async move {
+                let used = connection.begin_use();
+                let response = frontend.handle(req, connection.is_refused()).await;
+                let response = response.map(|body| responses::using_connection(body, used));
+                Ok::<_, Infallible>(response)
+            }
         });
         let connection = http1::Builder::new()
             .timer(SmolTimer::new())
@@ -122,17 +162,25 @@
             .header_read_timeout(head_timeout)
             .max_buf_size(MAX_BUFFER_BYTES.max(limits.max_header_bytes))
             .serve_connection(FuturesIo::new(stream), service);
-        let closing = async {
+        let shutdown = async {
             match is_closing {
                 true => pending().await,
                 false => self.shutdown.close_requested().await,
             }
         };
-        pin_mut!(connection, closing);
-        let ended = match select(connection, closing).await {
+        let place_needed = tracked.close_requested();
+        pin_mut!(connection, shutdown, place_needed);
+        let ended = match select(connection, select(shutdown, place_needed)).await {
             Either::Left((ended, _)) => ended,
-            Either::Right((_, mut connection)) => {
+            Either::Right((reason, mut connection)) => {
                 connection.as_mut().graceful_shutdown();
+                if matches!(reason, Either::Right(_)) {
+                    let ended = timeout(CLOSE_GRACE, connection.as_mut()).await;
+                    // Dropping the connection closes it.
+                    if ended.is_ok() || !tracked.is_in_use() {
+                        return;
+                    }
+                }
                 connection.await
             }
         };
@@ -145,7 +193,12 @@
         self.view.configuration().map(|c| c.limits.clone()).unwrap_or_default()
     }
 
-    async fn handle(self: Arc<Self>, req: Request<Incoming>) -> Response<ResponseBody> {
+    /// Returns the response to `req`. All requests of a connection that `is_refused` are refused.
+    async fn handle(
+        self: Arc<Self>,
+        req: Request<Incoming>,
+        is_refused: bool,
+    ) -> Response<ResponseBody> {
         let _in_flight = self.shutdown.track_request();
         let arrived = self.clock.now();
         let (head, body) = req.into_parts();
@@ -154,6 +207,7 @@
         let mut pending = PendingRequest { frontend: &self, id: id.clone(), arrived, active: true };
         let mut route = "-".to_string();
         let result = match metadata {
+            _ if is_refused => Err(no_room_error()),
             Ok(metadata) => self.route(head, body, metadata, arrived, &mut route).await,
             Err(e) => Err(e),
         };
@@ -167,12 +221,34 @@
         pending.active = false;
         let took = self.clock.now().saturating_duration_since(arrived);
         self.metrics.responded(&route, response.status().as_u16(), took);
-        if self.shutdown.is_leaving() || response.status() == StatusCode::BAD_REQUEST {
+        let is_last = is_refused || self.shutdown.is_leaving();
+        if is_last || response.status() == StatusCode::BAD_REQUEST {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        } else {
+            self.announce_idle_time(response.headers_mut());
         }
         response
     }
 
+    /// Tells the caller how long its connection may stay idle, if it would be closed sooner than
+    /// the configuration says. A request on a connection that is being closed is lost.
+    fn announce_idle_time(&self, headers: &mut HeaderMap) {
+        let Some(expected) = self.connections.expected_idle_time() else { return };
+        let kept = expected.mul_f64(ANNOUNCED_SHARE);
+        if kept >= self.limits().idle_timeout {
+            return;
+        }
+        match HeaderValue::try_from(format!("timeout={}", kept.as_secs())) {
+            Ok(timeout) if kept.as_secs() > 0 => {
+                headers.insert(CONNECTION, HeaderValue::from_static("keep-alive"));
+                headers.insert(KEEP_ALIVE, timeout);
+            }
+            _ => {
+                headers.insert(CONNECTION, HeaderValue::from_static("close"));
+            }
+        }
+    }
+
     async fn route(
         &self,
         head: request::Parts,
@@ -394,6 +470,12 @@
     Error::new(ErrorCode::NotReady, "the host is shutting down").retry_after(LEAVING_RETRY_AFTER)
 }
 
+/// Returns the error of a request whose connection has no room beside those in use.
+fn no_room_error() -> Error {
+    Error::new(ErrorCode::Overloaded, "too many connections are in use")
+        .retry_after(CONNECTION_RETRY_AFTER)
+}
+
 /// How long data to a caller may stay unacknowledged before the connection is closed.
 const CALLER_ACK_TIMEOUT: Duration = Duration::from_secs(5);
 
--- a/crates/gateway/src/http/pool.rs
+++ b/crates/gateway/src/http/pool.rs
@@ -3,6 +3,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 use aspenloft_core::prelude::{Arc, Name, SharedClock};
@@ -13,6 +14,7 @@
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use parking_lot::Mutex;
+use rustix::io::Errno;
 use smol_hyper::rt::FuturesIo;
 
 use super::metered::{MeteredStream, ReadAllowance};
@@ -33,6 +35,8 @@
     pub max_idle_per_server: usize,
     /// How long a connection may take to become ready again after a response.
     pub ready_timeout: Duration,
+    /// The maximum number of connections to all servers together, in use and idle.
+    pub max_open: usize,
 }
 
 impl Default for PoolOptions {
@@ -44,6 +48,7 @@
             close_margin: Duration::from_millis(600),
             max_idle_per_server: 32,
             ready_timeout: Duration::from_secs(1),
+            max_open: 1_024,
         }
     }
 }
@@ -62,6 +67,17 @@
     pub last_id: Option<Name>,
     /// The number of bytes that the server may still send.
     pub reads: Arc<ReadAllowance>,
+    slot: Slot,
+}
+
+/// `Slot` counts one open connection of a pool until it is dropped.
+#[derive(Debug)]
+struct Slot(Arc<AtomicUsize>);
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::SeqCst);
+    }
 }
 
 #[derive(Debug)]
@@ -69,7 +85,9 @@
     sender: SendRequest<Full<Bytes>>,
     last_id: Option<Name>,
     reads: Arc<ReadAllowance>,
+    idle_since: Instant,
     expires_at: Instant,
+    slot: Slot,
 }
 
 /// `Pool` keeps idle connections by address.
@@ -79,6 +97,7 @@
     clock: SharedClock,
     metrics: Arc<Metrics>,
     idle: Mutex<HashMap<SocketAddr, Vec<IdleConnection>>>,
+    open: Arc<AtomicUsize>,
 }
 
 impl Pool {
@@ -89,7 +108,8 @@
         clock: SharedClock,
         metrics: Arc<Metrics>,
     ) -> Arc<Pool> {
-        Arc::new(Pool { options, connector, clock, metrics, idle: Mutex::default() })
+        let (idle, open) = Default::default();
+        Arc::new(Pool { options, connector, clock, metrics, idle, open })
     }
 
     /// Returns a connection to `addr` for the attempt `id`, an idle one if there is one on
@@ -101,8 +121,10 @@
         }
     }
 
-    /// Opens a new connection to `addr`.
+    /// Opens a new connection to `addr`. If there are too many, it takes the place of the one
+    /// that has been idle for longest, or fails as it does without descriptors.
     pub async fn open(&self, addr: SocketAddr) -> std::io::Result<Connection> {
+        let slot = self.take_slot().ok_or(Errno::MFILE)?;
         self.metrics.connection_opened();
         let stream = self.connector.connect(addr, self.options.connect_timeout).await?;
         let mut builder = http1::Builder::new();
@@ -116,13 +138,40 @@
             // Requests and bodies on the connection report its failure.
             let _ = connection.await;
         });
-        Ok(Connection { sender, addr, reused: false, last_id: None, reads })
+        Ok(Connection { sender, addr, reused: false, last_id: None, reads, slot })
+    }
+
+    /// Returns the number of open connections and that of the idle ones among them.
+    pub fn counts(&self) -> (usize, usize) {
+        let idle = self.idle.lock().values().map(Vec::len).sum();
+        (self.open.load(Ordering::SeqCst), idle)
+    }
+
+    fn take_slot(&self) -> Option<Slot> {
+        let slot = Slot(self.open.clone());
+        let open = self.open.fetch_add(1, Ordering::SeqCst);
+        (open < self.options.max_open || self.close_oldest()).then_some(slot)
+    }
+
+    /// Closes the connection that has been idle for longest. Returns false if none is idle.
+    fn close_oldest(&self) -> bool {
+        let mut idle = self.idle.lock();
+        // Those of one server become idle one after the other.
+        let oldest = idle.iter().filter_map(|(addr, kept)| Some((kept.first()?.idle_since, *addr)));
+        let Some((_, addr)) = oldest.min() else { return false };
+        if let Some(kept) = idle.get_mut(&addr) {
+            kept.remove(0);
+            if kept.is_empty() {
+                idle.remove(&addr);
+            }
+        }
+        true
     }
 
     /// Keeps `connection` for later requests after its response has been read, for as
     /// long as the server keeps it open.
     pub fn put_back(self: &Arc<Self>, connection: Connection, server_keeps: Option<Duration>) {
-        let Connection { mut sender, addr, last_id, reads, .. } = connection;
+        let Connection { mut sender, addr, last_id, reads, slot, .. } = connection;
         reads.set(MAX_HEAD_BYTES);
         let keep_for =
             server_keeps.unwrap_or(self.options.idle_timeout).min(self.options.idle_timeout);
@@ -130,16 +179,23 @@
         if keep_for.is_zero() || sender.is_closed() || reads.has_failed() {
             return;
         }
-        let expires_at = self.clock.now() + keep_for;
+        let idle_since = self.clock.now();
+        let expires_at = idle_since + keep_for;
         if sender.is_ready() {
-            self.keep(addr, IdleConnection { sender, last_id, reads, expires_at });
+            self.keep(
+                addr,
+                IdleConnection { sender, last_id, reads, idle_since, expires_at, slot },
+            );
             return;
         }
         let pool = self.clone();
         task::spawn(async move {
             let ready = timeout(pool.options.ready_timeout, sender.ready()).await;
             if matches!(ready, Ok(Ok(()))) && !reads.has_failed() {
-                pool.keep(addr, IdleConnection { sender, last_id, reads, expires_at });
+                pool.keep(
+                    addr,
+                    IdleConnection { sender, last_id, reads, idle_since, expires_at, slot },
+                );
             }
         });
     }
@@ -175,8 +231,8 @@
         // The most recently used connection is the least likely to have been closed. What a
         // server repeats of an earlier response to the same attempt looks like the next one.
         let index = kept.iter().rposition(|idle| idle.last_id.as_ref() != Some(id))?;
-        let IdleConnection { sender, last_id, reads, .. } = kept.remove(index);
-        Some(Connection { sender, addr, reused: true, last_id, reads })
+        let IdleConnection { sender, last_id, reads, slot, .. } = kept.remove(index);
+        Some(Connection { sender, addr, reused: true, last_id, reads, slot })
     }
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod crashes;
 pub mod demand;
 pub mod departures;
+pub mod descriptors;
 pub mod dialect;
 pub mod dispatch;
 pub mod events;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -6,8 +6,11 @@
 use aspenloft_core::errors::{Result, internal};
 use aspenloft_core::prelude::Arc;
 use aspenloft_telemetry::meters::Meters;
+use aspenloft_transport::connections::ConnectionSet;
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Histogram};
+use opentelemetry::metrics::{AsyncInstrument, Counter, Histogram};
+
+use crate::http::Pool;
 
 /// The bucket boundaries of the latency histograms, in seconds. They cover the latency
 /// targets of calls and of first events.
@@ -35,6 +38,7 @@
     store_restores: Counter<u64>,
     leases_lost: Counter<u64>,
     forwarded: Counter<u64>,
+    accept_failures: Counter<u64>,
 }
 
 impl Metrics {
@@ -63,6 +67,7 @@
             store_restores: m.u64_counter("aspenloft_gateway_store_restores").build(),
             leases_lost: m.u64_counter("aspenloft_gateway_leases_lost").build(),
             forwarded: m.u64_counter("aspenloft_gateway_forwarded").build(),
+            accept_failures: m.u64_counter("aspenloft_gateway_accept_failures").build(),
             meters,
         }))
     }
@@ -147,6 +152,42 @@
         self.forwarded.add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// Counts a connection that `listener` failed to accept, for instance without descriptors.
+    pub fn accept_failed(&self, listener: &'static str) {
+        self.accept_failures.add(1, &[KeyValue::new("listener", listener)]);
+    }
+
+    /// Shows the connections of `callers` and those of `pool` to backend servers.
+    pub fn observe_connections(&self, callers: &Arc<ConnectionSet>, pool: &Arc<Pool>) {
+        let (callers, pool) = (Arc::downgrade(callers), Arc::downgrade(pool));
+        let closed = callers.clone();
+        let observe = move |observer: &dyn AsyncInstrument<u64>| {
+            let show = |kind, state, count: usize| {
+                let labels = [KeyValue::new("kind", kind), KeyValue::new("state", state)];
+                observer.observe(count as u64, &labels);
+            };
+            if let Some(callers) = callers.upgrade() {
+                let (open, idle) = callers.counts();
+                show("callers", "in_use", open - idle);
+                show("callers", "idle", idle);
+            }
+            if let Some(pool) = pool.upgrade() {
+                let (open, idle) = pool.counts();
+                show("servers", "in_use", open.saturating_sub(idle));
+                show("servers", "idle", idle);
+            }
+        };
+        let m = self.meters.meter();
+        m.u64_observable_gauge("aspenloft_gateway_connections").with_callback(observe).build();
+        m.u64_observable_counter("aspenloft_gateway_connections_closed_early")
+            .with_callback(move |observer| {
+                if let Some(callers) = closed.upgrade() {
+                    observer.observe(callers.closed(), &[]);
+                }
+            })
+            .build();
+    }
+
     /// Renders the metrics page for the scraper.
     pub fn render(&self) -> Result<String> {
         let page = self.meters.render()?;
--- a/crates/gateway/src/responses.rs
+++ b/crates/gateway/src/responses.rs
@@ -12,6 +12,7 @@
 use aspenloft_core::errors::{Error, ErrorCode};
 use aspenloft_core::execution::Execution;
 use aspenloft_core::prelude::Name;
+use aspenloft_transport::connections::ConnectionUse;
 use bytes::Bytes;
 use derive_more::Display;
 use http::header::{CONTENT_TYPE, RETRY_AFTER};
@@ -76,6 +77,38 @@
     }
 }
 
+/// Returns `body` in such a way that the caller's connection counts as in use until it has been
+/// written.
+pub fn using_connection(body: ResponseBody, connection: ConnectionUse) -> ResponseBody {
+    ConnectionBody { inner: body, _connection: connection }.boxed_unsync()
+}
+
+/// A body that keeps the caller's connection in use.
+struct ConnectionBody {
+    inner: ResponseBody,
+    _connection: ConnectionUse,
+}
+
+impl Body for ConnectionBody {
+    type Data = Bytes;
+    type Error = Truncated;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Truncated>>> {
+        Pin::new(&mut self.inner).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.inner.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.inner.size_hint()
+    }
+}
+
 /// Returns a backend server's response for the caller, with the status and the
 /// end-to-end headers of `head` unmodified, and `body`.
 pub fn relayed_response(head: &response::Parts, body: ResponseBody) -> Response<ResponseBody> {
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -6,8 +6,9 @@
 use aspenloft_core::prelude::{Arc, Host, SharedClock};
 use aspenloft_policy::retry_window::RetryAllowance;
 use aspenloft_protocol::platform::{ChangeFeed, KeyValue};
+use aspenloft_transport::connections::{ConnectionLimits, ConnectionSet};
 use aspenloft_transport::connector::Connector;
-use aspenloft_transport::mesh;
+use aspenloft_transport::mesh::{self, MeshOptions};
 use async_std::net::{TcpListener, UdpSocket};
 use async_std::sync::Mutex as AsyncMutex;
 use async_std::task;
@@ -22,6 +23,7 @@
 use crate::call::CallHandler;
 use crate::crashes::Crashes;
 use crate::demand::DemandTracker;
+use crate::descriptors::{DescriptorShares, relieve_memory};
 use crate::dialect::Dialect;
 use crate::dispatch::Dispatcher;
 use crate::forwarding::Forwarder;
@@ -45,9 +47,15 @@
 use crate::sync::{StoreSync, SyncOptions, SyncState};
 use crate::view::View;
 
-/// How often the pool is checked for idle connections to close.
+/// How often it is checked which idle connections to close.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
+/// How many callers' connections beyond the limit are accepted to refuse their requests.
+const MAX_REFUSED: usize = 64;
+
+/// How long a caller's connection is kept in any case until its first request has been read.
+const FIRST_REQUEST_TIME: Duration = Duration::from_millis(500);
+
 /// `Platform` holds the adapters that connect a host to its platform.
 pub struct Platform {
     /// Follows changes of keys in the key-value service.
@@ -100,6 +108,13 @@
     let shutdown = Arc::<Shutdown>::default();
     let limits = ServerLimits::new(clock.clone(), metrics.clone());
     let streams = StreamVersions::new(clock.clone(), view.clone());
+    let shares = DescriptorShares::of_process(settings);
+    let connection_limits = ConnectionLimits {
+        max: shares.callers,
+        max_excess: MAX_REFUSED,
+        first_request: FIRST_REQUEST_TIME,
+    };
+    let connections = ConnectionSet::new(connection_limits, clock.clone());
     let connector = platform.connector.clone();
     let reach = ReachProbe::new(connector.clone(), view.clone(), clock.clone());
     let path = PathMonitor::new(connector, reach.clone(), clock.clone());
@@ -144,11 +159,19 @@
 
     let ready = probes::Readiness { view: view.clone(), shutdown: shutdown.clone() };
     let readiness_path = platform.dialect.readiness_path().to_string();
-    task::spawn(probes::serve_readiness(readiness, readiness_path, ready));
-    task::spawn(probes::serve_metrics(metrics_listener, metrics.clone()));
+    task::spawn(probes::serve_readiness(
+        readiness,
+        readiness_path,
+        ready,
+        metrics.clone(),
+        clock.clone(),
+    ));
+    task::spawn(probes::serve_metrics(metrics_listener, metrics.clone(), clock.clone()));
 
-    let pool = Pool::new(PoolOptions::default(), path.clone(), clock.clone(), metrics.clone());
-    task::spawn(sweep(pool.clone()));
+    let pool_options = PoolOptions { max_open: shares.servers, ..PoolOptions::default() };
+    let pool = Pool::new(pool_options, path.clone(), clock.clone(), metrics.clone());
+    metrics.observe_connections(&connections, &pool);
+    task::spawn(sweep(pool.clone(), connections.clone(), settings.memory_mb));
     let client = BackendClient::new(
         pool,
         platform.dialect.clone(),
@@ -238,6 +261,7 @@
         calls,
         generations,
         forwarder,
+        connections,
         bodies: BodyBudget::new(settings.memory_mb),
         retries,
         shutdown: shutdown.clone(),
@@ -245,16 +269,18 @@
         clock: clock.clone(),
     });
     let server = PeerServer { peers, permits, reach, log, forwarded: front.clone() };
-    task::spawn(mesh::serve(mesh, Arc::new(server)));
+    let mesh_options = MeshOptions { max_connections: shares.hosts, ..MeshOptions::default() };
+    task::spawn(mesh::serve_with(mesh, Arc::new(server), mesh_options));
     task::spawn(front.serve(callers));
     log::info!(event = "started", host = &*settings.host, data_centre = &*settings.data_centre; "");
     Ok(shutdown)
 }
 
-async fn sweep(pool: Arc<Pool>) {
+async fn sweep(pool: Arc<Pool>, callers: Arc<ConnectionSet>, memory_mb: u64) {
     loop {
         task::sleep(SWEEP_INTERVAL).await;
         pool.close_expired();
+        relieve_memory(&callers, memory_mb);
     }
 }
 
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -28,6 +28,10 @@
     pub shutdown: ShutdownSettings,
     /// The memory that the process may use, in MiB.
     pub memory_mb: u64,
+    /// The file descriptors that the process may use, if they are fewer than the operating
+    /// system's limit.
+    #[serde(default)]
+    pub max_descriptors: Option<u64>,
     /// Addresses of some hosts, possibly out of date, for a host that starts while the
     /// key-value service refuses it. Only the IP addresses are used: all hosts of a
     /// deployment listen on the same ports.
--- a/crates/telemetry/src/meters.rs
+++ b/crates/telemetry/src/meters.rs
@@ -22,7 +22,8 @@
 
 impl Meters {
     /// Creates the meters of the program `service` on the host named `host`, with
-    /// instruments for the processor time and the resident memory of the process.
+    /// instruments for the processor time, the resident memory and the open file descriptors
+    /// of the process.
     pub fn new(service: &'static str, host: &str) -> Result<Meters> {
         let registry = Registry::new();
         let exporter = opentelemetry_prometheus::exporter()
@@ -56,6 +57,15 @@
                 }
             })
             .build();
+        meters
+            .meter()
+            .u64_observable_gauge("aspenloft_process_open_descriptors")
+            .with_callback(|observer| {
+                if let Some(count) = open_descriptors() {
+                    observer.observe(count, &[]);
+                }
+            })
+            .build();
         Ok(meters)
     }
 
@@ -85,6 +95,13 @@
     Some(pages * PAGE_BYTES)
 }
 
+/// Returns the number of open file descriptors of this process; see proc_pid_fd(5).
+pub fn open_descriptors() -> Option<u64> {
+    let count = std::fs::read_dir("/proc/self/fd").ok()?.count();
+    // The directory itself is open while it is read.
+    u64::try_from(count).ok()?.checked_sub(1)
+}
+
 /// Returns the processor time used by this process; see proc_pid_stat(5), fields 14
 /// and 15.
 pub fn process_cpu() -> Option<Duration> {
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -3,6 +3,8 @@
 //!
 //! The messages themselves are defined in `aspenloft-protocol`.
 
+pub mod accept;
+pub mod connections;
 pub mod connector;
 pub mod frames;
 pub mod http;
--- a/crates/transport/src/mesh/options.rs
+++ b/crates/transport/src/mesh/options.rs
@@ -22,6 +22,8 @@
     pub max_age: Duration,
     /// How long to wait after a failed connection attempt before the next one.
     pub reconnect_delay: Duration,
+    /// The maximum number of connections that a host accepts.
+    pub max_connections: usize,
 }
 
 impl MeshOptions {
@@ -43,6 +45,8 @@
             idle_timeout: Duration::from_secs(60),
             max_age: Duration::from_secs(600),
             reconnect_delay: Duration::from_millis(200),
+            // Two for each of 340 hosts, and a margin for more hosts.
+            max_connections: 1_024,
         }
     }
 }
--- a/crates/transport/src/mesh/server.rs
+++ b/crates/transport/src/mesh/server.rs
@@ -2,8 +2,6 @@
 
 use std::future::poll_fn;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
-use std::time::Duration;
 
 use aspenloft_core::errors::{Result, unavailable};
 use async_std::channel::{Receiver, bounded};
@@ -20,6 +18,7 @@
 use super::options::MeshOptions;
 use super::streams::{SendSide, connection_error, next_frame, send_all};
 use super::{CONNECTION_WINDOW_BYTES, FrameHandler, STREAM_WINDOW_BYTES};
+use crate::accept::Acceptor;
 
 /// How many replies a handler can queue before it waits for the peer.
 const REPLY_BUFFER: usize = 64;
@@ -30,18 +29,11 @@
 /// The maximum number of concurrent streams on one connection.
 const MAX_STREAMS: u32 = 8_192;
 
-/// The maximum number of open connections: two for each of 340 hosts, and a margin for
-/// more hosts.
-const MAX_CONNECTIONS: usize = 1_024;
-
 /// The factor by which the idle timeout of the server is longer than that of the client.
 /// The client closes idle connections, because the server could close one on which the
 /// client is just starting a call.
 const IDLE_TIMEOUT_FACTOR: u32 = 2;
 
-/// How long to wait after a failed accept, for instance when file descriptors run out.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
-
 /// Accepts connections of peers in an endless loop, with the default timeouts.
 pub async fn serve(listener: TcpListener, handler: Arc<dyn FrameHandler>) -> Result<()> {
     serve_with(listener, handler, MeshOptions::default()).await
@@ -57,27 +49,22 @@
         idle_timeout: options.idle_timeout * IDLE_TIMEOUT_FACTOR,
         ..options
     });
-    let open = Arc::new(AtomicUsize::new(0));
+    let open = Arc::new(());
+    let mut acceptor = Acceptor::new(listener, "peers");
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(e) => {
-                log::warn!(event = "accept_failed", error = e.to_string().as_str(); "");
-                task::sleep(ACCEPT_RETRY_DELAY).await;
-                continue;
-            }
-        };
-        if open.load(Ordering::Relaxed) >= MAX_CONNECTIONS {
-            log::warn!(event = "peer_connection_refused", open = MAX_CONNECTIONS; "");
+        let Ok(stream) = acceptor.accept().await else { continue };
+        // Each connection has a clone, which is also dropped when its task panics.
+        let slot = open.clone();
+        if Arc::strong_count(&open) > options.max_connections + 1 {
+            log::warn!(event = "peer_connection_refused", open = options.max_connections; "");
             continue;
         }
-        open.fetch_add(1, Ordering::Relaxed);
-        let (handler, options, open) = (handler.clone(), options.clone(), open.clone());
+        let (handler, options) = (handler.clone(), options.clone());
         task::spawn(async move {
+            let _slot = slot;
             if let Err(e) = serve_connection(stream, handler, &options).await {
                 log::debug!(event = "peer_connection_ended", error = e.to_string().as_str(); "");
             }
-            open.fetch_sub(1, Ordering::Relaxed);
         });
     }
 }
--- a/crates/transport/src/server/serve.rs
+++ b/crates/transport/src/server/serve.rs
@@ -18,9 +18,7 @@
 use super::options::ServerOptions;
 use super::socket::Socket;
 use super::{Connection, HttpHandler};
-
-/// How long to wait after a failed accept, for instance when file descriptors run out.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+use crate::accept::Acceptor;
 
 /// How many connections above the maximum get an error response; further ones are
 /// closed without a response.
@@ -49,15 +47,9 @@
 ) -> Result<()> {
     let options = Arc::new(options);
     let open = Arc::new(AtomicUsize::new(0));
+    let mut acceptor = Acceptor::new(listener, "http");
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(e) => {
-                log::warn!(event = "accept_failed", error = e.to_string().as_str(); "");
-                task::sleep(ACCEPT_RETRY_DELAY).await;
-                continue;
-            }
-        };
+        let Ok(stream) = acceptor.accept().await else { continue };
         let opened = OpenConnection::new(&open);
         let (handler, options) = (handler.clone(), options.clone());
         if opened.already_open >= options.max_connections + MAX_REJECTED_CONNECTIONS {
--- a/crates/transport/src/socket.rs
+++ b/crates/transport/src/socket.rs
@@ -9,6 +9,7 @@
 
 use async_std::future::timeout;
 use async_std::net::TcpStream;
+use rustix::io::Errno;
 use socket2::{SockRef, TcpKeepalive};
 
 /// `KeepaliveOptions` sets after which time the operating system closes a connection
@@ -48,6 +49,13 @@
     Ok(stream)
 }
 
+/// Returns whether `e` shows that this process or its machine has used up a resource, such as
+/// descriptors or local ports. It says nothing of the peer.
+pub fn is_shortage(e: &Error) -> bool {
+    let shortages = [Errno::MFILE, Errno::NFILE, Errno::NOBUFS, Errno::NOMEM, Errno::ADDRNOTAVAIL];
+    Errno::from_io_error(e).is_some_and(|errno| shortages.contains(&errno))
+}
+
 /// Sets the options of an opened or accepted connection.
 pub fn configure(stream: &TcpStream, options: &KeepaliveOptions) -> Result<()> {
     // Events are small and must be sent without delay.
