gateway: do not blame servers and the path for a shortage of descriptors

What callers would see: a host that has no descriptor or port left for a connection took servers for unreachable, told other hosts so, and took itself for cut off from all servers.

Cause: FailureCause::Connect, PathMonitor and ReachProbe took each error of a connect for the peer's failure.

A connect without a descriptor has idle connections of callers closed and is tried again within its limit.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -337,6 +337,7 @@
 pub fn send_error(failure: SendFailure) -> Error {
     let code = match failure.cause {
         FailureCause::Timeout => ErrorCode::Timeout,
+        FailureCause::Shortage => ErrorCode::Overloaded,
         _ => ErrorCode::Unavailable,
     };
     let message = format!("no usable response from the backend server: {}", failure.cause);
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -89,8 +89,8 @@
         let (crashes, peers) = (self.clone(), peers.clone());
         task::spawn(async move {
             let reachability = match crashes.reach.connects(addr).await {
-                true => Reachability::Reached,
-                false => crashes.ask_others(crash.server, &peers).await,
+                Some(true) => Reachability::Reached,
+                _ => crashes.ask_others(crash.server, &peers).await,
             };
             if reachability != Reachability::Unreached {
                 let is_reached = reachability == Reachability::Reached;
--- a/crates/gateway/src/descriptors.rs
+++ b/crates/gateway/src/descriptors.rs
@@ -2,8 +2,18 @@
 //! keep many connections leave enough for the readiness probe, the backend servers, the other
 //! hosts and the key-value service; see `docs/design/connections.md`.
 
+use std::io::Result;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use aspenloft_core::prelude::{Arc, SharedClock};
 use aspenloft_telemetry::meters::process_memory;
 use aspenloft_transport::connections::ConnectionSet;
+use aspenloft_transport::connector::Connector;
+use aspenloft_transport::socket::is_shortage;
+use async_std::net::TcpStream;
+use async_std::task;
+use async_trait::async_trait;
 use rustix::process::{Resource, getrlimit};
 
 use crate::settings::Settings;
@@ -23,6 +33,9 @@
 /// How many connections of callers are closed at once when descriptors are short.
 const RELIEF: usize = 16;
 
+/// How long to wait before a connection is opened again that failed for lack of descriptors.
+const RELIEF_TIME: Duration = Duration::from_millis(10);
+
 /// `DescriptorShares` are the maximum numbers of connections of each kind.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct DescriptorShares {
@@ -61,6 +74,49 @@
     }
 }
 
+/// `RelievingConnector` closes idle connections of callers when there are no descriptors for a
+/// connection, and opens it again.
+pub struct RelievingConnector {
+    connector: Arc<dyn Connector>,
+    callers: Arc<ConnectionSet>,
+    clock: SharedClock,
+}
+
+impl RelievingConnector {
+    /// Creates a connector over `connector` that closes connections of `callers`.
+    pub fn new(
+        connector: Arc<dyn Connector>,
+        callers: Arc<ConnectionSet>,
+        clock: SharedClock,
+    ) -> Arc<RelievingConnector> {
+        Arc::new(RelievingConnector { connector, callers, clock })
+    }
+}
+
+#[async_trait]
+impl Connector for RelievingConnector {
+    async fn connect(&self, addr: SocketAddr, limit: Duration) -> Result<TcpStream> {
+        let began = self.clock.now();
+        let mut is_logged = false;
+        loop {
+            let spent = self.clock.now().saturating_duration_since(began);
+            let connected = self.connector.connect(addr, limit.saturating_sub(spent)).await;
+            let is_over = limit.saturating_sub(spent) <= RELIEF_TIME;
+            match connected {
+                Err(e) if is_shortage(&e) && !is_over => {
+                    let closed = relieve(&self.callers);
+                    if !std::mem::replace(&mut is_logged, true) {
+                        let error = e.to_string();
+                        log::warn!(event = "descriptors_short", closed, error = error.as_str(); "");
+                    }
+                    task::sleep(RELIEF_TIME).await;
+                }
+                connected => return connected,
+            }
+        }
+    }
+}
+
 /// Closes some idle connections of `callers` if the process, which may use `memory_mb` MiB, uses
 /// nearly all of it.
 pub fn relieve_memory(callers: &ConnectionSet, memory_mb: u64) {
--- a/crates/gateway/src/http/client.rs
+++ b/crates/gateway/src/http/client.rs
@@ -7,6 +7,7 @@
 
 use aspenloft_core::execution::Execution;
 use aspenloft_core::prelude::{Arc, Name};
+use aspenloft_transport::socket::is_shortage;
 use async_std::future::timeout;
 use bytes::Bytes;
 use derive_more::Display;
@@ -28,6 +29,9 @@
     /// No connection could be opened.
     #[display("connect")]
     Connect,
+    /// This host has no descriptor or port left for a connection.
+    #[display("descriptors")]
+    Shortage,
     /// The connection failed before the response arrived.
     #[display("broken")]
     Broken,
@@ -74,6 +78,7 @@
             FailureCause::Connect => {
                 h.record_unreachable(now);
             }
+            FailureCause::Shortage => {}
             _ => h.record_failure(now),
         });
     }
@@ -191,7 +196,13 @@
         req: Request<Full<Bytes>>,
     ) -> Result<(Connection, http::Response<Incoming>), SendFailure> {
         let addr = server.entry.addr;
-        let connect_failed = |_| SendFailure::not_run(FailureCause::Connect);
+        let connect_failed = |e: std::io::Error| {
+            let cause = match is_shortage(&e) {
+                true => FailureCause::Shortage,
+                false => FailureCause::Connect,
+            };
+            SendFailure::not_run(cause)
+        };
         let taken = match id {
             Some(id) => self.pool.take(addr, id).await,
             // Only on a new connection it is certain to which request a response belongs.
--- a/crates/gateway/src/path.rs
+++ b/crates/gateway/src/path.rs
@@ -10,6 +10,7 @@
 use aspenloft_core::prelude::{Arc, SharedClock};
 use aspenloft_policy::own_path::{OwnPath, PathState};
 use aspenloft_transport::connector::Connector;
+use aspenloft_transport::socket::is_shortage;
 use async_std::net::TcpStream;
 use async_std::task;
 use async_trait::async_trait;
@@ -96,7 +97,10 @@
 impl Connector for PathMonitor {
     async fn connect(&self, addr: SocketAddr, limit: Duration) -> std::io::Result<TcpStream> {
         let connected = self.connector.connect(addr, limit).await;
-        self.record(addr, connected.is_ok());
+        // A shortage on this host says nothing of the path.
+        if !connected.as_ref().is_err_and(is_shortage) {
+            self.record(addr, connected.is_ok());
+        }
         connected
     }
 }
--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -11,6 +11,7 @@
 
 use aspenloft_core::prelude::{Arc, SharedClock};
 use aspenloft_transport::connector::Connector;
+use aspenloft_transport::socket::is_shortage;
 use futures::StreamExt;
 use futures::future::join;
 use futures::stream::FuturesUnordered;
@@ -67,9 +68,13 @@
         Arc::new(ReachProbe { connector, view, clock, checks: AtomicUsize::new(0) })
     }
 
-    /// Returns whether a server at `addr` accepts connections.
-    pub async fn connects(&self, addr: SocketAddr) -> bool {
-        self.connector.connect(addr, PROBE_TIMEOUT).await.is_ok()
+    /// Returns whether a server at `addr` accepts connections, or `None` if this host cannot
+    /// open any.
+    pub async fn connects(&self, addr: SocketAddr) -> Option<bool> {
+        match self.connector.connect(addr, PROBE_TIMEOUT).await {
+            Ok(_) => Some(true),
+            Err(e) => (!is_shortage(&e)).then_some(false),
+        }
     }
 
     /// Returns whether the server with the key `key` can be reached from this host.
@@ -78,9 +83,9 @@
             return Reachability::Unknown;
         };
         match join(self.connects(server.entry.addr), self.reaches_another(&server)).await {
-            (true, _) => Reachability::Reached,
-            (false, true) => Reachability::Unreached,
-            (false, false) => Reachability::Unknown,
+            (Some(true), _) => Reachability::Reached,
+            (Some(false), true) => Reachability::Unreached,
+            (Some(false), false) | (None, _) => Reachability::Unknown,
         }
     }
 
@@ -115,7 +120,7 @@
         let mut probes: FuturesUnordered<_> =
             controls.into_iter().map(|(_, addr)| self.connects(addr)).collect();
         while let Some(connected) = probes.next().await {
-            if connected {
+            if connected == Some(true) {
                 return true;
             }
         }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -23,7 +23,7 @@
 use crate::call::CallHandler;
 use crate::crashes::Crashes;
 use crate::demand::DemandTracker;
-use crate::descriptors::{DescriptorShares, relieve_memory};
+use crate::descriptors::{DescriptorShares, RelievingConnector, relieve_memory};
 use crate::dialect::Dialect;
 use crate::dispatch::Dispatcher;
 use crate::forwarding::Forwarder;
@@ -115,7 +115,9 @@
         first_request: FIRST_REQUEST_TIME,
     };
     let connections = ConnectionSet::new(connection_limits, clock.clone());
-    let connector = platform.connector.clone();
+    let relieving =
+        |connector| RelievingConnector::new(connector, connections.clone(), clock.clone());
+    let connector = relieving(platform.connector.clone());
     let reach = ReachProbe::new(connector.clone(), view.clone(), clock.clone());
     let path = PathMonitor::new(connector, reach.clone(), clock.clone());
     let crashes = Crashes::new(clock.clone(), loads.clone(), reach.clone());
@@ -129,7 +131,8 @@
         path: path.clone(),
         shutdown: shutdown.clone(),
     };
-    let peers = Peers::new(host, clock.clone(), local_state, seeds, platform.peer_connector);
+    let peer_connector = relieving(platform.peer_connector);
+    let peers = Peers::new(host, clock.clone(), local_state, seeds, peer_connector);
     let permits = Permits::new(limits.clone(), peers.clone(), view.clone(), clock.clone());
 
     let socket = Arc::new(UdpSocket::bind(settings.listen.peers).await.map_err(bind_failed)?);
