policy: keep the interval of the request pacer above zero

Cause: the interval between two requests rounded to 0 ns. set_rate, which runs before each booking, divides two intervals; 0/0 is no number and Duration::mul_f64 panics with it.

Change: the pacer books at most a million requests a second, so the interval is never zero, and takes a rate that is no number for the lowest.

--- a/crates/core/src/clock.rs
+++ b/crates/core/src/clock.rs
@@ -67,6 +67,15 @@
     }
 }
 
+/// Converts `seconds` to a duration of at most `max`. What is negative or no number is zero, as a
+/// quotient of unusual figures may be.
+pub fn bounded_seconds(seconds: f64, max: Duration) -> Duration {
+    if seconds >= max.as_secs_f64() {
+        return max;
+    }
+    Duration::try_from_secs_f64(seconds).unwrap_or_default()
+}
+
 /// Converts `time` to milliseconds since the Unix epoch, the format of times in stored
 /// values, messages and log lines.
 pub fn unix_millis(time: SystemTime) -> u64 {
--- a/crates/gateway/tests/server_limits.rs
+++ b/crates/gateway/tests/server_limits.rs
@@ -261,3 +261,20 @@
         }
     });
 }
+
+/// The request for a server with a limit as good as none panicked, and its caller's connection
+/// was closed without an answer, at the host that is the server's home and at all others.
+#[test]
+fn requests_for_a_server_with_a_high_limit_are_not_answered() {
+    for limit in ["4294967295", "1e18", "1.7976931348623157e308", "inf", "nan", "-5", "1e-320"] {
+        let limited = LimitedServer::start(1.0);
+        *limited.limit.lock() = Some(limit.to_string());
+        let failing = Scripted::start(|_, req| sealed(req, "500 Internal Server Error", "own"));
+        let servers = [("s1", &limited.server), ("s2", &failing)];
+        let hosts = start_hosts(&["h1", "h2"], &servers);
+        let responses = send_for(&hosts, Duration::from_secs(1), Duration::from_millis(20));
+        let unanswered = responses.iter().filter(|r| r.is_empty()).count();
+        assert_eq!(unanswered, 0, "of {} with a limit of {limit}", responses.len());
+        assert!(responses.iter().any(|r| common::status(r) == "200"), "{limit}: {responses:?}");
+    }
+}
--- a/crates/policy/src/request_pacer.rs
+++ b/crates/policy/src/request_pacer.rs
@@ -8,6 +8,8 @@
 
 use std::time::{Duration, Instant};
 
+use aspenloft_core::clock::bounded_seconds;
+
 /// How far requests may run ahead of an even spacing, so that a free server need not
 /// wait for the exact time of the next request.
 const BURST: Duration = Duration::from_millis(250);
@@ -16,8 +18,11 @@
 /// Without requests, hosts would not notice that the server has lifted its limit.
 const MIN_RATE: f64 = 0.2;
 
+/// The highest rate that is booked. A server that names a higher one has as good as no limit.
+const MAX_RATE: f64 = 1e6;
+
 /// The longest wait that is booked or reported.
-const MAX_WAIT: Duration = Duration::from_secs(60);
+pub const MAX_WAIT: Duration = Duration::from_secs(60);
 
 /// `Booking` is the result of asking for the time of one request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -59,7 +64,7 @@
     pub fn book(&mut self, max_wait: Duration, now: Instant) -> Booking {
         let earliest = self.due.checked_sub(BURST).unwrap_or(now);
         let wait = earliest.saturating_duration_since(now);
-        if wait > max_wait {
+        if wait > max_wait.min(MAX_WAIT) {
             return Booking::Refused(wait);
         }
         self.due = self.due.max(now) + self.interval;
@@ -67,10 +72,11 @@
     }
 }
 
+/// Returns the time between two requests, which is never zero: ratios of intervals are finite.
 fn interval(per_s: f64) -> Duration {
-    Duration::try_from_secs_f64(1.0 / per_s.max(f64::MIN_POSITIVE))
-        .unwrap_or(MAX_WAIT)
-        .min(MAX_WAIT)
+    // Unlike `clamp`, `max` takes the lowest rate for one that is no number.
+    let per_s = if per_s > MAX_RATE { MAX_RATE } else { per_s.max(f64::MIN_POSITIVE) };
+    bounded_seconds(1.0 / per_s, MAX_WAIT)
 }
 
 /// Returns the rate that a home books for a server that accepts `per_s` requests per
--- a/crates/policy/tests/request_pacer.rs
+++ b/crates/policy/tests/request_pacer.rs
@@ -114,3 +114,28 @@
     };
     assert!(wait <= Duration::from_millis(100), "{wait:?}");
 }
+
+/// Above some 2e9 requests a second the ratio of two intervals was no number, and the pacer
+/// panicked.
+#[test]
+fn a_limit_as_good_as_none_makes_the_pacer_panic() {
+    let rates = [4_294_967_295.0, 2e9, 1e18, f64::MAX, f64::INFINITY, f64::NAN, -1.0, 0.0, 1e-320];
+    let now = Instant::now();
+    for first in rates {
+        for next in rates.into_iter().chain([5.0]) {
+            let mut pacer = RequestPacer::new(booked_rate(first, 2, 3), now);
+            pacer.set_rate(first, now);
+            let _ = pacer.book(Duration::MAX, now);
+            pacer.set_rate(next, now);
+            let (Booking::Granted(wait) | Booking::Refused(wait)) = pacer.book(Duration::MAX, now);
+            assert!(wait <= Duration::from_secs(180), "{first} then {next}: {wait:?}");
+        }
+        let mut pacer = RequestPacer::new(first, now);
+        let is_granted =
+            |_: &u32| pacer.book(Duration::ZERO, now) == Booking::Granted(Duration::ZERO);
+        let granted = (0..1_000).filter(is_granted).count();
+        if first >= 2e9 {
+            assert_eq!(granted, 1_000, "at {first}");
+        }
+    }
+}
