gateway: bound numbers of others before calculating with them

Cause: sums of times panic when they leave the range of an Instant, and sums of counts wrap.

Change: numbers of callers, servers, other hosts, the configuration and the settings are bounded where they arrive; sums of times saturate.

Before, on (debug build): the three tests of the gateway's odd_numbers.rs fail (no answer for 2^64 - 2 tokens, for a timeout of 1.8e16 s, after a digest with 2^63 - 1 tokens), settings_errors_name_the_invalid_field fails with the added rows. All pass with the change, as do host_view, generations and translation."

--- a/crates/core/src/clock.rs
+++ b/crates/core/src/clock.rs
@@ -67,6 +67,15 @@
     }
 }
 
+/// The delay that [`after`] puts in place of one that reaches beyond what an [`Instant`] holds.
+const FAR: Duration = Duration::from_secs(100 * 365 * 24 * 3_600);
+
+/// Returns the time `delay` after `at`. A sum that an [`Instant`] cannot hold, which panics with
+/// `+`, is a time far in the future: the delay may come from a caller, a server or another host.
+pub fn after(at: Instant, delay: Duration) -> Instant {
+    at.checked_add(delay).unwrap_or_else(|| at + FAR)
+}
+
 /// Converts `seconds` to a duration of at most `max`. What is negative or no number is zero, as a
 /// quotient of unusual figures may be.
 pub fn bounded_seconds(seconds: f64, max: Duration) -> Duration {
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -238,8 +238,11 @@
         attempts_left: bool,
     ) -> SendOutcome {
         let remaining = inbound.remaining(self.clock.now());
-        let rerun_timeout =
-            (inbound.route.target_latency * RERUN_LATENCY_FACTOR).max(MIN_RERUN_TIMEOUT);
+        let rerun_timeout = inbound
+            .route
+            .target_latency
+            .saturating_mul(RERUN_LATENCY_FACTOR)
+            .max(MIN_RERUN_TIMEOUT);
         let may_rerun = attempts_left && inbound.route.repeat.allows_rerun();
         let limit = if may_rerun { remaining.min(rerun_timeout) } else { remaining };
         let metadata = SendMetadata {
--- a/crates/gateway/src/configuration.rs
+++ b/crates/gateway/src/configuration.rs
@@ -7,6 +7,8 @@
 use aspenloft_core::prelude::Name;
 use serde::{Deserialize, Serialize};
 
+use crate::dialect::MAX_TOKENS;
+
 /// `Configuration` is one version of the operator's configuration.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Configuration {
@@ -108,7 +110,36 @@
     }
 }
 
+/// The longest time that counts in a configuration. Sums of such times do not overflow.
+const MAX_PERIOD: Duration = Duration::from_secs(24 * 3_600);
+
+/// The longest head of a request that is buffered, in bytes.
+const MAX_HEADER_BYTES: usize = 1024 * 1024;
+
+/// The maximum number of slots of an engine, and of tokens in an event.
+const MAX_COUNT: u32 = 1_000_000;
+
 impl Configuration {
+    /// Returns the configuration with numbers that can be calculated with. Those beyond are as
+    /// good as none, and become the largest ones.
+    pub fn bounded(mut self) -> Configuration {
+        for route in &mut self.routes {
+            route.timeout = route.timeout.min(MAX_PERIOD);
+            route.target_latency = route.target_latency.min(MAX_PERIOD);
+        }
+        for engine in self.services.values_mut().filter_map(|s| s.engine.as_mut()) {
+            engine.slots = engine.slots.min(MAX_COUNT as usize);
+            engine.memory_tokens = engine.memory_tokens.min(MAX_TOKENS);
+            engine.tokens_per_event = engine.tokens_per_event.clamp(1, u64::from(MAX_COUNT));
+            engine.handle_life = engine.handle_life.min(MAX_PERIOD);
+        }
+        let limits = &mut self.limits;
+        limits.max_header_bytes = limits.max_header_bytes.min(MAX_HEADER_BYTES);
+        limits.header_timeout = limits.header_timeout.min(MAX_PERIOD);
+        limits.idle_timeout = limits.idle_timeout.min(MAX_PERIOD);
+        self
+    }
+
     /// Returns the route for `host` and `path`: the one with the longest matching
     /// path prefix among the routes of that host.
     pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
--- a/crates/gateway/src/demand.rs
+++ b/crates/gateway/src/demand.rs
@@ -10,6 +10,7 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::dialect::MAX_TOKENS;
 use crate::loads::RunSize;
 
 /// The weight of the newest request in the moving averages, which therefore reflect
@@ -38,6 +39,13 @@
     pub prefill_per_ms: f64,
 }
 
+impl DemandDigest {
+    fn is_plausible(&self) -> bool {
+        let is_size = |value: f64| (0.0..=MAX_TOKENS as f64).contains(&value);
+        [self.prompt, self.answer, self.prefill_per_ms].into_iter().all(is_size)
+    }
+}
+
 /// `DemandTracker` keeps the averages of each service, of this host and of others.
 #[derive(Debug, Default)]
 pub struct DemandTracker {
@@ -77,8 +85,9 @@
         self.state.lock().local.values().copied().collect()
     }
 
-    /// Replaces the averages that `host` reported.
-    pub fn update_peer(&self, host: &Name, digests: Vec<DemandDigest>) {
+    /// Replaces the averages that `host` reported. Those that are no sizes are left out.
+    pub fn update_peer(&self, host: &Name, mut digests: Vec<DemandDigest>) {
+        digests.retain(DemandDigest::is_plausible);
         self.state.lock().peers.insert(host.clone(), digests);
     }
 
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -43,6 +43,21 @@
     pub expected_output_tokens: Option<u64>,
 }
 
+/// The largest number of tokens that counts, of a prompt or of an output. No engine holds as
+/// many, and the sum of those of all requests does not overflow.
+pub const MAX_TOKENS: u64 = u32::MAX as u64;
+
+impl GenerationSize {
+    /// Returns the size with at most [`MAX_TOKENS`] tokens of each kind.
+    pub fn bounded(self) -> GenerationSize {
+        GenerationSize {
+            prompt_tokens: self.prompt_tokens.min(MAX_TOKENS),
+            max_output_tokens: self.max_output_tokens.min(MAX_TOKENS),
+            expected_output_tokens: self.expected_output_tokens.map(|t| t.min(MAX_TOKENS)),
+        }
+    }
+}
+
 /// `Phase` is the part of a request that a backend server executes.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Phase {
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -4,7 +4,7 @@
 
 use std::time::{Duration, Instant};
 
-use aspenloft_core::clock::unix_millis;
+use aspenloft_core::clock::{after, unix_millis};
 use aspenloft_core::errors::{Error, ErrorCode};
 use aspenloft_core::prelude::{Arc, Name, SharedClock};
 use aspenloft_policy::engine_choice::{
@@ -200,7 +200,7 @@
             continues: needs.version.is_some(),
             priority: inbound.route.priority,
             arrived: inbound.arrived,
-            due: inbound.arrived + inbound.route.target_latency,
+            due: after(inbound.arrived, inbound.route.target_latency),
             deadline: inbound.deadline,
         };
         let expected = self.expected_wait(&inbound.service, needs, now);
--- a/crates/gateway/src/forwarding/serve.rs
+++ b/crates/gateway/src/forwarding/serve.rs
@@ -1,5 +1,6 @@
 //! The `serve` module serves the requests that other hosts forward.
 
+use aspenloft_core::clock::after;
 use aspenloft_core::errors::{Error, ErrorCode, Result};
 use aspenloft_core::execution::Execution;
 use aspenloft_core::prelude::Arc;
@@ -61,7 +62,7 @@
         let length = u64::try_from(req.body.len()).unwrap_or(u64::MAX);
         let body_reservation = self.reserve_body(Some(length))?;
         let inbound = selected.inbound(head, req.body, body_reservation, metadata, arrived);
-        let inbound = inbound.forwarded(now + req.remaining, req.runs);
+        let inbound = inbound.forwarded(after(now, req.remaining), req.runs);
         log::info!(event = "forwarded_here", request = inbound.log_id(); "");
         self.metrics.forwarded("served");
         let inbound = Arc::new(inbound);
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -6,6 +6,7 @@
 use std::pin::pin;
 use std::time::{Duration, Instant};
 
+use aspenloft_core::clock::after;
 use aspenloft_core::errors::{Error, ErrorCode};
 use aspenloft_core::execution::Execution;
 use aspenloft_core::prelude::{Arc, Name, Result, SharedClock};
@@ -436,7 +437,7 @@
             route,
             service,
             arrived,
-            deadline: arrived + time_limit,
+            deadline: after(arrived, time_limit),
             crash_state,
             progress,
             is_forwarded: false,
--- a/crates/gateway/src/generation/mod.rs
+++ b/crates/gateway/src/generation/mod.rs
@@ -95,10 +95,15 @@
         engine: &EngineProfile,
     ) -> Result<Response<ResponseBody>, Error> {
         self.crashes.check(&inbound, &self.peers).await?;
+        let requested = requested.bounded();
         let size = estimate_size(requested);
         let version = self.stream_version(&inbound).await?;
         let needs = RunNeeds { size, version };
-        self.demand.record_request(&inbound.service, size);
+        // A request that no engine can hold is refused, and is no demand for engines.
+        if size.prompt < engine.memory_tokens {
+            let expected = size.expected.min(engine.memory_tokens);
+            self.demand.record_request(&inbound.service, RunSize { expected, ..size });
+        }
         let (placement, permit) = self.place(&inbound, engine, needs).await?;
         // Engines may have crashed while the request waited.
         self.crashes.check(&inbound, &self.peers).await?;
--- a/crates/gateway/src/generation/prefill.rs
+++ b/crates/gateway/src/generation/prefill.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use aspenloft_core::clock::after;
 use aspenloft_core::errors::Error;
 use aspenloft_core::execution::Execution;
 use aspenloft_core::prelude::{Arc, Name};
@@ -150,7 +151,7 @@
             self.dialect.read_prefill_response(&body.bytes).map_err(|_| Unusable::Unreadable)?;
         let took = self.clock.now().saturating_duration_since(began);
         self.demand.record_prefill(&inbound.service, tokens, took);
-        let stale_at = self.clock.now() + engine.handle_life.mul_f64(USABLE_LIFETIME_SHARE);
+        let stale_at = after(self.clock.now(), engine.handle_life.mul_f64(USABLE_LIFETIME_SHARE));
         Ok(KvCacheGuard::new(self, server.clone(), handle, tokens, stale_at))
     }
 }
--- a/crates/gateway/src/generation/relay.rs
+++ b/crates/gateway/src/generation/relay.rs
@@ -183,6 +183,11 @@
         }
     }
 
+    /// Returns the number of tokens in the events so far.
+    fn tokens(&self) -> u64 {
+        self.sequence.events().saturating_mul(self.tokens_per_event)
+    }
+
     /// Records the version at which the stream began, once its first events are there.
     fn record_version(&mut self) {
         let Some(upstream) = self.upstream.as_ref().filter(|_| !self.version_recorded) else {
@@ -236,10 +241,10 @@
                 if known == self.events_before && self.sequence.events() > known {
                     self.generations.crashes.record_answer(&self.inbound);
                 }
-                self.run.record_progress(self.sequence.events() * self.tokens_per_event);
+                self.run.record_progress(self.tokens());
                 // Each event has at least one token.
-                let too_many =
-                    self.sequence.events() > self.needs.size.max_output + MAX_EXTRA_EVENTS;
+                let max_events = self.needs.size.max_output.saturating_add(MAX_EXTRA_EVENTS);
+                let too_many = self.sequence.events() > max_events;
                 if self.splitter.is_overlong() || too_many {
                     return Err(StreamEnd::Broken);
                 }
@@ -332,8 +337,7 @@
         let Some(upstream) = self.upstream.take() else { return };
         if end == StreamEnd::Complete {
             let now = self.generations.clock.now();
-            let tokens = self.sequence.events() * self.tokens_per_event;
-            self.run.record_pace(tokens, now.saturating_duration_since(self.started_at));
+            self.run.record_pace(self.tokens(), now.saturating_duration_since(self.started_at));
             let BackendResponse { connection, metadata, .. } = upstream.response;
             self.generations.client.release(connection, &metadata);
             upstream.server.state.health(|h| h.record_success(self.generations.clock.now()));
--- a/crates/gateway/src/loads.rs
+++ b/crates/gateway/src/loads.rs
@@ -11,6 +11,8 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::dialect::MAX_TOKENS;
+
 /// How long the last digest of a host counts when no newer one arrives. A host's
 /// requests on the engines end when its connections close.
 const DIGEST_TTL: Duration = Duration::from_secs(2);
@@ -22,6 +24,9 @@
 /// The maximum number of services of which a digest tells the queue.
 const MAX_QUEUES: usize = 16;
 
+/// The largest number of requests that a host counts as queued at another one.
+const MAX_QUEUED: usize = 1_000_000;
+
 /// The assumed duration of a decode step before any stream was observed: that of a
 /// busy engine.
 const DEFAULT_STEP: Duration = Duration::from_millis(4);
@@ -75,6 +80,20 @@
     pub switching: Vec<u64>,
 }
 
+impl LoadDigest {
+    /// Returns the digest with numbers that can be added up, whatever the other host sent.
+    fn bounded(mut self) -> LoadDigest {
+        for run in &mut self.runs {
+            (run.held, run.remaining) = (run.held.min(MAX_TOKENS), run.remaining.min(MAX_TOKENS));
+        }
+        for prefill in &mut self.prefills {
+            prefill.tokens = prefill.tokens.min(MAX_TOKENS);
+        }
+        self.waiting = self.waiting.min(MAX_QUEUED);
+        self
+    }
+}
+
 /// `QueueDigest` is the queue of one host for one service, as sent to other hosts.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct QueueDigest {
@@ -352,12 +371,16 @@
 
     /// Replaces the load that `host` reported. Its queues are not known until they are set.
     pub fn update_peer(&self, host: &Name, loads: LoadDigest, now: Instant) {
-        let peer = PeerLoad { received: now, loads, queues: None };
+        let peer = PeerLoad { received: now, loads: loads.bounded(), queues: None };
         self.state.lock().peers.insert(host.clone(), peer);
     }
 
     /// Sets the queues that `host` reported along with its last load.
-    pub fn set_peer_queues(&self, host: &str, queues: Vec<QueueDigest>) {
+    pub fn set_peer_queues(&self, host: &str, mut queues: Vec<QueueDigest>) {
+        for queue in &mut queues {
+            queue.on_time = queue.on_time.min(MAX_QUEUED);
+            queue.late = queue.late.min(MAX_QUEUED);
+        }
         if let Some(peer) = self.state.lock().peers.get_mut(host) {
             peer.queues = Some(queues);
         }
--- a/crates/gateway/src/permits.rs
+++ b/crates/gateway/src/permits.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use aspenloft_core::prelude::{Arc, Host, SharedClock};
-use aspenloft_policy::request_pacer::{Booking, RequestPacer, booked_rate};
+use aspenloft_policy::request_pacer::{Booking, MAX_WAIT, RequestPacer, booked_rate};
 use async_std::task;
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
@@ -146,6 +146,7 @@
         };
         match reply {
             PermitReply::Granted(wait) => {
+                let wait = wait.min(MAX_WAIT);
                 self.limits.set_wait(server.key, wait);
                 if !wait.is_zero() {
                     task::sleep(wait).await;
@@ -157,7 +158,7 @@
                 Ok(SendPermit { server: server.key, expires })
             }
             PermitReply::Refused(wait) => {
-                let wait = wait.max(MIN_REFUSED_WAIT);
+                let wait = wait.clamp(MIN_REFUSED_WAIT, MAX_WAIT);
                 self.limits.set_wait(server.key, wait);
                 Err(LimitReached { retry_after: wait.saturating_sub(max_wait) })
             }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
+use aspenloft_core::clock::{after, bounded_seconds};
 use aspenloft_core::prelude::{Arc, Name};
 use aspenloft_core::suspects::Fingerprint;
 use aspenloft_policy::crash_tracker::RequestCauses;
@@ -21,6 +22,9 @@
 /// The maximum jitter that is added to `Retry-After`, as a share of it.
 const RETRY_AFTER_JITTER: f64 = 0.5;
 
+/// The longest `Retry-After`.
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(60);
+
 /// The maximum number of parts of a prompt in a log line.
 const MAX_LOGGED_PARTS: usize = 8;
 
@@ -107,8 +111,16 @@
 
     /// Records that a server may have run the request.
     pub fn record_run(&self) {
-        self.record_arrival();
-        self.runs.fetch_add(1, Ordering::SeqCst);
+        self.record_runs(1);
+    }
+
+    /// Records that `runs` servers may have run the request.
+    pub fn record_runs(&self, runs: u32) {
+        if runs > 0 {
+            self.record_arrival();
+        }
+        let add = |known: u32| Some(known.saturating_add(runs));
+        let _ = self.runs.fetch_update(Ordering::SeqCst, Ordering::SeqCst, add);
     }
 }
 
@@ -129,7 +141,7 @@
     /// what is left of its target latency, so that it can still be answered in time. Other
     /// requests are better served by an early refusal that says when to return.
     pub fn permit_wait(&self, now: Instant) -> Duration {
-        let due = (self.arrived + self.route.target_latency).min(self.deadline);
+        let due = after(self.arrived, self.route.target_latency).min(self.deadline);
         due.saturating_duration_since(now) / 2
     }
 
@@ -138,9 +150,7 @@
     pub fn forwarded(mut self, deadline: Instant, runs: u32) -> InboundRequest {
         self.deadline = self.deadline.min(deadline);
         self.is_forwarded = true;
-        for _ in 0..runs {
-            self.progress.record_run();
-        }
+        self.progress.record_runs(runs);
         self
     }
 
@@ -192,7 +202,8 @@
     /// that callers that are refused together do not return together. The request's hash
     /// gives the jitter without a source of randomness.
     pub fn with_jitter(&self, after: Duration) -> Duration {
-        after.mul_f64(1.0 + self.fingerprint().0 as f64 / u64::MAX as f64 * RETRY_AFTER_JITTER)
+        let jitter = self.fingerprint().0 as f64 / u64::MAX as f64 * RETRY_AFTER_JITTER;
+        bounded_seconds(after.as_secs_f64() * (1.0 + jitter), MAX_RETRY_AFTER)
     }
 
     /// Builds the request to a backend server with the values of `metadata`. Fails if they
--- a/crates/gateway/src/server_limits.rs
+++ b/crates/gateway/src/server_limits.rs
@@ -9,6 +9,7 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant, SystemTime};
 
+use aspenloft_core::clock::after;
 use aspenloft_core::prelude::{Arc, SharedClock};
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
@@ -102,6 +103,11 @@
     }
 }
 
+/// Returns whether `per_s` can be a number of requests per second.
+fn is_rate(per_s: f64) -> bool {
+    per_s.is_finite() && per_s >= 0.0
+}
+
 fn log_limit(server: &Server, per_s: Option<f64>) {
     let instance = &*server.entry.instance;
     match per_s {
@@ -155,8 +161,10 @@
             return;
         }
         self.with_state(|state, now| match metadata.rate_limit {
-            Some(RateLimit::PerSecond(per_s)) => state.record(server, Some(per_s), now, now),
-            Some(RateLimit::Unreadable) => {
+            Some(RateLimit::PerSecond(per_s)) if is_rate(per_s) => {
+                state.record(server, Some(per_s), now, now);
+            }
+            Some(_) => {
                 let instance = &*server.entry.instance;
                 log::warn!(event = "server_limit_unreadable", server = instance; "");
             }
@@ -177,6 +185,9 @@
         notice: &LimitNotice,
         find: impl FnOnce(u64) -> Option<Arc<Server>>,
     ) {
+        if notice.per_s.is_some_and(|per_s| !is_rate(per_s)) {
+            return;
+        }
         self.with_state(|state, now| {
             let heard = now.checked_sub(notice.age).unwrap_or(now);
             let is_known = state.known.contains_key(&notice.server);
@@ -244,7 +255,7 @@
     pub fn set_wait(&self, server: u64, wait: Duration) {
         self.with_state(|state, now| {
             if let Some(limit) = state.known.get_mut(&server) {
-                limit.free_at = Some(now + wait);
+                limit.free_at = Some(after(now, wait));
             }
         });
     }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -77,6 +77,12 @@
     pub grace_s: Duration,
 }
 
+/// The longest time that a setting may name.
+const MAX_PERIOD: Duration = Duration::from_secs(24 * 3_600);
+
+/// The largest allowance of extra sends.
+const MAX_RETRIES: f64 = 1e9;
+
 impl Settings {
     /// Reads the settings file at `path`; an error names the invalid field.
     pub fn load(path: &Path) -> Result<Settings> {
@@ -89,7 +95,26 @@
     /// Parses settings from JSON. Unknown fields are ignored.
     pub fn from_json(text: &str) -> Result<Settings> {
         let mut json = serde_json::Deserializer::from_str(text);
-        serde_path_to_error::deserialize(&mut json)
-            .map_err(|e| invalid(format!("{}: {}", e.path(), e.inner())))
+        let settings: Settings = serde_path_to_error::deserialize(&mut json)
+            .map_err(|e| invalid(format!("{}: {}", e.path(), e.inner())))?;
+        settings.check()?;
+        Ok(settings)
+    }
+
+    /// Refuses numbers that fit their types but cannot be calculated with.
+    fn check(&self) -> Result<()> {
+        let RetrySettings { ratio, slack, window_s } = &self.retries;
+        let out_of_range = [
+            ("retries.ratio", !(0.0..=MAX_RETRIES).contains(ratio)),
+            ("retries.slack", !(0.0..=MAX_RETRIES).contains(slack)),
+            ("retries.window_s", window_s.is_zero() || *window_s > MAX_PERIOD),
+            ("shutdown.grace_s", self.shutdown.grace_s > MAX_PERIOD),
+            ("memory_mb", self.memory_mb == 0),
+            ("max_descriptors", self.max_descriptors == Some(0)),
+        ];
+        match out_of_range.iter().find(|(_, is_wrong)| *is_wrong) {
+            Some((field, _)) => Err(invalid(format!("{field}: the value is out of range"))),
+            None => Ok(()),
+        }
     }
 }
--- a/crates/gateway/src/sync/learn.rs
+++ b/crates/gateway/src/sync/learn.rs
@@ -4,6 +4,7 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
+use aspenloft_core::clock::after;
 use aspenloft_core::errors::Result;
 use aspenloft_core::prelude::{Arc, Host, Name};
 use aspenloft_policy::catch_up::CatchUp;
@@ -132,11 +133,12 @@
         let withheld: HashMap<Name, Duration> =
             reply.withheld.into_iter().map(|w| (w.instance, w.remaining)).collect();
         let servers = reply.servers.into_iter().map(|entry| match withheld.get(&entry.instance) {
-            Some(remaining) => ServerChange::Withheld(entry, requested_at + *remaining),
+            Some(remaining) => ServerChange::Withheld(entry, after(requested_at, *remaining)),
             None => ServerChange::Listed(entry),
         });
         let servers: Vec<ServerChange> = servers.collect();
-        let kept = reply.kept.into_iter().map(|kept| (kept.entry, requested_at + kept.remaining));
+        let until = |remaining| after(requested_at, remaining);
+        let kept = reply.kept.into_iter().map(|kept| (kept.entry, until(kept.remaining)));
         let keep = Keep::AsPeer(kept.collect());
         let now = self.clock.now();
         self.view.merge_marks(&servers);
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -137,7 +137,7 @@
             return false;
         }
         log::info!(event = "configuration", from, version = next.version, routes = next.routes.len(); "");
-        *current = Some(Arc::new(next));
+        *current = Some(Arc::new(next.bounded()));
         true
     }
 
--- a/crates/gateway/tests/host_view.rs
+++ b/crates/gateway/tests/host_view.rs
@@ -272,6 +272,12 @@
         ("\"10.0.0.1:2\"", "7", "listen.readiness"),
         ("\"slack\": 50", "\"slack\": \"x\"", "retries.slack"),
         ("\"10.0.0.1:5\"", "\"nowhere\"", "key_value"),
+        ("\"ratio\": 0.2", "\"ratio\": -0.2", "retries.ratio"),
+        ("\"slack\": 50", "\"slack\": 1e300", "retries.slack"),
+        ("\"window_s\": 10", "\"window_s\": 0", "retries.window_s"),
+        ("\"grace_s\": 8", "\"grace_s\": 1e19", "shutdown.grace_s"),
+        ("\"grace_s\": 8", "\"grace_s\": 1e300", "shutdown.grace_s"),
+        ("\"memory_mb\": 1", "\"memory_mb\": 0", "memory_mb"),
     ] {
         let error = Settings::from_json(&good.replace(from, to)).expect_err(place);
         assert!(error.message.starts_with(place), "{}", error.message);
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -3,6 +3,8 @@
 
 use std::time::{Duration, Instant};
 
+use aspenloft_core::clock::bounded_seconds;
+
 use crate::estimate::MovingAverage;
 use crate::fair_queue::{FairQueue, Flow, QueuedRequest, Ticket};
 
@@ -187,7 +189,7 @@
         if rate <= 0.0 {
             return Duration::ZERO;
         }
-        Duration::from_secs_f64((work / rate).clamp(0.0, MAX_RETRY_AFTER.as_secs_f64()))
+        bounded_seconds(work / rate, MAX_RETRY_AFTER)
     }
 
     /// Measures the rate of admitted work while requests wait, because only then does it
--- a/crates/policy/src/duty.rs
+++ b/crates/policy/src/duty.rs
@@ -6,6 +6,7 @@
 
 use std::time::{Duration, Instant};
 
+use aspenloft_core::clock::after;
 use aspenloft_core::prelude::Name;
 use serde::{Deserialize, Serialize};
 
@@ -102,6 +103,6 @@
     /// hosts, if there are any, for long enough that each of them can try.
     pub fn fail(&mut self, others: usize, now: Instant) {
         let others = u32::try_from(others).unwrap_or(u32::MAX);
-        self.unable_until = Some(now + self.options.step.saturating_mul(others));
+        self.unable_until = Some(after(now, self.options.step.saturating_mul(others)));
     }
 }
--- a/crates/policy/src/engine_memory.rs
+++ b/crates/policy/src/engine_memory.rs
@@ -32,7 +32,7 @@
         let overrun = (generated as f64 * OVERRUN_SHARE) as u64;
         let remaining = if generated < expected { planned } else { overrun };
         RunForecast {
-            held: prompt + generated,
+            held: prompt.saturating_add(generated),
             remaining: remaining.max(MIN_REMAINING).min(limit.max(1)),
         }
     }
@@ -40,7 +40,10 @@
     /// Returns the forecast after `steps` more decode steps.
     pub fn advanced(self, steps: u64) -> RunForecast {
         let generated = steps.min(self.remaining);
-        RunForecast { held: self.held + generated, remaining: self.remaining - generated }
+        RunForecast {
+            held: self.held.saturating_add(generated),
+            remaining: self.remaining - generated,
+        }
     }
 }
 
@@ -51,15 +54,15 @@
 pub fn peak_tokens(runs: &[RunForecast]) -> u64 {
     let mut by_end = runs.to_vec();
     by_end.sort_unstable_by_key(|run| run.remaining);
-    let mut held: u64 = by_end.iter().map(|run| run.held).sum();
+    let mut held = by_end.iter().fold(0_u64, |sum, run| sum.saturating_add(run.held));
     let mut running = by_end.len() as u64;
     let mut peak = held;
     let mut step = 0;
     for run in &by_end {
-        held += running * (run.remaining - step);
+        held = held.saturating_add(running.saturating_mul(run.remaining - step));
         step = run.remaining;
         peak = peak.max(held);
-        held -= run.held + run.remaining;
+        held = held.saturating_sub(run.held.saturating_add(run.remaining));
         running -= 1;
     }
     peak
--- a/crates/policy/src/estimate.rs
+++ b/crates/policy/src/estimate.rs
@@ -4,6 +4,7 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
+use aspenloft_core::clock::bounded_seconds;
 use aspenloft_core::prelude::{Name, Tokens};
 
 use crate::prefill_queue::work_time;
@@ -52,6 +53,9 @@
     sxy: f64,
 }
 
+/// The longest time of a step, or of the transfer of a token, that is estimated.
+const MAX_STEP: Duration = Duration::from_secs(60);
+
 impl StepModel {
     /// Adds the time of a step with `active` streams.
     pub fn add(&mut self, active: u32, step: Duration) {
@@ -73,7 +77,7 @@
         let slope = (self.n * self.sxy - self.sx * self.sy) / spread;
         let slope = if spread > 1e-9 && slope > 0.0 { slope } else { 0.0 };
         let base = (self.sy - slope * self.sx) / self.n;
-        Some(Duration::from_secs_f64((base + slope * f64::from(active)).clamp(0.0, 60.0)))
+        Some(bounded_seconds(base + slope * f64::from(active), MAX_STEP))
     }
 }
 
@@ -176,9 +180,8 @@
 
     /// Returns the transfer time of one token's KV cache.
     pub fn per_token(&self) -> Duration {
-        Duration::from_secs_f64(
-            self.per_token.value_or(DEFAULT_TRANSFER_PER_TOKEN.as_secs_f64()).max(0.0),
-        )
+        let seconds = self.per_token.value_or(DEFAULT_TRANSFER_PER_TOKEN.as_secs_f64());
+        bounded_seconds(seconds, MAX_STEP)
     }
 
     /// Returns the estimated time to transfer `tokens` after those in flight.
--- a/crates/policy/src/limits.rs
+++ b/crates/policy/src/limits.rs
@@ -8,6 +8,8 @@
 
 use std::time::{Duration, Instant};
 
+use aspenloft_core::clock::{after, bounded_seconds};
+
 /// The period of expected demand that one draw covers.
 pub const DRAW_AHEAD: Duration = Duration::from_millis(250);
 
@@ -89,8 +91,8 @@
 /// Converts seconds to a duration of at most one minute, the longest time after which a
 /// refused caller is told to retry.
 fn capped_duration(seconds: f64) -> Duration {
-    const MAX_S: f64 = 60.0;
-    Duration::from_secs_f64(seconds.clamp(0.0, MAX_S))
+    const MAX: Duration = Duration::from_secs(60);
+    bounded_seconds(seconds, MAX)
 }
 
 /// Returns the rate that a host may use while it cannot reach the limit's home: an equal
@@ -209,7 +211,7 @@
 
     fn add_permits(&mut self, draw: Draw, now: Instant) {
         if draw.permits == 0 {
-            self.refused_until = Some(now + draw.retry_after);
+            self.refused_until = Some(after(now, draw.retry_after));
             return;
         }
         self.permits += draw.permits;
--- a/crates/policy/src/prefill_queue.rs
+++ b/crates/policy/src/prefill_queue.rs
@@ -4,6 +4,7 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
+use aspenloft_core::clock::after;
 use aspenloft_core::prelude::{BackendState, RequestId, ReservationId, Tokens};
 
 /// How long after its predicted end an entry that has not started expires.
@@ -63,7 +64,7 @@
             return Err(self.state(now));
         }
         let work = work_time(self.per_token, req.tokens);
-        let expires = now + wait + work + EXPIRY_SLACK;
+        let expires = after(now, wait.saturating_add(work).saturating_add(EXPIRY_SLACK));
         self.queued += req.tokens;
         self.working_since.get_or_insert(now);
         self.entries.insert(req.id, Entry { request: req.request, tokens: req.tokens, expires });
@@ -76,7 +77,7 @@
         self.expire(now);
         match self.entries.get_mut(&id) {
             Some(entry) => {
-                entry.expires = now + max_duration;
+                entry.expires = after(now, max_duration);
                 true
             }
             None => false,
--- a/crates/policy/src/reservations.rs
+++ b/crates/policy/src/reservations.rs
@@ -8,6 +8,7 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
+use aspenloft_core::clock::after;
 use aspenloft_core::prelude::{BackendState, RequestId, ReservationId};
 
 /// The remaining time assumed for a stream that runs past its predicted end.
@@ -162,8 +163,8 @@
         let expected = slot.ends - slot.starts;
         slot.running = true;
         slot.starts = now;
-        slot.ends = now + expected;
-        slot.expires = now + max_duration;
+        slot.ends = after(now, expected);
+        slot.expires = after(now, max_duration);
         StartOutcome::Started
     }
 
--- a/crates/policy/src/route/pairs.rs
+++ b/crates/policy/src/route/pairs.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use aspenloft_core::clock::bounded_seconds;
 use aspenloft_core::prelude::Tokens;
 
 use super::cost::{CostTerms, ServerCost, terms};
@@ -28,12 +29,12 @@
     /// Returns the predicted time from now until the decode slot is needed.
     pub fn decode_starts_in(&self) -> Duration {
         let seconds = self.terms.queue + self.terms.prefill + self.terms.transfer;
-        Duration::from_secs_f64(seconds.max(0.0))
+        bounded_seconds(seconds, Duration::MAX)
     }
 
     /// Returns the estimated time to the first token.
     pub fn ttft(&self) -> Duration {
-        Duration::from_secs_f64(self.terms.ttft().max(0.0))
+        bounded_seconds(self.terms.ttft(), Duration::MAX)
     }
 }
 
--- a/crates/policy/src/waiting.rs
+++ b/crates/policy/src/waiting.rs
@@ -11,6 +11,8 @@
 
 use std::time::{Duration, Instant};
 
+use aspenloft_core::clock::after;
+
 /// `WaitOptions` bounds the wait queue.
 #[derive(Debug, Clone, PartialEq)]
 pub struct WaitOptions {
@@ -70,8 +72,8 @@
     /// Returns when the request times out.
     pub fn times_out_at(&self, options: &WaitOptions) -> Instant {
         let target = self.due.saturating_duration_since(self.arrived);
-        let longest_wait = (target * options.max_wait_targets).max(options.min_wait_limit);
-        (self.arrived + longest_wait).min(self.deadline)
+        let longest_wait = target.saturating_mul(options.max_wait_targets);
+        after(self.arrived, longest_wait.max(options.min_wait_limit)).min(self.deadline)
     }
 }
 
@@ -86,7 +88,8 @@
     // rate as before.
     let rounds = (ahead / remaining.len().max(1)) as u64;
     let longest = remaining.last().copied().unwrap_or(0);
-    step.saturating_mul(u32::try_from(steps + rounds * longest).unwrap_or(u32::MAX))
+    let steps = steps.saturating_add(rounds.saturating_mul(longest));
+    step.saturating_mul(u32::try_from(steps).unwrap_or(u32::MAX))
 }
 
 /// `ArrivalDecision` is the decision on a request that cannot be placed on arrival.
@@ -105,7 +108,7 @@
     now: Instant,
     options: &WaitOptions,
 ) -> ArrivalDecision {
-    if now + expected <= request.times_out_at(options) {
+    if after(now, expected) <= request.times_out_at(options) {
         ArrivalDecision::Wait
     } else {
         ArrivalDecision::Refuse(expected)
