gateway: answer requests in which the router panics

What callers saw: the connection of such a request was closed without an answer. A panic in a task that runs until the process ends, such as the one that receives digests, ended that task for good.

Change: the request gets 503 with Retry-After if it has not been sent, else 502. Tasks that run until the end are started again. A panic while the queue for engines is processed refuses what is queued; before, nothing would have served the queue again. Panics are logged with their places.

a_panic_closes_the_connection_of_its_request, before on: no answer where 503 is wanted.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -20,6 +20,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::configuration::EngineProfile;
+use crate::containment::contain_sync;
 use crate::front::leaving_error;
 use crate::loads::{EngineLoads, QueueDigest, QueueScope, RunGuard, RunSize, service_key};
 use crate::metrics::Metrics;
@@ -285,7 +286,10 @@
         loop {
             task::sleep(QUEUE_POLL_INTERVAL).await;
             let mut queue = self.queue.lock();
-            self.process_queue(&mut queue);
+            if contain_sync("queue", || self.process_queue(&mut queue)).is_none() {
+                // Their callers are told to return; what made it panic may be one of them.
+                queue.clear();
+            }
             self.report_queues(&queue);
             if queue.is_empty() {
                 return;
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -31,6 +31,7 @@
 use crate::body_budget::{BodyBudget, BodyReservation};
 use crate::call::CallHandler;
 use crate::configuration::{CallerLimits, Configuration, Route};
+use crate::containment::{contain, contain_sync, panic_error};
 use crate::descriptors::relieve;
 use crate::dialect::{Dialect, RequestMetadata};
 use crate::forwarding::Forwarder;
@@ -203,13 +204,18 @@
         let _in_flight = self.shutdown.track_request();
         let arrived = self.clock.now();
         let (head, body) = req.into_parts();
-        let metadata = self.dialect.read_request(&head);
+        let metadata = contain_sync("request", || self.dialect.read_request(&head))
+            .unwrap_or_else(|| Err(panic_error(false)));
         let id = metadata.as_ref().ok().and_then(|metadata| metadata.id.clone());
         let mut pending = PendingRequest { frontend: &self, id: id.clone(), arrived, active: true };
         let mut route = "-".to_string();
         let result = match metadata {
             _ if is_refused => Err(no_room_error()),
-            Ok(metadata) => self.route(head, body, metadata, arrived, &mut route).await,
+            Ok(metadata) => {
+                let routed = self.route(head, body, metadata, arrived, &mut route);
+                let contained = contain("request", routed).await;
+                contained.unwrap_or_else(|| Err(panic_error(true)))
+            }
             Err(e) => Err(e),
         };
         let mut response = match result {
@@ -330,9 +336,16 @@
         let engine = configuration.services.get(&inbound.service).and_then(|s| s.engine.as_ref());
         match (inbound.metadata.generation, engine) {
             (Some(requested), Some(engine)) => {
-                with_deadline(self.generations.serve(inbound, requested, engine), remaining).await
+                let serving = self.generations.serve(inbound, requested, engine);
+                let served = contain("generation", with_deadline(serving, remaining)).await;
+                // Its progress does not tell whether an engine is being asked.
+                served.unwrap_or_else(|| Err(panic_error(true)))
+            }
+            _ => {
+                let serving = self.calls.serve(&inbound);
+                let served = contain("call", with_deadline(serving, remaining)).await;
+                served.unwrap_or_else(|| Err(panic_error(inbound.progress.may_have_run())))
             }
-            _ => with_deadline(self.calls.serve(&inbound), remaining).await,
         }
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod body_budget;
 pub mod call;
 pub mod configuration;
+pub mod containment;
 pub mod crashes;
 pub mod demand;
 pub mod departures;
--- a/crates/gateway/src/orders/mod.rs
+++ b/crates/gateway/src/orders/mod.rs
@@ -120,7 +120,7 @@
 
 impl Orders {
     /// Checks and changes the division of the engines until the host leaves.
-    pub async fn run(self) {
+    pub async fn run(self: Arc<Self>) {
         let mut lease: Option<OrderLease> = None;
         let mut pending: HashMap<u64, (ServerRole, Instant)> = HashMap::new();
         let mut planned_since: Option<Instant> = None;
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -21,6 +21,7 @@
 
 use crate::body_budget::BodyBudget;
 use crate::call::CallHandler;
+use crate::containment::spawn_restarting;
 use crate::crashes::Crashes;
 use crate::demand::DemandTracker;
 use crate::descriptors::{DescriptorShares, RelievingConnector, relieve_memory};
@@ -154,11 +155,18 @@
         state: Mutex::new(SyncState::default()),
         confirmed_from: AsyncMutex::default(),
     });
-    task::spawn(sync.clone().run());
-    task::spawn(sync.clone().catch_up_from_peers());
-    task::spawn(sync.clone().maintain_entry());
-    task::spawn(peers.clone().receive_digests(socket.clone()));
-    task::spawn(peers.clone().send_digests(socket, load_changes));
+    let spawned = sync.clone();
+    spawn_restarting("sync", move || spawned.clone().run());
+    let spawned = sync.clone();
+    spawn_restarting("catch_up", move || spawned.clone().catch_up_from_peers());
+    let spawned = sync.clone();
+    spawn_restarting("entry", move || spawned.clone().maintain_entry());
+    let (spawned, udp) = (peers.clone(), socket.clone());
+    spawn_restarting("digests_received", move || spawned.clone().receive_digests(udp.clone()));
+    let spawned = peers.clone();
+    spawn_restarting("digests_sent", move || {
+        spawned.clone().send_digests(socket.clone(), load_changes.clone())
+    });
 
     let ready = probes::Readiness { view: view.clone(), shutdown: shutdown.clone() };
     let readiness_path = platform.dialect.readiness_path().to_string();
@@ -174,7 +182,8 @@
     let pool_options = PoolOptions { max_open: shares.servers, ..PoolOptions::default() };
     let pool = Pool::new(pool_options, path.clone(), clock.clone(), metrics.clone());
     metrics.observe_connections(&connections, &pool);
-    task::spawn(sweep(pool.clone(), connections.clone(), settings.memory_mb));
+    let (spawned, kept, memory_mb) = (pool.clone(), connections.clone(), settings.memory_mb);
+    spawn_restarting("sweep", move || sweep(spawned.clone(), kept.clone(), memory_mb));
     let client = BackendClient::new(
         pool,
         platform.dialect.clone(),
@@ -198,9 +207,10 @@
         settings.mechanisms,
     );
     let log = StreamLog::new(kv.clone(), sync, peers.clone(), streams.clone(), clock.clone());
-    task::spawn(log.clone().run());
+    let spawned = log.clone();
+    spawn_restarting("stream_log", move || spawned.clone().run());
     shutdown.add_exit_hook(log.clone());
-    let orders = Orders {
+    let orders = Arc::new(Orders {
         host: settings.host.clone(),
         kv,
         view: view.clone(),
@@ -214,9 +224,9 @@
         shutdown: shutdown.clone(),
         metrics: metrics.clone(),
         clock: clock.clone(),
-    };
+    });
     if settings.mechanisms.role_changes {
-        task::spawn(orders.run());
+        spawn_restarting("orders", move || orders.clone().run());
     }
     let generations = Arc::new(GenerationHandler {
         mechanisms: settings.mechanisms,
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -61,8 +61,14 @@
     EngineCall { method, path: path.to_string(), headers, body }
 }
 
+/// Panics if the request asks for it at `place`.
+fn panic_if_asked(headers: &HeaderMap, place: &str) {
+    assert!(text(headers, "panic").as_deref() != Some(place), "asked to panic at {place}");
+}
+
 impl Dialect for TestDialect {
     fn read_request(&self, head: &request::Parts) -> Result<RequestMetadata> {
+        panic_if_asked(&head.headers, "read");
         let timeout_ms = text(&head.headers, "wait-ms").map(|ms| ms.parse::<u64>());
         let timeout_ms = timeout_ms.transpose().map_err(|e| invalid(e.to_string()))?;
         let generation = text(&head.headers, "tokens").and_then(|tokens| {
@@ -84,6 +90,7 @@
     }
 
     fn write_request(&self, headers: &HeaderMap, metadata: &SendMetadata) -> Result<HeaderMap> {
+        panic_if_asked(headers, "write");
         let mut out = end_to_end(headers);
         let mut set = |name: &'static str, value: &[u8]| {
             header_value(name, value).map(|value| drop(out.insert(name, value)))
@@ -106,6 +113,8 @@
     }
 
     fn read_response(&self, head: &response::Parts) -> ResponseMetadata {
+        // A response names the attempt, but not the headers of its request.
+        assert!(text(&head.headers, "id").as_deref() != Some("panic-response"), "asked to panic");
         ResponseMetadata {
             id: text(&head.headers, "id").map(Name::from),
             sealed: head.headers.contains_key("seal"),
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -4,3 +4,4 @@
 pub mod bounded;
 pub mod line;
 pub mod meters;
+pub mod panics;
